--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,10 @@
+"""Runs ruddergate-gateway from a checkout, without installing it."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+
+from ruddergate.cli import gateway  # noqa: E402
+
+gateway.run()
--- a/src/ruddergate/adapters/callers/render.py
+++ b/src/ruddergate/adapters/callers/render.py
@@ -19,6 +19,7 @@
     outcomes.Reason.KEY_ALREADY_USED: 409,
     outcomes.Reason.TIME_LIMIT: 504,
     outcomes.Reason.INTERNAL: 500,
+    outcomes.Reason.TARGET_UNREACHABLE: 502,
     outcomes.Reason.TARGET_LOST: 502,
     outcomes.Reason.TARGET_REFUSED: 502,
     outcomes.Reason.TARGET_BROKE_PROTOCOL: 502,
--- /dev/null
+++ b/src/ruddergate/cli/gateway.py
@@ -0,0 +1,136 @@
+"""Command line of `ruddergate-gateway`."""
+
+import asyncio
+import signal
+import sys
+from typing import Annotated
+
+from ruddergate import environment
+from ruddergate.cli import _private
+from ruddergate.entry import config as configs
+from ruddergate.entry import gateway as gateways
+from ruddergate.entry import source_sync
+from ruddergate.http import server
+from ruddergate.platform import callers
+from ruddergate.platform import replicas
+from ruddergate.platform import store
+from ruddergate.telemetry import logs
+from ruddergate.telemetry import traces
+
+APP = _private.make_app(
+    "ruddergate-gateway",
+    "Serves callers by the platform's store: admits, queues, routes, retries.",
+)
+# Of the time within which a removed key must be refused, this is kept back:
+# the store's watches may be a second late, and answers take time.
+_KEY_MARGIN_MS = 1_200.0
+# From this part of that time on, a call with a key earns nothing here, so that
+# callers had better go to another VM.
+_READY_PART = 0.5
+# The balancer takes a VM out after two questions, a second apart.
+_STOP_LAG_MS = 2_600.0
+# What is left of the time for a stop when it is given up.
+_STOP_MARGIN_MS = 400.0
+
+
+@APP.default
+def serve(
+    *,
+    vm_id: str,
+    hall: str,
+    listen: _private.AddressText,
+    ready_listen: _private.AddressText,
+    metrics_listen: _private.AddressText,
+    store_address: _private.AddressText,
+    revoke_ms: Annotated[float, _private.number(1, 600_000)] = 5_000.0,
+    grace_s: Annotated[float, _private.number(0.1, 600)] = 8.0,
+    retry_share: Annotated[float, _private.number(0, 1)] = 0.15,
+    retry_most: Annotated[float, _private.number(0, 1_000)] = 4.0,
+    store_every_ms: Annotated[float, _private.number(10, 60_000)] = 700.0,
+    store_timeout_ms: Annotated[float, _private.number(10, 60_000)] = 1_500.0,
+    body_bytes_max: Annotated[int, _private.number(1, 64_000_000)] = 8_000_000,
+    connections_max: Annotated[int, _private.number(1, 100_000)] = 3_000,
+    log_level: _private.LogLevel = "INFO",
+    log_format: _private.LogFormat = "json",
+    traces_to: _private.TraceExporter = "off",
+) -> None:
+    """Serves callers by the platform's store.
+
+    Args:
+        vm_id: Name of this VM.
+        hall: Data hall of this VM.
+        listen: Where callers are served (HOST:PORT).
+        ready_listen: Where the balancer asks for readiness (HOST:PORT).
+        metrics_listen: Where metrics are served (HOST:PORT).
+        store_address: Where the store serves (HOST:PORT).
+        revoke_ms: Time within which a removed key must be refused (ms).
+        grace_s: Time for a planned stop (s).
+        retry_share: Second sends allowed for each first one.
+        retry_most: Second sends that may be saved up.
+        store_every_ms: Time between two calls of the store (ms).
+        store_timeout_ms: Longest wait for an answer of the store (ms).
+        body_bytes_max: Longest body (bytes).
+        connections_max: Connections of callers open at once.
+        log_level: Least severe level that is logged.
+        log_format: Form of the logs.
+        traces_to: Where spans go.
+    """
+    logs.configure(log_level, log_format == "json", sys.stdout)
+    outside = environment.make_system_environment()
+    config = configs.EntryConfig(
+        vm_id=vm_id,
+        hall=hall,
+        listen=environment.parse_address(listen),
+        policy="by_region",
+        service_policy="least_recent",
+        limits=server.Limits(
+            body_bytes_max=body_bytes_max, connections_max=connections_max
+        ),
+    )
+    gateway_config = gateways.GatewayConfig(
+        ready_listen=environment.parse_address(ready_listen),
+        metrics_listen=environment.parse_address(metrics_listen),
+        settings_age_max_ms=revoke_ms - _KEY_MARGIN_MS,
+        ready_age_max_ms=revoke_ms * _READY_PART,
+        stop_lag_ms=_STOP_LAG_MS,
+        stop_limit_ms=grace_s * 1_000.0 - _STOP_MARGIN_MS,
+        pace=source_sync.Pace(every_ms=store_every_ms),
+        retry_share=retry_share,
+        retry_most=retry_most,
+    )
+    platform = gateways.Platform(
+        door=callers.make_door(),
+        send=replicas.make_send(outside),
+        source=store.make_source(
+            outside, environment.parse_address(store_address), store_timeout_ms
+        ),
+    )
+    tracer = traces.make_tracer(traces_to, "ruddergate-gateway", vm_id)
+    gateway = gateways.Gateway(
+        outside, config, gateway_config, platform, tracer
+    )
+
+    async def run_gateway(stop: asyncio.Event) -> None:
+        _note_reloads()
+        await gateway.run(stop)
+
+    _private.run_program(run_gateway)
+
+
+def _note_reloads() -> None:
+    """Logs that the settings were given anew; all of them hold from a start."""
+    log = logs.make_logger("entry")
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: log.info("Settings given anew, those of the start stay."),
+    )
+
+
+def run() -> None:
+    """Runs the command line."""
+    _private.run_app(APP)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/ruddergate/decisions/cost.py
+++ b/src/ruddergate/decisions/cost.py
@@ -6,6 +6,7 @@
 
 # Streams that an engine decodes together for about the price of one.
 TYPICAL_BATCH = 32.0
+_MILLION = 1_000_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +32,17 @@
         return self.prefill_ms + self.decode_ms
 
 
+def predict_prefill_ms(pool: effective.Pool, tokens: int) -> float:
+    """Returns how long one idle engine needs to prefill so many tokens.
+
+    Reading takes a constant time a token, and attention a time for each pair
+    of a token and one before it, which soon outweighs it in long prompts.
+    """
+    reading_ms = tokens * 1000.0 / pool.prefill_tokens_per_s
+    pairs_m = tokens * tokens / 2.0 / _MILLION
+    return reading_ms + pairs_m * pool.attention_ms_per_m_pairs
+
+
 def predict(
     pool: effective.Pool,
     prompt_tokens: int,
@@ -39,7 +51,7 @@
 ) -> Cost:
     """Returns the predicted cost of a prompt on one engine of the pool."""
     fresh_tokens = max(0, prompt_tokens - cached_tokens)
-    prefill_ms = fresh_tokens * 1000.0 / pool.prefill_tokens_per_s
+    prefill_ms = predict_prefill_ms(pool, fresh_tokens)
     decode_ms = output_tokens * pool.decode_ms_per_token
     held_tokens = prompt_tokens + output_tokens
     computing_ms = prefill_ms + decode_ms / TYPICAL_BATCH
--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -16,6 +16,9 @@
 PEER_NEWS_MS = 5_000.0
 PEAK_HALF_LIFE_MS = 10_000.0
 FAULT_PENALTY_MS = 5_000.0
+# What a target told of other VMs' requests fades over this time: most answers
+# of short prompts have ended by then.
+REPORT_FADES_MS = 1_500.0
 PREFIXES_MAX = 4_096
 
 _NOTHING_OPEN = (0.0,) * length_band.BANDS
@@ -30,6 +33,7 @@
         held_tokens: Memory it takes up.
         sent_ms: When it was dispatched.
         band: Band of the prompt's length.
+        prefill_ms: Predicted time of the engine for the fresh tokens.
         has_first_token: Whether its prefill has ended.
     """
 
@@ -37,6 +41,7 @@
     held_tokens: int
     sent_ms: float
     band: int
+    prefill_ms: float = 0.0
     has_first_token: bool = False
 
 
@@ -88,6 +93,7 @@
         self._peak_at_ms = 0.0
         self._report: load_report.LoadReport | None = None
         self._report_ms = 0.0
+        self._others_streams = 0
         self._own: dict[str, OwnWork] = {}
         self._totals = _Totals()
         self._since = _Totals()
@@ -164,6 +170,8 @@
             return
         self._report = report
         self._report_ms = taken_ms
+        own_then = sum(1 for w in self._own.values() if w.sent_ms <= taken_ms)
+        self._others_streams = max(0, report.running - own_then)
         self._since = _Totals()
         for work in self._own.values():
             if work.sent_ms > taken_ms:
@@ -239,6 +247,23 @@
             return own
         return max(own, self._report.running + self._since.streams)
 
+    def recent_streams(self, now_ms: float) -> float:
+        """Returns own requests plus others' as lately told, fading."""
+        faded = (now_ms - self._report_ms) / REPORT_FADES_MS
+        if self._report is None or faded >= 1.0:
+            return float(len(self._own))
+        return len(self._own) + self._others_streams * (1.0 - max(0.0, faded))
+
+    def prefilling_ms(self, now_ms: float) -> float:
+        """Returns the predicted rest of own prefills on the target."""
+        waiting = [w for w in self._own.values() if not w.has_first_token]
+        if not waiting:
+            return 0.0
+        began_ms = min(w.sent_ms for w in waiting)
+        planned_ms = sum(w.prefill_ms for w in waiting)
+        # What should have ended by now but has not still takes a moment.
+        return max(planned_ms / 4.0, planned_ms - (now_ms - began_ms))
+
     def own_streams(self) -> int:
         """Returns how many requests this VM has on the target."""
         return len(self._own)
--- a/src/ruddergate/decisions/routing/baselines.py
+++ b/src/ruddergate/decisions/routing/baselines.py
@@ -38,6 +38,15 @@
     return _make_least(lambda job, each, now_ms: (each.streams(now_ms),))
 
 
+def make_least_recent() -> policies.Policy:
+    """Returns a policy that takes the fewest requests as lately known.
+
+    What targets told with old answers fades, so that a target that was busy
+    once is not passed over for good.
+    """
+    return _make_least(lambda job, each, now_ms: (each.recent_streams(now_ms),))
+
+
 def make_least_tokens() -> policies.Policy:
     """Returns a policy that takes the fewest prompt tokens waiting."""
     return _make_least(lambda job, each, now_ms: (each.waiting_tokens(now_ms),))
--- a/src/ruddergate/decisions/routing/by_name.py
+++ b/src/ruddergate/decisions/routing/by_name.py
@@ -5,6 +5,7 @@
 
 from ruddergate.decisions.routing import baselines
 from ruddergate.decisions.routing import by_length
+from ruddergate.decisions.routing import by_region
 from ruddergate.decisions.routing import peak_ewma
 from ruddergate.decisions.routing import policy as policies
 
@@ -12,6 +13,8 @@
 
 FACTORIES: Mapping[str, Callable[[], policies.Policy]] = {
     "by_length": by_length.make_by_length,
+    "by_region": by_region.make_by_region,
+    "least_recent": baselines.make_least_recent,
     "least_requests": baselines.make_least_requests,
     "least_tokens": baselines.make_least_tokens,
     "peak_ewma_p2c": peak_ewma.make_peak_ewma_p2c,
--- /dev/null
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -0,0 +1,121 @@
+"""Keeps long prefills and short prompts on different engines.
+
+An engine works in passes: while it writes answers, one pass holds whatever it
+prefills meanwhile, so a long prefill delays each event of the answers beside
+it. All VMs rank the engines of a pool alike, by a hash of their names, and
+without a message between them short prompts fill the ranking from its front
+and long ones from its back. Long prompts are read by several engines, each in
+a piece short enough for what runs beside it. See docs/design/platform.md.
+"""
+
+from collections.abc import Sequence
+import math
+import random
+import zlib
+
+from ruddergate.decisions import cost as costs
+from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions.routing import job as jobs
+from ruddergate.decisions.routing import policy as policies
+
+# Prompts from here on are read apart from short ones: at the published figures
+# (256 tokens a ms) they hold a pass up for longer than a short prompt's pause.
+LONG_TOKENS = 16_384
+# Part of the engines that long prompts may use; the rest is for short ones.
+LONG_PART = 0.55
+# Longest piece of a prompt that one engine reads: what an answer of a middling
+# prompt beside it bears between two events (500 ms) less a pass of its own.
+PIECE_MS = 350.0
+# What one more stream beside it costs a stream, from the time of a step.
+STREAM_MS = 8.0
+# Taking a place that is not free means waiting for an answer to end.
+FULL_MS = 200.0
+# Going to an engine of the other region, as a cost that load must outweigh.
+SHORT_SPILL_MS = 60.0
+LONG_SPILL_MS = 2_000.0
+# Scores this close are as good as equal; see by_length.
+SAME_MS = 10.0
+
+
+def make_by_region() -> policies.Policy:
+    """Returns the policy; it keeps nothing between two decisions."""
+    return policies.Policy(_choose, choose_helpers=_choose_helpers)
+
+
+def _choose(
+    job: jobs.Job,
+    candidates: Sequence[estimates.Estimate],
+    now_ms: float,
+    chance: random.Random,
+) -> estimates.Estimate | None:
+    long_ids = _find_long_region(candidates)
+    scored = [
+        (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
+        for each in candidates
+    ]
+    best_ms = min(score_ms for score_ms, _ in scored)
+    near = [each for score_ms, each in scored if score_ms <= best_ms + SAME_MS]
+    return chance.choice(near)
+
+
+def _choose_helpers(
+    job: jobs.Job,
+    chosen: estimates.Estimate,
+    candidates: Sequence[estimates.Estimate],
+    now_ms: float,
+    chance: random.Random,
+) -> Sequence[estimates.Estimate]:
+    if not _is_long(job):
+        return ()
+    whole_ms = costs.predict_prefill_ms(chosen.pool, job.prompt_tokens)
+    wanted = math.ceil(whole_ms / PIECE_MS) - 1
+    wanted = min(wanted, chosen.pool.gang_engines_max - 1)
+    long_ids = _find_long_region(candidates)
+    others = [
+        each
+        for each in candidates
+        if each is not chosen and each.target.target_id in long_ids
+    ]
+    others.sort(
+        key=lambda each: (
+            _score_ms(job, each, True, now_ms) + chance.uniform(0.0, SAME_MS)
+        )
+    )
+    return others[:wanted]
+
+
+def _is_long(job: jobs.Job) -> bool:
+    return job.prompt_tokens >= LONG_TOKENS
+
+
+def _find_long_region(
+    candidates: Sequence[estimates.Estimate],
+) -> frozenset[str]:
+    ranked = sorted(
+        (each.target.target_id for each in candidates), key=_rank_of
+    )
+    count = math.ceil(len(ranked) * LONG_PART)
+    return frozenset(ranked[len(ranked) - count :])
+
+
+def _rank_of(target_id: str) -> int:
+    return zlib.crc32(target_id.encode())
+
+
+def _score_ms(
+    job: jobs.Job,
+    each: estimates.Estimate,
+    in_long_region: bool,
+    now_ms: float,
+) -> float:
+    """Returns what this engine would cost the job, in milliseconds."""
+    streams = each.recent_streams(now_ms)
+    score_ms = each.prefilling_ms(now_ms) + streams * STREAM_MS
+    if each.target.streams_max:
+        over = streams + 1.0 - each.target.streams_max
+        score_ms += max(0.0, over) * FULL_MS
+    if _is_long(job) and not in_long_region:
+        score_ms += LONG_SPILL_MS
+    if not _is_long(job) and in_long_region:
+        score_ms += SHORT_SPILL_MS
+    return score_ms
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -14,6 +14,9 @@
         prefix_tokens: Length of the shared prefix.
         is_long: Whether it counts as a long prompt.
         waited_ms: How long it has waited here.
+        aim_ms: Time to the first token within which it is in time; 0 when no
+            aim is known.
+        hall: Hall of this VM, or empty when it does not matter.
     """
 
     prompt_tokens: int
@@ -22,3 +25,5 @@
     prefix_tokens: int
     is_long: bool
     waited_ms: float
+    aim_ms: float = 0.0
+    hall: str = ""
--- a/src/ruddergate/decisions/routing/policy.py
+++ b/src/ruddergate/decisions/routing/policy.py
@@ -17,6 +17,30 @@
 ]
 
 
+# Chooses engines that read parts of the prompt for the chosen one.
+ChooseHelpers: TypeAlias = Callable[
+    [
+        jobs.Job,
+        estimates.Estimate,
+        Sequence[estimates.Estimate],
+        float,
+        random.Random,
+    ],
+    Sequence[estimates.Estimate],
+]
+
+
+def choose_no_helpers(
+    job: jobs.Job,
+    chosen: estimates.Estimate,
+    candidates: Sequence[estimates.Estimate],
+    now_ms: float,
+    chance: random.Random,
+) -> Sequence[estimates.Estimate]:
+    """Leaves the whole prompt to the chosen engine."""
+    return ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
     """A routing policy.
@@ -25,7 +49,9 @@
         choose: Where a request runs.
         shorter_first: Whether engines are asked to prefill shorter prompts of
             a class before longer ones.
+        choose_helpers: Which other engines read parts of a prompt.
     """
 
     choose: Choose
     shorter_first: bool = False
+    choose_helpers: ChooseHelpers = choose_no_helpers
--- a/src/ruddergate/entry/config.py
+++ b/src/ruddergate/entry/config.py
@@ -17,10 +17,11 @@
         vm_id: Name of this VM in the published list.
         hall: Data hall of this VM.
         listen: Where callers are served.
-        peer_listen: Where other entries are served.
-        agent: Where this VM's agent feeds its entry.
-        peer_key: Key shared by the system's own processes.
+        peer_listen: Where other entries are served; None without peers.
+        agent: Where this VM's agent feeds its entry; None without an agent.
+        peer_key: Key shared by the system's own processes; empty without any.
         policy: Name of the routing policy.
+        service_policy: Name of the routing policy for plain services.
         stop_lag_ms: Time for the balancer to see that the entry stops.
         wake_gap_ms: A gap in time that counts as having been paused.
         wake_refresh_ms: Longest wait for a fresh view after a pause.
@@ -32,10 +33,11 @@
     vm_id: str
     hall: str
     listen: environment.Address
-    peer_listen: environment.Address
-    agent: environment.Address
-    peer_key: bytes
+    peer_listen: environment.Address | None = None
+    agent: environment.Address | None = None
+    peer_key: bytes = b""
     policy: str = by_name.DEFAULT
+    service_policy: str = "least_requests"
     stop_lag_ms: float = 5_000.0
     wake_gap_ms: float = 2_000.0
     wake_refresh_ms: float = 3_000.0
--- /dev/null
+++ b/src/ruddergate/entry/gateway.py
@@ -0,0 +1,195 @@
+"""An entry that follows the platform's store itself and passes calls on.
+
+It needs no agent and no peers: what one VM must know, the store publishes, and
+what all of them must keep together, each keeps by its own part.
+"""
+
+import asyncio
+import dataclasses
+
+from ruddergate import _private
+from ruddergate import environment
+from ruddergate.decisions import retries
+from ruddergate.entry import canceller as cancellers
+from ruddergate.entry import config as configs
+from ruddergate.entry import open_calls
+from ruddergate.entry import relay_handler
+from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import source_sync
+from ruddergate.entry import tools as tool_types
+from ruddergate.entry import view as views
+from ruddergate.http import message
+from ruddergate.http import server as http_server
+from ruddergate.relay import door as doors
+from ruddergate.relay import errand as errands
+from ruddergate.relay import published
+from ruddergate.telemetry import logs
+from ruddergate.telemetry import metrics as metric_types
+from ruddergate.telemetry import traces
+
+_POLL_MS = 20.0
+_OK = 200
+_UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayConfig:
+    """Settings of a gateway besides those of any entry.
+
+    Attributes:
+        ready_listen: Where the balancer asks whether this VM takes callers.
+        metrics_listen: Where metrics are served.
+        settings_age_max_ms: Oldest settings by which a key may be used.
+        ready_age_max_ms: Oldest settings with which new callers are taken.
+        stop_lag_ms: Time for the balancer to see that this VM stops.
+        stop_limit_ms: Time after which a planned stop ends with calls open.
+        pace: How often the store is asked.
+        retry_share: Second sends allowed for each first one.
+        retry_most: Second sends that may be saved up.
+    """
+
+    ready_listen: environment.Address
+    metrics_listen: environment.Address
+    settings_age_max_ms: float
+    ready_age_max_ms: float
+    stop_lag_ms: float
+    stop_limit_ms: float
+    pace: source_sync.Pace
+    retry_share: float
+    retry_most: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """What a platform's adapter provides.
+
+    Attributes:
+        door: How callers are understood and answered.
+        send: Sends a call to a target.
+        source: Calls of the store.
+    """
+
+    door: doors.Door
+    send: errands.Send
+    source: published.Source
+
+
+class Gateway:
+    """One gateway process; `run` returns when its planned stop is over."""
+
+    def __init__(
+        self,
+        outside: environment.Environment,
+        config: configs.EntryConfig,
+        gateway_config: GatewayConfig,
+        platform: Platform,
+        tracer: traces.Tracer,
+    ) -> None:
+        self._outside = outside
+        self._config = config
+        self._gateway_config = gateway_config
+        self._log = logs.make_logger("entry")
+        self._is_stopping = False
+        self._connections = http_server.Connections()
+        self._open = open_calls.OpenCalls(platform.door.write_failure)
+        view = views.View()
+        scheduler = schedulers.Scheduler(outside, config, view)
+        self.tools = tool_types.Tools(
+            outside=outside,
+            config=config,
+            incarnation=environment.make_token(outside.random),
+            began_ms=outside.now_ms(),
+            view=view,
+            scheduler=scheduler,
+            canceller=cancellers.Canceller(outside, view),
+            budget=retries.Budget(
+                gateway_config.retry_share,
+                gateway_config.retry_most,
+                gateway_config.retry_most,
+            ),
+            metrics=metric_types.EntryMetrics(),
+            tracer=tracer,
+        )
+        self._handler = relay_handler.RelayHandler(
+            self.tools,
+            platform.door,
+            platform.send,
+            gateway_config.settings_age_max_ms,
+        )
+        self._sync = source_sync.SourceSync(
+            outside, platform.source, view, scheduler, gateway_config.pace
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set, then ends as planned."""
+        tasks = [
+            asyncio.ensure_future(self.tools.scheduler.run()),
+            asyncio.ensure_future(self._sync.run()),
+        ]
+        servers = [
+            await self._serve(
+                self._answer_ready, self._gateway_config.ready_listen
+            ),
+            await self._serve(
+                self._answer_metrics, self._gateway_config.metrics_listen
+            ),
+        ]
+        callers = await self._outside.serve(
+            http_server.make_stream_handler(
+                self._open.guard(self._handler.handle),
+                self._config.limits,
+                self._must_close,
+                self._connections,
+            ),
+            self._config.listen,
+        )
+        self._log.info("Serving callers at {}.", self._config.listen)
+        try:
+            await _private.wait_beside(stop.wait(), tasks)
+            await self._stop(callers)
+        finally:
+            for server in (*servers, callers):
+                server.close()
+            for task in tasks:
+                task.cancel()
+            self.tools.tracer.close()
+
+    async def _serve(
+        self, handle: open_calls.Handle, address: environment.Address
+    ) -> asyncio.Server:
+        handler = http_server.make_stream_handler(handle, self._config.limits)
+        return await self._outside.serve(handler, address)
+
+    def _must_close(self) -> bool:
+        """Returns whether callers are to go to another VM."""
+        return self._is_stopping or not self._is_fresh()
+
+    def _is_fresh(self) -> bool:
+        age_ms = self.tools.view.settings_age_ms(self._outside.now_ms())
+        return age_ms <= self._gateway_config.ready_age_max_ms
+
+    async def _answer_ready(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        is_ready = not self._is_stopping and self._is_fresh()
+        return message.Response(_OK if is_ready else _UNAVAILABLE, {}, b"")
+
+    async def _answer_metrics(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        return metric_types.render(self.tools.metrics.registry)
+
+    async def _stop(self, callers: asyncio.Server) -> None:
+        config = self._gateway_config
+        self._log.info("Planned stop begins.", open=len(self._open))
+        began_ms = self._outside.now_ms()
+        self._is_stopping = True
+        # Callers come for as long as the balancer has not noticed.
+        await asyncio.sleep(config.stop_lag_ms / 1000.0)
+        callers.close()
+        self._connections.close_idle()
+        until_ms = began_ms + config.stop_limit_ms
+        while len(self._connections) and self._outside.now_ms() < until_ms:
+            await asyncio.sleep(_POLL_MS / 1000.0)
+            self._connections.close_idle()
+        self._log.info("Planned stop ends.", open=len(self._open))
--- /dev/null
+++ b/src/ruddergate/entry/open_calls.py
@@ -0,0 +1,72 @@
+"""Counts calls in flight, so that a planned stop can wait for them."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+
+from ruddergate import outcomes
+from ruddergate.http import message
+from ruddergate.telemetry import logs
+
+Handle = Callable[[message.IncomingRequest], Awaitable[message.Response]]
+
+_INTERNAL = outcomes.NotServed(
+    outcomes.Reason.INTERNAL,
+    outcomes.Ran.UNKNOWN,
+    "a fault in the entry; it is in its log",
+)
+
+
+class OpenCalls:
+    """The calls that one process is answering.
+
+    Args:
+        write_failure: Makes the answer for a call that met a fault of ours.
+    """
+
+    def __init__(
+        self,
+        write_failure: Callable[[outcomes.NotServed], message.Response],
+    ) -> None:
+        self._write_failure = write_failure
+        self._count = 0
+        self._log = logs.make_logger("entry")
+
+    def __len__(self) -> int:
+        return self._count
+
+    def guard(self, handle: Handle) -> Handle:
+        """Returns the handler, counted; a fault of ours harms its call only."""
+
+        async def handle_counted(
+            incoming: message.IncomingRequest,
+        ) -> message.Response:
+            self._count += 1
+            try:
+                response = await handle(incoming)
+            except Exception:
+                self._log.exception("Request ended by a fault.")
+                response = self._write_failure(_INTERNAL)
+            except BaseException:
+                self._count -= 1
+                raise
+            if isinstance(response.body, bytes):
+                self._count -= 1
+                return response
+            body = self._count_body(response.body)
+            return message.Response(
+                response.status, response.headers, body, response.fields
+            )
+
+        return handle_counted
+
+    async def _count_body(
+        self, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        try:
+            async with contextlib.aclosing(body):
+                async for part in body:
+                    yield part
+        finally:
+            self._count -= 1
--- a/src/ruddergate/entry/program.py
+++ b/src/ruddergate/entry/program.py
@@ -1,14 +1,9 @@
 """Wires one entry together and runs it until its planned stop."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
-import contextlib
 
 from ruddergate import _private
 from ruddergate import environment
-from ruddergate import outcomes
 from ruddergate.adapters.callers import render
 from ruddergate.decisions import retries
 from ruddergate.entry import canceller as cancellers
@@ -18,22 +13,17 @@
 from ruddergate.entry import handler as handlers
 from ruddergate.entry import keyed as keyed_runs
 from ruddergate.entry import limits as limit_types
+from ruddergate.entry import open_calls
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import status
 from ruddergate.entry import tools as tool_types
 from ruddergate.entry import view as views
-from ruddergate.http import message
 from ruddergate.http import server as http_server
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
 from ruddergate.telemetry import traces
 
 _POLL_MS = 50.0
-_INTERNAL = outcomes.NotServed(
-    outcomes.Reason.INTERNAL,
-    outcomes.Ran.UNKNOWN,
-    "a fault in the entry; it is in its log",
-)
 
 
 class Entry:
@@ -48,7 +38,7 @@
         self._outside = outside
         self._config = config
         self._log = logs.make_logger("entry")
-        self._open = 0
+        self._open = open_calls.OpenCalls(render.make_failure)
         self._is_closing = False
         view = views.View()
         scheduler = schedulers.Scheduler(outside, config, view)
@@ -94,57 +84,20 @@
         handle_call = handlers.with_span(self._handler.handle, self.tools)
         handle = status.make_status_handler(handle_call, self._feed, self.tools)
         handler = http_server.make_stream_handler(
-            self._guard(handle), self._config.limits, lambda: self._is_closing
+            self._open.guard(handle),
+            self._config.limits,
+            lambda: self._is_closing,
         )
         return await self._outside.serve(handler, self._config.listen)
 
     async def _serve_peers(self) -> asyncio.Server:
         handler = forwarding.make_stream_handler(
             self._config.peer_key,
-            self._guard(self._handler.handle_forwarded),
+            self._open.guard(self._handler.handle_forwarded),
             self._config.limits.read_timeout_ms,
         )
         return await self._outside.serve(handler, self._config.peer_listen)
 
-    def _guard(
-        self,
-        handle: Callable[
-            [message.IncomingRequest], Awaitable[message.Response]
-        ],
-    ) -> Callable[[message.IncomingRequest], Awaitable[message.Response]]:
-        """Counts calls in flight, so that a planned stop can wait for them."""
-
-        async def handle_counted(
-            incoming: message.IncomingRequest,
-        ) -> message.Response:
-            self._open += 1
-            try:
-                response = await handle(incoming)
-            except Exception:
-                # A fault of ours harms this request only.
-                self._log.exception("Request ended by a fault.")
-                response = render.make_failure(_INTERNAL)
-            except BaseException:
-                self._open -= 1
-                raise
-            if isinstance(response.body, bytes):
-                self._open -= 1
-                return response
-            body = self._count_body(response.body)
-            return message.Response(response.status, response.headers, body)
-
-        return handle_counted
-
-    async def _count_body(
-        self, body: AsyncIterator[bytes]
-    ) -> AsyncIterator[bytes]:
-        try:
-            async with contextlib.aclosing(body):
-                async for part in body:
-                    yield part
-        finally:
-            self._open -= 1
-
     async def _stop(self, callers: asyncio.Server) -> None:
         self._log.info("Planned stop begins.")
         self._feed.is_stopping = True
@@ -152,6 +105,6 @@
         await asyncio.sleep(self._config.stop_lag_ms / 1000.0)
         self._is_closing = True
         callers.close()
-        while self._open or len(self._keyed) or len(self.tools.canceller):
+        while len(self._open) or len(self._keyed) or len(self.tools.canceller):
             await asyncio.sleep(_POLL_MS / 1000.0)
         self._log.info("Planned stop ends, nothing is in flight.")
--- /dev/null
+++ b/src/ruddergate/entry/relay_admit.py
@@ -0,0 +1,141 @@
+"""From an inquiry to a request: route, key, freshness, limits of time."""
+
+import random
+
+from ruddergate import outcomes
+from ruddergate import payload as payloads
+from ruddergate import request as requests
+from ruddergate.entry import tools as tool_types
+from ruddergate.http import message
+from ruddergate.relay import door as doors
+from ruddergate.settings import catalog as catalogs
+from ruddergate.settings import effective
+from ruddergate.settings import route as routes
+
+_NO_SETTINGS_RETRY_MS = 500.0
+# Another VM may know more; a fresh store answer comes within a second or two.
+_STALE_RETRY_MS = 300.0
+# Ranks of routes lie within one step of rank of workspaces.
+_RANK_STEP = 16
+# Calls of relayed routes are sent on at once; this bounds only what waits
+# while no target can be used.
+_QUEUE_COST_MS_MAX = 600_000.0
+_OUTPUT_TOKENS_TYPICAL = 512
+
+
+def admit(
+    incoming: message.IncomingRequest,
+    inquiry: doors.Inquiry,
+    tools: tool_types.Tools,
+    settings_age_max_ms: float,
+) -> requests.Request | outcomes.NotServed:
+    """Returns the request with its effective settings, or why not.
+
+    Args:
+        incoming: The call as received.
+        inquiry: The call as understood.
+        tools: What the stages share.
+        settings_age_max_ms: Oldest settings by which a key may be used.
+    """
+    catalog = tools.view.catalog
+    if catalog.revision == 0:
+        return outcomes.refuse(
+            outcomes.Reason.NO_SETTINGS,
+            "this VM has no settings yet",
+            _NO_SETTINGS_RETRY_MS,
+        )
+    route = catalog.find_route(inquiry.host, incoming.path)
+    if route is None:
+        return outcomes.refuse(
+            outcomes.Reason.UNKNOWN_WORKLOAD, "no route covers this call"
+        )
+    workspace = catalogs.Workspace("", 0)
+    if catalog.workspaces and not route.is_open:
+        now_ms = tools.outside.now_ms()
+        if tools.view.settings_age_ms(now_ms) > settings_age_max_ms:
+            return outcomes.refuse(
+                outcomes.Reason.SETTINGS_TOO_OLD,
+                "this VM can't tell whether the key is still good",
+                _STALE_RETRY_MS,
+            )
+        found = catalog.workspaces.get(inquiry.key)
+        if found is None:
+            return outcomes.refuse(outcomes.Reason.UNKNOWN_KEY, "unknown key")
+        workspace = found
+    pool = _choose_pool(catalog, route, tools.outside.random)
+    if pool is None:
+        return outcomes.refuse(
+            outcomes.Reason.NO_TARGET,
+            f"route {route.name} names a pool that is not published",
+            _NO_SETTINGS_RETRY_MS,
+        )
+    return _make_request(
+        incoming, inquiry, route, workspace, pool, catalog.revision, tools
+    )
+
+
+def _choose_pool(
+    catalog: catalogs.Catalog, route: routes.Route, chance: random.Random
+) -> effective.Pool | None:
+    weights = [share.weight for share in route.shares]
+    chosen = chance.choices(route.shares, weights)[0]
+    return catalog.find_pool(chosen.pool)
+
+
+def _make_request(
+    incoming: message.IncomingRequest,
+    inquiry: doors.Inquiry,
+    route: routes.Route,
+    workspace: catalogs.Workspace,
+    pool: effective.Pool,
+    revision: int,
+    tools: tool_types.Tools,
+) -> requests.Request:
+    now_ms = tools.outside.now_ms()
+    time_limit_ms = route.time_limit_ms
+    if inquiry.time_limit_ms is not None:
+        time_limit_ms = min(time_limit_ms, inquiry.time_limit_ms)
+    rank = workspace.rank * _RANK_STEP + route.rank
+    workload = effective.Workload(
+        name=route.name,
+        workspace=workspace.name,
+        revision=revision,
+        priority=effective.PriorityClass(
+            str(rank), rank, 0.0, _QUEUE_COST_MS_MAX
+        ),
+        pool=pool,
+        time_limit_ms=route.time_limit_ms,
+        repeatable=route.repeatable,
+        prompt_tokens_max=inquiry.prompt_tokens,
+        output_tokens_max=inquiry.output_tokens_max,
+        output_tokens_typical=_OUTPUT_TOKENS_TYPICAL,
+        weight=1.0,
+        limits=(),
+    )
+    payload = payloads.Payload(
+        route=route,
+        method=incoming.method,
+        host=inquiry.host,
+        target=incoming.target,
+        fields=inquiry.fields,
+        body=incoming.body,
+        last_event=inquiry.last_event,
+    )
+    return requests.Request(
+        request_id=inquiry.request_id,
+        workload=workload,
+        prompt="",
+        prompt_tokens=inquiry.prompt_tokens,
+        output_tokens_max=inquiry.output_tokens_max,
+        output_tokens_expected=inquiry.output_tokens_max,
+        prefix=None,
+        repeatable=route.repeatable,
+        idempotency_key="",
+        key_age_ms=0.0,
+        ticket="",
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + time_limit_ms,
+        service_path="",
+        traceparent="",
+        payload=payload,
+    )
--- /dev/null
+++ b/src/ruddergate/entry/relay_handler.py
@@ -0,0 +1,119 @@
+"""Answers callers whose calls are passed on unchanged."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+from ruddergate import outcomes
+from ruddergate import request as requests
+from ruddergate.entry import relay_admit
+from ruddergate.entry import relay_run
+from ruddergate.entry import tools as tool_types
+from ruddergate.http import message
+from ruddergate.relay import answer as answers
+from ruddergate.relay import door as doors
+from ruddergate.relay import errand as errands
+from ruddergate.telemetry import logs
+
+
+class RelayHandler:
+    """Admits a call, runs it and hands its answer back.
+
+    Args:
+        tools: What the stages share.
+        door: How callers are understood and answered.
+        send: Sends a call to a target.
+        settings_age_max_ms: Oldest settings by which a key may be used.
+    """
+
+    def __init__(
+        self,
+        tools: tool_types.Tools,
+        door: doors.Door,
+        send: errands.Send,
+        settings_age_max_ms: float,
+    ) -> None:
+        self._tools = tools
+        self._door = door
+        self._send = send
+        self._settings_age_max_ms = settings_age_max_ms
+        self._log = logs.make_logger("entry")
+
+    async def handle(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        """Answers a caller."""
+        inquiry = self._door.read(incoming)
+        if isinstance(inquiry, outcomes.NotServed):
+            return self._refuse(inquiry, "")
+        request = relay_admit.admit(
+            incoming, inquiry, self._tools, self._settings_age_max_ms
+        )
+        if isinstance(request, outcomes.NotServed):
+            return self._refuse(request, inquiry.request_id)
+        events = relay_run.run(request, self._send, self._tools)
+        try:
+            first = await anext(events)
+        except BaseException:
+            await events.aclose()
+            raise
+        if isinstance(first, answers.StreamHead):
+            body = self._hand_on(request, events)
+            return message.Response(first.status, {}, body, first.fields)
+        await events.aclose()
+        if isinstance(first, answers.WholeAnswer):
+            self._note_end(request, "finished", outcomes.Ran.RAN, "")
+            return message.Response(first.status, {}, first.body, first.fields)
+        self._note_end(request, first.reason.value, first.ran, first.detail)
+        return self._door.write_failure(first)
+
+    async def _hand_on(
+        self,
+        request: requests.Request,
+        events: AsyncIterator[answers.Event],
+    ) -> AsyncIterator[bytes]:
+        async with contextlib.aclosing(events):
+            async for event in events:
+                if isinstance(event, answers.StreamEvents):
+                    yield event.data
+                elif isinstance(event, outcomes.NotServed):
+                    self._note_end(
+                        request, event.reason.value, event.ran, event.detail
+                    )
+                    # A proper end would make a broken answer look whole.
+                    raise ConnectionAbortedError(event.detail)
+        self._note_end(request, "finished", outcomes.Ran.RAN, "")
+
+    def _refuse(
+        self, refusal: outcomes.NotServed, request_id: str
+    ) -> message.Response:
+        self._tools.metrics.note_outcome(refusal.reason, refusal.ran)
+        self._log.info(
+            "Request refused: {}. {}",
+            refusal.reason.value,
+            refusal.detail,
+            request_id=request_id,
+            revision=self._tools.view.catalog.revision,
+        )
+        return self._door.write_failure(refusal)
+
+    def _note_end(
+        self,
+        request: requests.Request,
+        reason: str,
+        ran: outcomes.Ran,
+        detail: str,
+    ) -> None:
+        self._tools.metrics.note_outcome(reason, ran.value)
+        took_ms = self._tools.outside.now_ms() - request.arrived_ms
+        self._log.info(
+            "Request ended: {} ({}). {}",
+            reason,
+            ran.value,
+            detail,
+            request_id=request.request_id,
+            route=request.payload.route.name,
+            workspace=request.workload.workspace,
+            revision=request.workload.revision,
+            prompt_tokens=request.prompt_tokens,
+            took_ms=round(took_ms),
+        )
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -10,6 +10,7 @@
 
 from ruddergate import environment
 from ruddergate import outcomes
+from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import length_band
 from ruddergate.decisions import queueing
@@ -56,7 +57,7 @@
         self._config = config
         self._view = view
         self._policy = by_name.make_policy(config.policy)
-        self._service_policy = by_name.make_policy("least_requests")
+        self._service_policy = by_name.make_policy(config.service_policy)
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._queues: dict[str, queueing.Queue] = {}
         self._asked: dict[str, placement.Place] = {}
@@ -318,7 +319,20 @@
         cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
         fresh = route.prompt_tokens - cached
         held = route.held_tokens
-        return (self._sit(asked, chosen, fresh, held, cached, now_ms),)
+        helpers = self._policy.choose_helpers(
+            route, chosen, candidates, now_ms, self._outside.random
+        )
+        parts = 1 + len(helpers)
+        seat = self._sit(
+            asked, chosen, fresh // parts, held, cached, now_ms, parts
+        )
+        return (
+            seat,
+            *(
+                self._sit(asked, each, fresh // parts, 0, 0, now_ms, parts)
+                for each in helpers
+            ),
+        )
 
     def _seat_service(
         self,
@@ -369,10 +383,14 @@
         held_tokens: int,
         cached_tokens: int,
         now_ms: float,
+        parts: int = 1,
     ) -> placement.Seat:
         attempt_id = environment.make_token(self._outside.random)
         band = length_band.find_band(asked.route.prompt_tokens)
-        work = estimates.OwnWork(fresh_tokens, held_tokens, now_ms, band)
+        prefill_ms = costs.predict_prefill_ms(chosen.pool, fresh_tokens * parts)
+        work = estimates.OwnWork(
+            fresh_tokens, held_tokens, now_ms, band, prefill_ms / parts
+        )
         chosen.begin(attempt_id, work)
         return placement.Seat(chosen.target, attempt_id, cached_tokens)
 
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -6,9 +6,11 @@
 from ruddergate.decisions import adoption
 from ruddergate.fleet import condition
 from ruddergate.fleet import listing as listings
+from ruddergate.fleet import target as targets
 from ruddergate.messages import fleet_view
 from ruddergate.messages import shares as share_messages
 from ruddergate.messages import tree_parts
+from ruddergate.settings import catalog as catalogs
 from ruddergate.settings import index as indexes
 
 _NEVER = float("-inf")
@@ -20,19 +22,22 @@
     Attributes:
         in_force: Settings in force.
         index: Look-ups in them.
+        catalog: Published routes, workspaces by key and pools, where settings
+            come in that form.
         listing: Published list.
     """
 
     def __init__(self) -> None:
         self.in_force = adoption.NOTHING
         self.index = indexes.Index(self.in_force.tree)
+        self.catalog = catalogs.EMPTY
         self.listing = listings.EMPTY
         self._confirmed_ms = _NEVER
         self._settled_since_ms = float("inf")
         self._shares: Mapping[str, share_messages.Share] = {}
         self._base_fraction = 0.0
         self._shares_ms = _NEVER
-        self._seen_halls: set[str] = set()
+        self._settings_confirmed_ms = _NEVER
 
     def take_tree(self, parts: tree_parts.TreeParts) -> bool:
         """Adopts a newer revision; returns whether it is now in force."""
@@ -53,6 +58,31 @@
         self._confirmed_ms = max(self._confirmed_ms, now_ms - view.age_ms)
         self._settled_since_ms = now_ms - view.settled_ms
 
+    def take_catalog(self, offered: catalogs.Catalog) -> bool:
+        """Adopts a newer catalog; returns whether it is now in force."""
+        if offered.revision <= self.catalog.revision:
+            return False
+        self.catalog = offered
+        self.index = offered
+        return True
+
+    def take_targets(
+        self, found: Sequence[targets.Target], asked_ms: float
+    ) -> None:
+        """Takes in the targets as they stood at or after `asked_ms`."""
+        version = self.listing.version + 1
+        offered = listings.Listing(version, self.listing.vms, tuple(found))
+        self.listing = listings.merge(self.listing, offered)
+        self._confirmed_ms = max(self._confirmed_ms, asked_ms)
+
+    def confirm_settings(self, asked_ms: float) -> None:
+        """Notes that nothing newer was in force at `asked_ms`."""
+        self._settings_confirmed_ms = max(self._settings_confirmed_ms, asked_ms)
+
+    def settings_age_ms(self, now_ms: float) -> float:
+        """Returns how long ago the settings were certainly the newest."""
+        return now_ms - self._settings_confirmed_ms
+
     def take_shares(self, shares: share_messages.Shares, now_ms: float) -> None:
         """Takes in this VM's parts of the limits."""
         self._shares = {each.workspace: each for each in shares.shares}
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -10,6 +10,7 @@
 import dataclasses
 import os
 import random
+import socket
 import time
 from typing import TypeAlias
 
@@ -19,6 +20,13 @@
 ]
 
 STREAM_LIMIT_BYTES = 1 << 20
+# A peer without power or behind a cut says nothing. Probes find it within
+# about 6 s: longer than a cut of a few seconds, which connections outlive, and
+# shorter than most time limits.
+PEER_IDLE_S = 2
+PEER_PROBE_S = 2
+PEER_PROBES = 2
+PEER_TIMEOUT_MS = 6_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,13 +78,21 @@
     """Returns the real clock, operating system entropy and TCP streams."""
 
     async def connect(address: Address) -> StreamPair:
-        return await asyncio.open_connection(
+        reader, writer = await asyncio.open_connection(
             address.host, address.port, limit=STREAM_LIMIT_BYTES
         )
+        _notice_dead_peers(writer)
+        return reader, writer
 
     async def serve(handler: StreamHandler, address: Address) -> asyncio.Server:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            _notice_dead_peers(writer)
+            await handler(reader, writer)
+
         return await asyncio.start_server(
-            handler, address.host, address.port, limit=STREAM_LIMIT_BYTES
+            accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
         )
 
     return Environment(
@@ -88,6 +104,19 @@
     )
 
 
+def _notice_dead_peers(writer: asyncio.StreamWriter) -> None:
+    """Has the system end a connection whose other side is gone in silence."""
+    found = writer.get_extra_info("socket")
+    if found is None:
+        return
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    found.setsockopt(tcp, socket.TCP_KEEPIDLE, PEER_IDLE_S)
+    found.setsockopt(tcp, socket.TCP_KEEPINTVL, PEER_PROBE_S)
+    found.setsockopt(tcp, socket.TCP_KEEPCNT, PEER_PROBES)
+    found.setsockopt(tcp, socket.TCP_USER_TIMEOUT, PEER_TIMEOUT_MS)
+
+
 def make_token(source: random.Random, length: int = 12) -> str:
     """Returns a random identifier of `length` hexadecimal digits."""
     return f"{source.getrandbits(4 * length):0{length}x}"
--- a/src/ruddergate/fleet/target.py
+++ b/src/ruddergate/fleet/target.py
@@ -16,6 +16,7 @@
         hall: Data hall.
         address: Where it serves requests.
         condition: Live or leaving.
+        streams_max: Requests it works on at once; 0 when it does not tell.
     """
 
     target_id: str
@@ -23,3 +24,4 @@
     hall: str
     address: environment.Address
     condition: condition.Condition
+    streams_max: int = 0
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -53,6 +53,7 @@
     Attributes:
         status: HTTP status of the answer.
         headers: Headers of the answer by lower-case name.
+        fields: The answer's header lines in order.
     """
 
     def __init__(
@@ -60,23 +61,31 @@
     ) -> None:
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.fields: message.Fields = ()
         self._reader = reader
         self._writer = writer
         self._connection = h11.Connection(h11.CLIENT)
 
-    async def send(
+    def send(
         self, address: environment.Address, request: message.OutgoingRequest
     ) -> None:
-        """Sends the whole request."""
-        headers = [("host", str(address)), *request.headers.items()]
-        headers.append(("content-length", str(len(request.body))))
+        """Hands the whole request to the stream, without waiting for it.
+
+        An answer may come before the other side has read a long body, so the
+        reading must not wait for the sending.
+        """
+        headers = [("host", request.host or str(address))]
+        headers.extend(request.headers.items())
+        headers.extend(request.fields)
+        if request.body or request.method != "GET":
+            headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
         data = self._connection.send(head)
-        data += self._connection.send(h11.Data(data=request.body))
+        if request.body:
+            data += self._connection.send(h11.Data(data=request.body))
         self._writer.write(data + self._connection.send(h11.EndOfMessage()))
-        await self._writer.drain()
 
     async def read_head(self) -> Fault | None:
         """Reads status and headers; returns a fault if they don't come."""
@@ -87,10 +96,11 @@
         if not isinstance(event, h11.Response):
             return Fault(True, False, "the connection ended before an answer")
         self.status = event.status_code
-        self.headers = {
-            name.decode("latin-1"): value.decode("latin-1")
+        self.fields = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
-        }
+        )
+        self.headers = dict(self.fields)
         return None
 
     async def read_part(self) -> bytes | Fault:
@@ -123,6 +133,8 @@
     async def _next_event(self) -> object:
         while True:
             event = self._connection.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
             if event is not h11.NEED_DATA:
                 return event
             self._connection.receive_data(await self._reader.read(_READ_BYTES))
@@ -144,13 +156,10 @@
         return Fault(False, False, f"no connection to {address}: {error}")
     exchange = Exchange(reader, writer)
     try:
-        await exchange.send(address, request)
+        exchange.send(address, request)
     except OSError as error:
         exchange.close()
         return Fault(True, False, f"sending broke off: {error}")
-    except asyncio.CancelledError:
-        exchange.close()
-        raise
     return exchange
 
 
--- a/src/ruddergate/http/message.py
+++ b/src/ruddergate/http/message.py
@@ -3,9 +3,13 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 import dataclasses
+from typing import TypeAlias
 
 import orjson
 
+# Header lines in order; a name may stand more than once.
+Fields: TypeAlias = tuple[tuple[str, str], ...]
+
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -20,6 +24,8 @@
         query: Text behind the question mark, or empty.
         headers: Values by lower-case name; the last of equal names.
         body: Whole body.
+        target: Path and query exactly as received.
+        fields: Every header line in order, names as received.
     """
 
     method: str
@@ -27,16 +33,29 @@
     query: str
     headers: Mapping[str, str]
     body: bytes
+    target: str = ""
+    fields: Fields = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request to be sent; header names in lower case."""
+    """A request to be sent.
+
+    Attributes:
+        method: Upper-case method.
+        target: Path and query.
+        headers: Values by lower-case name, without host and length.
+        body: Whole body.
+        host: The `Host` to send; the address connected to if empty.
+        fields: Header lines sent besides, in this order.
+    """
 
     method: str
     target: str
     headers: Mapping[str, str]
     body: bytes
+    host: str = ""
+    fields: Fields = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,12 +65,15 @@
     Attributes:
         status: HTTP status.
         headers: Values by name, without length and encoding.
-        body: Whole body, or an iterator of its parts.
+        body: Whole body, or an iterator of its parts; an OSError raised by it
+            breaks the connection off, so that the answer looks incomplete.
+        fields: Header lines sent besides, in this order.
     """
 
     status: int
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes]
+    fields: Fields = ()
 
 
 def make_json_response(
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -49,10 +49,45 @@
     detail: str
 
 
+class Connections:
+    """The open connections of one server, by whether a request is under way."""
+
+    def __init__(self) -> None:
+        self._idle: set[asyncio.StreamWriter] = set()
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def note_open(self, writer: asyncio.StreamWriter) -> None:
+        """Notes a new connection."""
+        self._count += 1
+        self._idle.add(writer)
+
+    def note_busy(self, writer: asyncio.StreamWriter) -> None:
+        """Notes that bytes of a request have arrived."""
+        self._idle.discard(writer)
+
+    def note_idle(self, writer: asyncio.StreamWriter) -> None:
+        """Notes that the last request has been answered."""
+        self._idle.add(writer)
+
+    def note_closed(self, writer: asyncio.StreamWriter) -> None:
+        """Notes that a connection is gone."""
+        self._count -= 1
+        self._idle.discard(writer)
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for writer in self._idle:
+            writer.close()
+
+
 def make_stream_handler(
     handle: Handler,
     limits: Limits,
     is_closing: Callable[[], bool] = lambda: False,
+    connections: Connections | None = None,
 ) -> environment.StreamHandler:
     """Returns a stream handler that serves HTTP requests with `handle`.
 
@@ -60,23 +95,25 @@
         handle: Answers one request; must not raise.
         limits: What one caller may take up.
         is_closing: Whether to close connections after their next answer.
+        connections: Is kept up to date with the open connections.
     """
-    open_now = 0
+    known = connections if connections is not None else Connections()
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        nonlocal open_now
-        open_now += 1
+        known.note_open(writer)
         try:
-            if open_now > limits.connections_max:
+            if len(known) > limits.connections_max:
                 await _reject(writer, _BadInput(503, "too many connections"))
                 return
-            await _serve_connection(reader, writer, handle, limits, is_closing)
+            await _serve_connection(
+                reader, writer, handle, limits, is_closing, known
+            )
         except (ConnectionError, OSError, TimeoutError):
             pass  # The peer is gone; there is nobody to tell.
         finally:
-            open_now -= 1
+            known.note_closed(writer)
             writer.close()
 
     return serve
@@ -88,12 +125,16 @@
     handle: Handler,
     limits: Limits,
     is_closing: Callable[[], bool],
+    known: Connections,
 ) -> None:
     connection = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes_max
     )
     while True:
-        incoming = await _read_request(reader, connection, limits)
+        known.note_idle(writer)
+        incoming = await _read_request(
+            reader, connection, limits, lambda: known.note_busy(writer)
+        )
         if incoming is None:
             return
         if isinstance(incoming, _BadInput):
@@ -110,7 +151,10 @@
 
 
 async def _read_request(
-    reader: asyncio.StreamReader, connection: h11.Connection, limits: Limits
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    limits: Limits,
+    note_begun: Callable[[], None],
 ) -> message.IncomingRequest | _BadInput | None:
     try:
         async with asyncio.timeout(limits.idle_timeout_ms / 1000.0):
@@ -121,6 +165,7 @@
                 connection.receive_data(data)
     except TimeoutError:
         return None
+    note_begun()
     try:
         async with asyncio.timeout(limits.read_timeout_ms / 1000.0):
             return await _collect_request(reader, connection, limits)
@@ -159,7 +204,13 @@
         for name, value in head.headers
     }
     method = head.method.decode("latin-1")
-    return message.IncomingRequest(method, path, query, headers, body)
+    fields = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+    return message.IncomingRequest(
+        method, path, query, headers, body, target, fields
+    )
 
 
 async def _answer(
@@ -210,7 +261,7 @@
     is_closing: Callable[[], bool],
 ) -> None:
     response = await handle(incoming)
-    headers = list(response.headers.items())
+    headers = [*response.headers.items(), *response.fields]
     if is_closing():
         headers.append(("connection", "close"))
     if isinstance(response.body, bytes):
--- /dev/null
+++ b/src/ruddergate/platform/callers.py
@@ -0,0 +1,81 @@
+"""Reads callers' requests and writes the answers that are not a target's."""
+
+from collections.abc import Mapping
+import math
+
+from ruddergate import outcomes
+from ruddergate.http import message
+from ruddergate.platform import headers
+from ruddergate.relay import door as doors
+
+_STATUS: Mapping[outcomes.Reason, int] = {
+    outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.UNKNOWN_KEY: 401,
+    outcomes.Reason.UNKNOWN_WORKLOAD: 404,
+}
+# These statuses promise callers that a call did not run and never will.
+_NOT_RUN_STATUS = 503
+_TIME_STATUS = 504
+_OTHER_STATUS = 502
+
+
+def make_door() -> doors.Door:
+    """Returns the door of the platform's callers."""
+    return doors.Door(_read, _write_failure)
+
+
+def _read(
+    incoming: message.IncomingRequest,
+) -> doors.Inquiry | outcomes.NotServed:
+    found = incoming.headers
+    time_limit_ms = _read_number(found.get(headers.TIME_LEFT, ""))
+    tokens = found.get(headers.TOKENS, "").split(",")
+    prompt_tokens = _read_number(tokens[0])
+    output_tokens = _read_number(tokens[-1]) if len(tokens) > 1 else None
+    prefix_name, prefix_tokens = _read_shared_part(
+        found.get(headers.PREFIX, "")
+    )
+    return doors.Inquiry(
+        request_id=found.get(headers.REQUEST_ID, ""),
+        host=found.get("host", ""),
+        key=found.get(headers.API_KEY, ""),
+        time_limit_ms=time_limit_ms,
+        prompt_tokens=int(prompt_tokens or 0),
+        output_tokens_max=int(output_tokens or 0),
+        prefix_name=prefix_name,
+        prefix_tokens=prefix_tokens,
+        last_event=found.get(headers.LAST_EVENT, ""),
+        fields=headers.select_for_target(incoming.fields),
+    )
+
+
+def _read_number(text: str) -> float | None:
+    """Returns a finite number that is not negative, or None."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def _read_shared_part(text: str) -> tuple[str, int]:
+    """Returns the first part of a prompt, which other prompts share."""
+    name, _, tokens = text.partition(",")[0].partition(":")
+    return name, int(_read_number(tokens) or 0)
+
+
+def _write_failure(failure: outcomes.NotServed) -> message.Response:
+    status = _STATUS.get(failure.reason)
+    if status is None and failure.ran is outcomes.Ran.NOT_RUN:
+        status = _NOT_RUN_STATUS
+    if status is None and failure.reason is outcomes.Reason.TIME_LIMIT:
+        status = _TIME_STATUS
+    fields: dict[str, str] = {}
+    if failure.retry_after_ms is not None:
+        fields[headers.RETRY_AFTER] = f"{failure.retry_after_ms / 1000.0:.3f}"
+    document = {
+        "reason": failure.reason.value,
+        "ran": failure.ran.value,
+        "detail": failure.detail,
+    }
+    return message.make_json_response(status or _OTHER_STATUS, document, fields)
--- /dev/null
+++ b/src/ruddergate/platform/configuration.py
@@ -0,0 +1,125 @@
+"""Reads the published configuration into a catalog."""
+
+from collections.abc import Iterator
+
+from ruddergate.adapters import _private
+from ruddergate.settings import catalog as catalogs
+from ruddergate.settings import effective
+from ruddergate.settings import route as routes
+
+# Where the configuration lies in the store.
+KEY = "op/config"
+
+# Here 0 is the most urgent; the product's ranks go the other way.
+_LEAST_URGENT = 9
+_STREAMS = "streaming"
+_REPEATABLE = "safe"
+# Engines that may read one prompt: the one that answers and 16 helpers.
+_ENGINES_MAX = 17
+# A service that publishes no engine figures is no engine; calls are sent to
+# it at once, however many it has.
+_SERVICE_CALLS_MAX = 1_000_000
+_MS_PER_S = 1_000.0
+
+
+def read_catalog(document: object) -> catalogs.Catalog | str:
+    """Returns the catalog, or a sentence that says what is wrong."""
+    revision = _private.get(document, "config-version", int, 0)
+    if revision <= 0:
+        return "the configuration has no version"
+    listed = _private.get(document, "routes", list, [])
+    found = []
+    for each in listed:
+        route = _read_route(each)
+        if isinstance(route, str):
+            return f"configuration {revision}: {route}"
+        found.append(route)
+    services = _private.get(document, "services", list, [])
+    pools = {pool.name: pool for pool in map(_read_pool, services)}
+    tenants = _private.get(document, "tenants", list, [])
+    workspaces = dict(_read_keys(tenants))
+    return catalogs.Catalog(revision, found, workspaces, pools)
+
+
+def _read_route(document: object) -> routes.Route | str:
+    name = _private.get(document, "name", str, "")
+    prefix = _private.get(document, "path-prefix", str, "")
+    shares = tuple(_read_shares(document))
+    if not prefix.endswith("/"):
+        return f"route {name} has no path that ends with a slash"
+    if not shares:
+        return f"route {name} names no service"
+    kind = _private.get(document, "route-type", str, "")
+    is_stream = kind == _STREAMS
+    is_resumable = _private.get(document, "resumable", bool, False)
+    repeatable = kind == _REPEATABLE or (is_stream and is_resumable)
+    return routes.Route(
+        name=name,
+        host=_private.get(document, "hostname", str, "").lower(),
+        path_prefix=prefix,
+        shares=shares,
+        rank=_read_rank(document),
+        time_limit_ms=_private.get(document, "timeout-ms", float, 60_000.0),
+        aim_ms=_private.get(document, "target-latency-ms", float, 1_000.0),
+        is_stream=is_stream,
+        gap_aim_ms=_private.get(document, "gap_aim_ms", float, 1_000.0),
+        repeatable=repeatable,
+        is_resumable=is_stream and is_resumable,
+        targets_max=max(1, _private.get(document, "max-attempts", int, 1)),
+        is_open=_private.get(document, "allow-anonymous", bool, False),
+    )
+
+
+def _read_shares(document: object) -> Iterator[routes.Share]:
+    for each in _private.get(document, "traffic-split", list, []):
+        pool = _private.get(each, "service", str, "")
+        weight = _private.get(each, "weight", float, 0.0)
+        if pool and weight > 0.0:
+            yield routes.Share(pool, weight)
+    pool = _private.get(document, "service", str, "")
+    if pool:
+        yield routes.Share(pool, 1.0)
+
+
+def _read_rank(document: object) -> int:
+    return _LEAST_URGENT - _private.get(
+        document, "priority", int, _LEAST_URGENT
+    )
+
+
+def _read_keys(
+    tenants: list[object],
+) -> Iterator[tuple[str, catalogs.Workspace]]:
+    for each in tenants:
+        name = _private.get(each, "name", str, "")
+        workspace = catalogs.Workspace(name, _read_rank(each))
+        for key in _private.get(each, "api-keys", list, []):
+            if name and isinstance(key, str) and key:
+                yield key, workspace
+
+
+def _read_pool(document: object) -> effective.Pool:
+    name = _private.get(document, "name", str, "")
+    engine = _private.get(document, "engine", dict, {})
+    return effective.Pool(
+        name=name,
+        pool_kind="engine" if engine else "service",
+        model="",
+        model_version="",
+        adapters="",
+        role="both",
+        memory_tokens=_private.get(engine, "kv-capacity", int, 1_000_000),
+        prefill_tokens_per_s=_private.get(
+            engine, "read_per_s", float, 100_000.0
+        ),
+        attention_ms_per_m_pairs=_private.get(
+            engine, "pairs_per_m", float, 0.0
+        ),
+        decode_ms_per_token=_private.get(engine, "step_ms", float, 1.0),
+        service_concurrency=_SERVICE_CALLS_MAX,
+        exports_kv=False,
+        checks_fence=False,
+        checks_key=False,
+        gang_engines_max=_ENGINES_MAX if "hop_ms" in engine else 1,
+        weight_reads_per_s_max=0.0,
+    )
--- /dev/null
+++ b/src/ruddergate/platform/replicas.py
@@ -0,0 +1,241 @@
+"""Sends calls to targets and reads their answers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from ruddergate import environment
+from ruddergate import outcomes
+from ruddergate.fleet import load_report
+from ruddergate.http import client
+from ruddergate.http import message
+from ruddergate.platform import headers
+from ruddergate.relay import answer as answers
+from ruddergate.relay import errand as errands
+from ruddergate.relay import event_splitter
+
+_MISDIRECTED = 421
+_REDIRECTION = 300
+_OK = 200
+
+T = TypeVar("T")
+
+
+def make_send(outside: environment.Environment) -> errands.Send:
+    """Returns the function that sends a call to a target."""
+
+    async def send(errand: errands.Errand) -> AsyncIterator[answers.Event]:
+        exchange = await client.start(
+            outside,
+            errand.target.address,
+            _make_outgoing(errand, outside.now_ms()),
+            errand.patience.connect_ms,
+        )
+        if isinstance(exchange, client.Fault):
+            yield _make_lost(exchange)
+            return
+        try:
+            async for event in _read(outside, errand, exchange):
+                yield event
+        finally:
+            exchange.close()
+
+    return send
+
+
+def _make_outgoing(
+    errand: errands.Errand, now_ms: float
+) -> message.OutgoingRequest:
+    left_ms = max(1.0, errand.deadline_ms - now_ms)
+    set_here = {
+        headers.TIME_LEFT: str(int(left_ms)),
+        headers.EXPECTED_TARGET: errand.target.target_id,
+        headers.URGENCY: str(errand.urgency),
+    }
+    if errand.workspace:
+        set_here[headers.WORKSPACE] = errand.workspace
+    if errand.resume_after:
+        set_here[headers.LAST_EVENT] = errand.resume_after
+    if errand.helpers:
+        set_here[headers.HELPERS] = ",".join(map(_name_helper, errand.helpers))
+    payload = errand.payload
+    return message.OutgoingRequest(
+        payload.method,
+        payload.target,
+        set_here,
+        payload.body,
+        payload.host,
+        payload.fields,
+    )
+
+
+def _name_helper(helper: errands.Helper) -> str:
+    if helper.ticket:
+        return f"{helper.address}/{helper.ticket}"
+    return str(helper.address)
+
+
+async def _read(
+    outside: environment.Environment,
+    errand: errands.Errand,
+    exchange: client.Exchange,
+) -> AsyncIterator[answers.Event]:
+    until_ms = min(
+        errand.deadline_ms, outside.now_ms() + errand.patience.first_ms
+    )
+    fault = await _wait(exchange.read_head(), outside, until_ms, errand)
+    if fault is not None:
+        yield _make_lost(fault) if isinstance(fault, client.Fault) else fault
+        return
+    told = _read_load(errand, exchange)
+    if told is not None:
+        yield told
+    wrong = _check_head(errand, exchange)
+    if wrong is not None:
+        yield wrong
+        return
+    if not errand.payload.route.is_stream or exchange.status != _OK:
+        yield await _read_whole(outside, errand, exchange)
+        return
+    async for event in _read_stream(outside, errand, exchange, until_ms):
+        yield event
+
+
+async def _wait(
+    awaited: Awaitable[T],
+    outside: environment.Environment,
+    until_ms: float,
+    errand: errands.Errand,
+) -> T | outcomes.NotServed:
+    """Waits until a time; tells a deadline from a target's silence."""
+    left_ms = max(0.0, until_ms - outside.now_ms())
+    try:
+        async with asyncio.timeout(left_ms / 1000.0):
+            return await awaited
+    except TimeoutError:
+        pass
+    if outside.now_ms() >= errand.deadline_ms:
+        reason = outcomes.Reason.TIME_LIMIT
+        detail = "time was up before the answer was whole"
+    else:
+        reason = outcomes.Reason.TARGET_LOST
+        detail = "the target was silent for too long"
+    return outcomes.NotServed(reason, outcomes.Ran.UNKNOWN, detail)
+
+
+def _make_lost(fault: client.Fault) -> outcomes.NotServed:
+    if not fault.sent:
+        return outcomes.refuse(outcomes.Reason.TARGET_UNREACHABLE, fault.detail)
+    return outcomes.NotServed(
+        outcomes.Reason.TARGET_LOST, outcomes.Ran.UNKNOWN, fault.detail
+    )
+
+
+def _read_load(
+    errand: errands.Errand, exchange: client.Exchange
+) -> answers.LoadTold | None:
+    parts = exchange.headers.get(headers.LOAD, "").split(",")
+    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
+        return None
+    target_id = errand.target.target_id
+    return answers.LoadTold(
+        load_report.LoadReport(
+            target_id=target_id,
+            generation=target_id,
+            running=int(parts[0]) + int(parts[1]),
+            waiting_tokens=0,
+            held_tokens=0,
+            draining=False,
+            age_ms=0.0,
+        )
+    )
+
+
+def _check_head(
+    errand: errands.Errand, exchange: client.Exchange
+) -> outcomes.NotServed | None:
+    """Returns why the answer can't be this call's own, if so."""
+    found = exchange.headers
+    if exchange.status == _MISDIRECTED or headers.NOT_RUN in found:
+        return outcomes.refuse(
+            outcomes.Reason.TARGET_REFUSED,
+            f"the target refused with {exchange.status}",
+            _RETRY_MS,
+        )
+    sent_id = dict(errand.payload.fields).get(headers.REQUEST_ID)
+    echoed_id = found.get(headers.REQUEST_ID)
+    if echoed_id is not None and echoed_id != sent_id:
+        return _make_broken("the answer belongs to another call")
+    is_success = _OK <= exchange.status < _REDIRECTION
+    if is_success and headers.SIGNATURE not in found:
+        return _make_broken("the answer has no signature")
+    return None
+
+
+def _make_broken(detail: str) -> outcomes.NotServed:
+    return outcomes.NotServed(
+        outcomes.Reason.TARGET_BROKE_PROTOCOL, outcomes.Ran.UNKNOWN, detail
+    )
+
+
+async def _read_whole(
+    outside: environment.Environment,
+    errand: errands.Errand,
+    exchange: client.Exchange,
+) -> answers.Event:
+    body = await _wait(exchange.read_all(), outside, errand.deadline_ms, errand)
+    if isinstance(body, client.Fault):
+        return _make_lost(body)
+    if isinstance(body, outcomes.NotServed):
+        return body
+    fields = headers.select_for_caller(exchange.fields)
+    return answers.WholeAnswer(exchange.status, fields, body)
+
+
+async def _read_stream(
+    outside: environment.Environment,
+    errand: errands.Errand,
+    exchange: client.Exchange,
+    until_ms: float,
+) -> AsyncIterator[answers.Event]:
+    splitter = event_splitter.EventSplitter()
+    is_begun = False
+    while True:
+        part = await _wait(exchange.read_part(), outside, until_ms, errand)
+        if isinstance(part, client.Fault):
+            yield _make_lost(part)
+            return
+        if isinstance(part, outcomes.NotServed):
+            yield part
+            return
+        if not part:
+            yield _end_stream(splitter)
+            return
+        events = splitter.feed(part)
+        if events is None:
+            continue
+        if not is_begun:
+            is_begun = True
+            fields = headers.select_for_caller(exchange.fields)
+            yield answers.StreamHead(exchange.status, fields)
+        yield events
+        until_ms = min(
+            errand.deadline_ms, outside.now_ms() + errand.patience.gap_ms
+        )
+
+
+def _end_stream(
+    splitter: event_splitter.EventSplitter,
+) -> answers.StreamEnd | outcomes.NotServed:
+    if splitter.is_between_events():
+        return answers.StreamEnd()
+    return outcomes.NotServed(
+        outcomes.Reason.TARGET_LOST,
+        outcomes.Ran.UNKNOWN,
+        "the stream ended within an event",
+    )
+
+
+# When a target had no room, another or the same one soon has.
+_RETRY_MS = 200.0
--- /dev/null
+++ b/src/ruddergate/platform/store.py
@@ -0,0 +1,162 @@
+"""Calls of the platform's store, which is only read."""
+
+import base64
+import binascii
+from collections.abc import Iterable
+import urllib.parse
+
+import orjson
+
+from ruddergate import environment
+from ruddergate.adapters import _private
+from ruddergate.fleet import target as targets
+from ruddergate.http import client
+from ruddergate.platform import configuration
+from ruddergate.platform import targets as target_entries
+from ruddergate.relay import published
+from ruddergate.settings import catalog as catalogs
+
+_OK = 200
+_HISTORY_GONE = 410
+
+
+def make_source(
+    outside: environment.Environment,
+    address: environment.Address,
+    timeout_ms: float,
+) -> published.Source:
+    """Returns the calls of the store at `address`.
+
+    Args:
+        outside: Clock and streams.
+        address: Where the store serves.
+        timeout_ms: Longest wait for an answer that is not held for changes.
+    """
+
+    async def read_all() -> published.Changes | published.Unavailable:
+        return await _read_all(outside, address, timeout_ms)
+
+    async def read_changes(
+        position: int, wait_ms: float
+    ) -> published.Changes | published.HistoryLost | published.Unavailable:
+        query = {
+            "path-prefix": "",
+            "since-rev": position,
+            "wait-ms": round(wait_ms),
+        }
+        document = await _ask(
+            outside, address, "/api/kv-watch", query, wait_ms + timeout_ms
+        )
+        if isinstance(document, published.HistoryLost | published.Unavailable):
+            return document
+        events = _private.get(document, "events", list, None)
+        at = _private.get(document, "at", int, None)
+        if events is None or at is None:
+            return published.Unavailable("malformed changes")
+        return _read_items(events, at)
+
+    return published.Source(read_all, read_changes)
+
+
+async def _read_all(
+    outside: environment.Environment,
+    address: environment.Address,
+    timeout_ms: float,
+) -> published.Changes | published.Unavailable:
+    """Reads page by page; changes meanwhile follow from the first page on."""
+    items: list[object] = []
+    first_at: int | None = None
+    query: dict[str, object] = {"path-prefix": ""}
+    while True:
+        document = await _ask(
+            outside, address, "/api/kv-range", query, timeout_ms
+        )
+        if isinstance(document, published.HistoryLost):
+            return published.Unavailable("a page of the store is gone")
+        if isinstance(document, published.Unavailable):
+            return document
+        page = _private.get(document, "items", list, None)
+        at = _private.get(document, "at", int, None)
+        if page is None or at is None:
+            return published.Unavailable("a malformed page")
+        first_at = at if first_at is None else first_at
+        items.extend(page)
+        if not page or not _private.get(document, "more", bool, False):
+            return _read_items(items, first_at)
+        # A page begins behind the key that is named here.
+        query["since-rev"] = _private.get(page[-1], "key", str, "")
+
+
+async def _ask(
+    outside: environment.Environment,
+    address: environment.Address,
+    path: str,
+    query: dict[str, object],
+    timeout_ms: float,
+) -> object | published.HistoryLost | published.Unavailable:
+    target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
+    request = client.make_json_request("GET", target)
+    answer = await client.fetch(outside, address, request, timeout_ms)
+    if isinstance(answer, client.Fault):
+        return published.Unavailable(answer.detail)
+    if answer.status == _HISTORY_GONE:
+        return published.HistoryLost()
+    if answer.status != _OK:
+        return published.Unavailable(f"The store answered {answer.status}.")
+    document = answer.json()
+    if document is None:
+        return published.Unavailable("The store's answer is no JSON.")
+    return document
+
+
+def _read_items(items: Iterable[object], at: int) -> published.Changes:
+    """Reads items in order of revision; the last of a key stands."""
+    catalog: catalogs.Catalog | None = None
+    listed: dict[str, targets.Target] = {}
+    gone: dict[str, None] = {}
+    problems: list[str] = []
+    for item in items:
+        key = _private.get(item, "key", str, "")
+        if key == configuration.KEY:
+            read = _read_value(item, configuration.read_catalog)
+            if isinstance(read, catalogs.Catalog):
+                catalog = read
+            else:
+                problems.append(read)
+        elif key.startswith(target_entries.PREFIX):
+            _read_target_item(item, key, listed, gone, problems)
+    return published.Changes(
+        at, catalog, tuple(listed.values()), tuple(gone), tuple(problems)
+    )
+
+
+def _read_target_item(
+    item: object,
+    key: str,
+    listed: dict[str, targets.Target],
+    gone: dict[str, None],
+    problems: list[str],
+) -> None:
+    target_id = key.removeprefix(target_entries.PREFIX)
+    if _private.get(item, "gone", bool, False):
+        listed.pop(target_id, None)
+        gone[target_id] = None
+        return
+    read = _read_value(
+        item, lambda value: target_entries.read_target(target_id, value)
+    )
+    if isinstance(read, str):
+        problems.append(read)
+        return
+    gone.pop(target_id, None)
+    listed[target_id] = read
+
+
+def _read_value(item: object, read: object) -> object:
+    """Decodes an item's value and reads it, or says what is wrong."""
+    text = _private.get(item, "value", str, "")
+    try:
+        document = orjson.loads(base64.b64decode(text, validate=True))
+    except (binascii.Error, ValueError) as error:
+        return f"an item's value can't be read: {error}"
+    return read(document)
--- /dev/null
+++ b/src/ruddergate/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that are passed on unchanged: what the parts tell each other."""
--- /dev/null
+++ b/src/ruddergate/relay/published.py
@@ -0,0 +1,55 @@
+"""What a platform's store publishes, and how to ask it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+from ruddergate.fleet import target as targets
+from ruddergate.settings import catalog as catalogs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What the store holds, or what has changed in it.
+
+    Attributes:
+        position: The store's revision up to which this is told.
+        catalog: The newest settings, or None if they are not in this.
+        targets: Targets that are listed, or were listed anew or changed.
+        gone: Names of targets that are not listed any more.
+        problems: What could not be read, a sentence each.
+    """
+
+    position: int
+    catalog: catalogs.Catalog | None
+    targets: tuple[targets.Target, ...]
+    gone: tuple[str, ...]
+    problems: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store can't tell the changes since then; all must be read anew."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The store did not answer, or not with sense; `detail` is for logs."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Calls of a store.
+
+    Attributes:
+        read_all: Returns everything that is published.
+        read_changes: Returns the changes behind a position, waiting for at
+            most so many milliseconds when there are none.
+    """
+
+    read_all: Callable[[], Awaitable[Changes | Unavailable]]
+    read_changes: Callable[
+        [int, float], Awaitable[Changes | HistoryLost | Unavailable]
+    ]
--- a/src/ruddergate/request.py
+++ b/src/ruddergate/request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ruddergate import payload as payloads
 from ruddergate.settings import effective
 
 
@@ -38,6 +39,7 @@
         deadline_ms: Monotonic time by which it must have ended.
         service_path: Path at a plain service; empty for a model.
         traceparent: W3C trace context of the caller, or empty.
+        payload: The call itself where it is passed on unchanged.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     deadline_ms: float
     service_path: str
     traceparent: str
+    payload: payloads.Payload | None = None
 
     def remaining_ms(self, now_ms: float) -> float:
         """Returns what is left of the time limit; never negative."""
--- /dev/null
+++ b/src/ruddergate/settings/catalog.py
@@ -0,0 +1,70 @@
+"""One revision of routes, workspaces by key, and pools, ready for look-ups."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+
+from ruddergate.settings import effective
+from ruddergate.settings import route as routes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """Who a key belongs to.
+
+    Attributes:
+        name: The workspace.
+        rank: Its priority, which goes before that of routes; higher is first.
+    """
+
+    name: str
+    rank: int
+
+
+class Catalog:
+    """Look-ups in one revision; never changed once made.
+
+    Attributes:
+        revision: Its number; later ones are higher.
+        workspaces: Workspaces by key; empty where callers have none.
+        pools: Effective settings of pools by name.
+    """
+
+    def __init__(
+        self,
+        revision: int,
+        routes_: Iterable[routes.Route],
+        workspaces: Mapping[str, Workspace],
+        pools: Mapping[str, effective.Pool],
+    ) -> None:
+        self.revision = revision
+        self.workspaces = workspaces
+        self.pools = pools
+        self._routes = {(each.host, each.path_prefix): each for each in routes_}
+
+    def find_route(self, host: str, path: str) -> routes.Route | None:
+        """Returns the route with the longest prefix of the path, if any."""
+        name = host.partition(":")[0].lower()
+        for prefix in _prefixes(path):
+            found = self._routes.get((name, prefix))
+            if found is not None:
+                return found
+        return None
+
+    def find_pool(self, name: str) -> effective.Pool | None:
+        """Returns the effective settings of a pool, or None."""
+        return self.pools.get(name)
+
+    def __len__(self) -> int:
+        return len(self._routes)
+
+
+EMPTY = Catalog(0, (), {}, {})
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yields the parts of a path that end with a slash, longest first."""
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
--- a/src/ruddergate/settings/effective.py
+++ b/src/ruddergate/settings/effective.py
@@ -47,6 +47,7 @@
     role: str
     memory_tokens: int
     prefill_tokens_per_s: float
+    attention_ms_per_m_pairs: float
     decode_ms_per_token: float
     service_concurrency: int
     exports_kv: bool
--- a/src/ruddergate/settings/schema.py
+++ b/src/ruddergate/settings/schema.py
@@ -121,6 +121,13 @@
         1.0,
         10_000_000.0,
     ),
+    _pool(
+        "attention_ms_per_m_pairs",
+        0.0,
+        "prefill time for a million pairs of a token and one before it",
+        0.0,
+        1_000_000.0,
+    ),
     _pool("decode_ms_per_token", 30.0, "time between tokens", 0.01, 10_000.0),
     _pool("service_concurrency", 8, "calls at once to one service", 1, 100_000),
     _pool("exports_kv", True, "engines can export and import KV cache"),
--- a/src/ruddergate/telemetry/logs.py
+++ b/src/ruddergate/telemetry/logs.py
@@ -1,9 +1,12 @@
 """Structured logs: short sentences, each with the prefix of its part."""
 
+import datetime as dt
 import sys
+from typing import TextIO
 from typing import TYPE_CHECKING
 
 import loguru
+import orjson
 
 if TYPE_CHECKING:
     Logger = loguru.Logger
@@ -14,14 +17,50 @@
 )
 
 
-def configure(level: str, as_json: bool) -> None:
-    """Sends logs to standard error, as text or as JSON lines."""
+def configure(level: str, as_json: bool, sink: TextIO | None = None) -> None:
+    """Sends logs to a sink, as text or as JSON lines.
+
+    Args:
+        level: Least severe level that is logged.
+        as_json: Whether a line is a JSON object.
+        sink: Where lines go; standard error if None.
+    """
+    chosen = sink if sink is not None else sys.stderr
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": "main", "request_id": ""})
     if as_json:
-        loguru.logger.add(sys.stderr, level=level, serialize=True)
+        loguru.logger.add(
+            lambda line: chosen.write(_render(line.record)),
+            level=level,
+            format="{message}",
+            # Formatting of variables in tracebacks costs more than it tells.
+            backtrace=False,
+            diagnose=False,
+        )
     else:
-        loguru.logger.add(sys.stderr, level=level, format=_TEXT)
+        loguru.logger.add(chosen, level=level, format=_TEXT)
+
+
+def _render(record: "loguru.Record") -> str:
+    """Returns one line: time, level, sentence, then what was bound to it."""
+    time = record["time"].astimezone(dt.UTC)
+    document = {
+        "at": time.isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "event": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        document["fault"] = repr(record["exception"].value)
+        document["traceback"] = _render_traceback(record["exception"])
+    return orjson.dumps(document, default=str).decode() + "\n"
+
+
+def _render_traceback(fault: "loguru.RecordException") -> str:
+    import traceback
+
+    lines = traceback.format_exception(fault.type, fault.value, fault.traceback)
+    return "".join(lines)
 
 
 def make_logger(part: str) -> "Logger":
