Tell peers each VM's work on targets ten times a second

Cause: with 8 or 9 entries that know only their own work, short prompts in a burst of 50/s met full engines while others were idle (busiest/mean 2.15), and calls given up after 900 ms of silence were read twice. Ruled out: too little engine time (a burst needs about 95 of 144 places); polls of reports, which are priced as probes and are 200 ms old. Change: one small datagram a round to at most 12 peers, found through the seeds; the scheduler adds up what they tell.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -9,6 +9,7 @@
 from ruddergate.cli import _private
 from ruddergate.entry import config as configs
 from ruddergate.entry import gateway as gateways
+from ruddergate.entry import peer_exchange
 from ruddergate.entry import source_sync
 from ruddergate.http import server
 from ruddergate.platform import callers
@@ -41,6 +42,8 @@
     listen: _private.AddressText,
     ready_listen: _private.AddressText,
     metrics_listen: _private.AddressText,
+    peer_listen: _private.AddressText,
+    seeds: str = "",
     store_address: _private.AddressText,
     revoke_ms: Annotated[float, _private.number(1, 600_000)] = 5_000.0,
     grace_s: Annotated[float, _private.number(0.1, 600)] = 8.0,
@@ -62,6 +65,9 @@
         listen: Where callers are served (HOST:PORT).
         ready_listen: Where the balancer asks for readiness (HOST:PORT).
         metrics_listen: Where metrics are served (HOST:PORT).
+        peer_listen: Where this VM takes datagrams of peers (HOST:PORT).
+        seeds: Some VMs, as HOST:PORT with commas between; peers take datagrams
+            there at the same port as this VM.
         store_address: Where the store serves (HOST:PORT).
         revoke_ms: Time within which a removed key must be refused (ms).
         grace_s: Time for a planned stop (s).
@@ -97,6 +103,10 @@
         pace=source_sync.Pace(every_ms=store_every_ms),
         retry_share=retry_share,
         retry_most=retry_most,
+        peers=peer_exchange.PeerConfig(
+            environment.parse_address(peer_listen),
+            _parse_seeds(seeds, environment.parse_address(peer_listen).port),
+        ),
     )
     platform = gateways.Platform(
         door=callers.make_door(),
@@ -117,6 +127,13 @@
     _private.run_program(run_gateway)
 
 
+def _parse_seeds(text: str, port: int) -> tuple[environment.Address, ...]:
+    """Returns where the VMs behind the seeds take datagrams."""
+    found = filter(None, (each.strip() for each in text.split(",")))
+    hosts = [environment.parse_address(each).host for each in found]
+    return tuple(environment.Address(host, port) for host in hosts)
+
+
 def _note_reloads() -> None:
     """Logs that the settings were given anew; all of them hold from a start."""
     log = logs.make_logger("entry")
--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -16,6 +16,8 @@
 PEER_NEWS_MS = 5_000.0
 PEAK_HALF_LIFE_MS = 10_000.0
 FAULT_PENALTY_MS = 5_000.0
+# Without digests for this long, what peers have on a target is not known.
+PEER_LOADS_MS = 2_000.0
 # What a target told of other VMs' requests fades over this time: most answers
 # of short prompts have ended by then.
 REPORT_FADES_MS = 1_500.0
@@ -248,14 +250,26 @@
         return max(own, self._report.running + self._since.streams)
 
     def recent_streams(self, now_ms: float) -> float:
-        """Returns own requests plus others' as lately told, fading."""
+        """Returns own requests plus others', by peers or else by the target.
+
+        What the target told with an old answer fades.
+        """
+        if now_ms - self._peer_ms < PEER_LOADS_MS:
+            return float(len(self._own) + self._peer.streams)
         faded = (now_ms - self._report_ms) / REPORT_FADES_MS
         if self._report is None or faded >= 1.0:
             return float(len(self._own))
         return len(self._own) + self._others_streams * (1.0 - max(0.0, faded))
 
     def prefilling_ms(self, now_ms: float) -> float:
-        """Returns the predicted rest of own prefills on the target."""
+        """Returns the predicted rest of all known prefills on the target."""
+        own_ms = self._own_prefill_ms(now_ms)
+        age_ms = now_ms - self._peer_ms
+        if age_ms >= PEER_LOADS_MS:
+            return own_ms
+        return own_ms + max(0.0, self._peer.prefill_ms - age_ms)
+
+    def _own_prefill_ms(self, now_ms: float) -> float:
         waiting = [w for w in self._own.values() if not w.has_first_token]
         if not waiting:
             return 0.0
@@ -282,13 +296,14 @@
             return own
         return own + sum(peers[length_band.LONG_BAND :])
 
-    def summarize(self) -> dispatched.Dispatched:
+    def summarize(self, now_ms: float) -> dispatched.Dispatched:
         """Returns this VM's own work on the target, for peers."""
         return dispatched.Dispatched(
             self.target.target_id,
             tuple(self._totals.open_tokens),
             self._totals.held_tokens,
             len(self._own),
+            self._own_prefill_ms(now_ms),
         )
 
     def prefixes(self) -> Mapping[str, int]:
--- /dev/null
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -0,0 +1,131 @@
+"""What peers have running on targets, summed from their digests."""
+
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from ruddergate.fleet import dispatched
+from ruddergate.messages import load_digest
+
+# Digests that a peer sends in each round go to at most so many others, so that
+# the cost of a VM does not grow with the fleet.
+FAN_OUT = 12
+# Peers named in a digest, enough for a new VM to find all within a few rounds.
+NAMED_MAX = 8
+# A peer's digest counts for so long. Rounds come ten times a second and a
+# fleet of 100 VMs hears from each peer about once a second.
+NEWS_MS = 1_500.0
+# A peer that was not heard for so long is forgotten.
+FORGET_MS = 5_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    heard_ms: float
+    incarnation: str = ""
+    number: int = -1
+    is_heard: bool = False
+    rows: tuple[dispatched.Dispatched, ...] = ()
+
+
+class PeerLoads:
+    """Peers by address and their last digests; owned by one task.
+
+    Args:
+        own: Where this VM takes datagrams; never counted as a peer.
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._peers: dict[str, _Peer] = {}
+        self._summed: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._peers)
+
+    def take(self, digest: load_digest.LoadDigest, now_ms: float) -> None:
+        """Takes in a digest, unless a later one of the peer is known."""
+        if digest.sender == self._own:
+            return
+        peer = self._peers.setdefault(digest.sender, _Peer(now_ms))
+        if peer.incarnation == digest.incarnation and (
+            digest.number <= peer.number
+        ):
+            return
+        peer.heard_ms = now_ms
+        peer.is_heard = True
+        peer.incarnation = digest.incarnation
+        peer.number = digest.number
+        peer.rows = digest.rows
+        for name in digest.peers[:NAMED_MAX]:
+            if name != self._own:
+                self._peers.setdefault(name, _Peer(now_ms))
+
+    def forget_silent(self, now_ms: float) -> None:
+        """Forgets peers that were not heard for long."""
+        for name, peer in list(self._peers.items()):
+            if now_ms - peer.heard_ms > FORGET_MS:
+                del self._peers[name]
+
+    def choose_receivers(self, chance: random.Random) -> list[str]:
+        """Returns the peers that the next digest goes to."""
+        names = list(self._peers)
+        if len(names) <= FAN_OUT:
+            return names
+        return chance.sample(names, FAN_OUT)
+
+    def name_some(self, now_ms: float, chance: random.Random) -> list[str]:
+        """Returns some peers that were lately heard from directly."""
+        names = [
+            name
+            for name, peer in self._peers.items()
+            if peer.is_heard and now_ms - peer.heard_ms <= NEWS_MS
+        ]
+        return chance.sample(names, min(len(names), NAMED_MAX))
+
+    def sum_up(self, now_ms: float) -> tuple[dispatched.Dispatched, ...]:
+        """Returns the peers' work by target, scaled up to all known peers.
+
+        A target that peers had work on the last time but have none on now is
+        told with zeros.
+        """
+        heard = [peer for peer in self._peers.values() if peer.is_heard]
+        fresh = [p for p in heard if now_ms - p.heard_ms <= NEWS_MS]
+        by_target: dict[str, list[tuple[dispatched.Dispatched, float]]] = {}
+        for peer in fresh:
+            age_ms = now_ms - peer.heard_ms
+            for row in peer.rows:
+                by_target.setdefault(row.target_id, []).append((row, age_ms))
+        scale = 1.0
+        if len(self._peers) > FAN_OUT and fresh:
+            scale = len(heard) / len(fresh)
+        ended = self._summed - by_target.keys()
+        self._summed = set(by_target)
+        return (
+            *(_add_up(name, rows, scale) for name, rows in by_target.items()),
+            *(dispatched.Dispatched(name, (), 0, 0) for name in ended),
+        )
+
+
+def _add_up(
+    target_id: str,
+    rows: Iterable[tuple[dispatched.Dispatched, float]],
+    scale: float,
+) -> dispatched.Dispatched:
+    held = 0
+    streams = 0
+    prefill_ms = 0.0
+    totals: dict[int, int] = {}
+    for row, age_ms in rows:
+        held += row.held_tokens
+        streams += row.streams
+        prefill_ms += max(0.0, row.prefill_ms - age_ms)
+        for band, tokens in enumerate(row.pending_tokens):
+            totals[band] = totals.get(band, 0) + tokens
+    return dispatched.Dispatched(
+        target_id,
+        tuple(round(totals[band] * scale) for band in sorted(totals)),
+        round(held * scale),
+        round(streams * scale),
+        prefill_ms * scale,
+    )
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -1,7 +1,8 @@
 """An entry that follows the platform's store itself and passes calls on.
 
-It needs no agent and no peers: what one VM must know, the store publishes, and
-what all of them must keep together, each keeps by its own part.
+It needs no agent: what one VM must know, the store publishes, and what all of
+them must keep together, each keeps by its own part. Peers tell each other their
+load, and every promise holds without them.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from ruddergate.entry import canceller as cancellers
 from ruddergate.entry import config as configs
 from ruddergate.entry import open_calls
+from ruddergate.entry import peer_exchange
 from ruddergate.entry import relay_handler
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import source_sync
@@ -46,6 +48,7 @@
         pace: How often the store is asked.
         retry_share: Second sends allowed for each first one.
         retry_most: Second sends that may be saved up.
+        peers: Where peers are found.
     """
 
     ready_listen: environment.Address
@@ -57,6 +60,7 @@
     pace: source_sync.Pace
     retry_share: float
     retry_most: float
+    peers: peer_exchange.PeerConfig
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +120,9 @@
             platform.send,
             gateway_config.settings_age_max_ms,
         )
+        self._peers = peer_exchange.PeerExchange(
+            outside, gateway_config.peers, self.tools.incarnation, scheduler
+        )
         self._sync = source_sync.SourceSync(
             outside, platform.source, view, scheduler, gateway_config.pace
         )
@@ -125,6 +132,7 @@
         tasks = [
             asyncio.ensure_future(self.tools.scheduler.run()),
             asyncio.ensure_future(self._sync.run()),
+            asyncio.ensure_future(self._peers.run()),
         ]
         servers = [
             await self._serve(
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -87,8 +87,9 @@
 
     def summarize(self) -> tuple[dispatched.Dispatched, ...]:
         """Returns this VM's own work on targets, for peers."""
+        now_ms = self._outside.now_ms()
         return tuple(
-            estimate.summarize()
+            estimate.summarize(now_ms)
             for estimate in self._estimates.values()
             if estimate.own_streams()
         )
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -15,6 +15,7 @@
 from typing import TypeAlias
 
 StreamPair: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+TakeDatagram: TypeAlias = Callable[[bytes], None]
 StreamHandler: TypeAlias = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
@@ -45,6 +46,19 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatagramPort:
+    """An open port for datagrams, which may get lost on their way.
+
+    Attributes:
+        send: Sends a datagram and does not wait.
+        close: Closes the port.
+    """
+
+    send: Callable[[bytes, Address], None]
+    close: Callable[[], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Environment:
     """The outside world as one process sees it.
@@ -55,6 +69,7 @@
         random: Source of chance for jitter, sampling and identifiers.
         connect: Opens a stream; raises OSError when it cannot.
         serve: Starts listening and calls the handler for each stream.
+        bind: Starts taking datagrams and calls the function for each.
     """
 
     now_ms: Callable[[], float]
@@ -62,6 +77,7 @@
     random: random.Random
     connect: Callable[[Address], Awaitable[StreamPair]]
     serve: Callable[[StreamHandler, Address], Awaitable[asyncio.Server]]
+    bind: Callable[[TakeDatagram, Address], Awaitable["DatagramPort"]]
 
 
 def parse_address(text: str) -> Address:
@@ -74,6 +90,16 @@
     return Address(host, int(port))
 
 
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands datagrams on; a port that nobody listens at is no fault."""
+
+    def __init__(self, take: TakeDatagram) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self._take(data)
+
+
 def make_system_environment() -> Environment:
     """Returns the real clock, operating system entropy and TCP streams."""
 
@@ -95,12 +121,23 @@
             accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
         )
 
+    async def bind(take: TakeDatagram, address: Address) -> DatagramPort:
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(take), local_addr=(address.host, address.port)
+        )
+        return DatagramPort(
+            lambda data, to: transport.sendto(data, (to.host, to.port)),
+            transport.close,
+        )
+
     return Environment(
         now_ms=lambda: time.monotonic() * 1000.0,
         wall_ms=lambda: time.time() * 1000.0,
         random=random.Random(os.urandom(16)),
         connect=connect,
         serve=serve,
+        bind=bind,
     )
 
 
--- a/src/ruddergate/fleet/dispatched.py
+++ b/src/ruddergate/fleet/dispatched.py
@@ -13,12 +13,14 @@
             band of the prompt's length.
         held_tokens: Memory that the work takes up, in tokens.
         streams: Requests in flight.
+        prefill_ms: Predicted rest of their prefills on the target.
     """
 
     target_id: str
     pending_tokens: tuple[int, ...]
     held_tokens: int
     streams: int
+    prefill_ms: float = 0.0
 
     @property
     def all_pending_tokens(self) -> int:
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -13,6 +13,7 @@
 from ruddergate.messages import gossip
 from ruddergate.messages import lend
 from ruddergate.messages import listing_wanted
+from ruddergate.messages import load_digest
 from ruddergate.messages import loads
 from ruddergate.messages import shares
 from ruddergate.messages import tree_parts
@@ -29,6 +30,7 @@
     | lend.LendWanted
     | lend.Lent
     | listing_wanted.ListingWanted
+    | load_digest.LoadDigest
     | loads.Loads
     | shares.Shares
     | tree_parts.TreeParts
@@ -52,6 +54,7 @@
     12: tree_parts.TreeParts,
     13: tree_wanted.TreeWanted,
     14: listing_wanted.ListingWanted,
+    15: load_digest.LoadDigest,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_OF = {type_: tag for tag, type_ in _TAGS.items()}
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -136,6 +136,7 @@
         self._seed = seed
         self._latency = latency
         self._listeners: dict[environment.Address, tuple] = {}
+        self._datagram_ports: dict[environment.Address, tuple] = {}
         self._writers: dict[str, set[VirtualWriter]] = {}
         self._order = 0
         self._began: dict[VirtualWriter, int] = {}
@@ -184,12 +185,22 @@
             self._listeners[address] = (process, handler)
             return _Server(lambda: self._unlisten(process, address))
 
+        async def bind(
+            take: environment.TakeDatagram, address: environment.Address
+        ) -> environment.DatagramPort:
+            self._datagram_ports[address] = (process, take)
+            return environment.DatagramPort(
+                lambda data, to: self._send_datagram(process, data, to),
+                lambda: self._datagram_ports.pop(address, None),
+            )
+
         return environment.Environment(
             now_ms=lambda: loop.time() * 1000.0 + offset_ms,
             wall_ms=lambda: loop.time() * 1000.0 + skew_ms,
             random=chance,
             connect=connect,
             serve=serve,
+            bind=bind,
         )
 
     def reset_node(self, process: processes.VirtualProcess) -> None:
@@ -201,6 +212,26 @@
         for writer in sorted(writers, key=lambda each: self._began[each]):
             writer.break_off()
 
+    def _send_datagram(
+        self,
+        source: processes.VirtualProcess,
+        data: bytes,
+        to: environment.Address,
+    ) -> None:
+        sink, take = self._datagram_ports.get(to, (None, None))
+        if sink is None or self.is_cut(source, sink):
+            return
+
+        async def deliver() -> None:
+            take(data)
+
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.latency_s(source, sink),
+            lambda: sink.start(deliver),
+            context=self.neutral,
+        )
+
     def _unlisten(
         self, process: processes.VirtualProcess, address: environment.Address
     ) -> None:
