Move the boundary between short and long prompts with the streams in flight

Cause: a fixed 45 % of the engines was too few for a burst of short prompts and too many while archives burst. Change: short prompts have as many engines as the streams in flight need at 5 each; long ones have the rest, at least 3.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -21,8 +21,11 @@
 # Prompts from here on are read apart from short ones: at the published figures
 # (256 tokens a ms) they hold a pass up for longer than a short prompt's pause.
 LONG_TOKENS = 16_384
-# Part of the engines that long prompts may use; the rest is for short ones.
-LONG_PART = 0.55
+# Streams that an engine of the front region is to have: enough places are left
+# for chance, and a pass stays short.
+SHORT_STREAMS = 5.0
+# Engines that either region keeps, whatever the other one needs.
+REGION_LEAST = 3
 # Longest piece of a prompt that one engine reads: what an answer of a middling
 # prompt beside it bears between two events (500 ms) less a pass of its own.
 PIECE_MS = 350.0
@@ -48,7 +51,7 @@
     now_ms: float,
     chance: random.Random,
 ) -> estimates.Estimate | None:
-    long_ids = _find_long_region(candidates)
+    long_ids = _find_long_region(candidates, now_ms)
     scored = [
         (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
         for each in candidates
@@ -70,7 +73,7 @@
     whole_ms = costs.predict_prefill_ms(chosen.pool, job.prompt_tokens)
     wanted = math.ceil(whole_ms / PIECE_MS) - 1
     wanted = min(wanted, chosen.pool.gang_engines_max - 1)
-    long_ids = _find_long_region(candidates)
+    long_ids = _find_long_region(candidates, now_ms)
     others = [
         each
         for each in candidates
@@ -89,13 +92,17 @@
 
 
 def _find_long_region(
-    candidates: Sequence[estimates.Estimate],
+    candidates: Sequence[estimates.Estimate], now_ms: float
 ) -> frozenset[str]:
+    """Returns the engines at the back that short prompts do not need now."""
     ranked = sorted(
         (each.target.target_id for each in candidates), key=_rank_of
     )
-    count = math.ceil(len(ranked) * LONG_PART)
-    return frozenset(ranked[len(ranked) - count :])
+    streams = sum(each.recent_streams(now_ms) for each in candidates)
+    needed = math.ceil(streams / SHORT_STREAMS) + 1
+    least = min(REGION_LEAST, len(ranked) // 2)
+    needed = max(least, min(len(ranked) - least, needed))
+    return frozenset(ranked[needed:])
 
 
 def _rank_of(target_id: str) -> int:
