Read one piece of a long prompt at a time on an engine

Cause: pieces of several long prompts met in one pass and held up every answer beside them for longer than its route's pause. Change: a long prompt starts on engines that have hardly anything to read, waits for up to 0.15 of its aim for enough of them, then takes what is free.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -17,6 +17,7 @@
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.decisions.routing import policy as policies
+from ruddergate.settings import effective
 
 # Prompts from here on are read apart from short ones: at the published figures
 # (256 tokens a ms) they hold a pass up for longer than a short prompt's pause.
@@ -26,9 +27,17 @@
 SHORT_STREAMS = 5.0
 # Engines that either region keeps, whatever the other one needs.
 REGION_LEAST = 3
-# Longest piece of a prompt that one engine reads: what an answer of a middling
-# prompt beside it bears between two events (500 ms) less a pass of its own.
-PIECE_MS = 350.0
+# Longest piece of a prompt that one engine is to read: with a pass of its own
+# work it stays under the pause that an answer of a middling prompt bears
+# beside it (500 ms), also when the piece meets a short prompt.
+PIECE_MS = 300.0
+# An engine with less than this to read may take a piece: two pieces in one
+# pass would be longer than what the answers beside them bear.
+FREE_MS = 60.0
+# Part of the wanted engines with which a long prompt starts at once, and part
+# of its aim after which it starts with those that are free.
+START_PART = 0.7
+HOLD_AIM_PART = 0.15
 # What one more stream beside it costs a stream, from the time of a step.
 STREAM_MS = 8.0
 # Taking a place that is not free means waiting for an answer to end.
@@ -52,9 +61,17 @@
     chance: random.Random,
 ) -> estimates.Estimate | None:
     long_ids = _find_long_region(candidates, now_ms)
+    open_ = candidates
+    if _is_long(job):
+        open_ = _find_free(candidates, long_ids, now_ms)
+        wanted = _count_parts(job, candidates[0].pool)
+        is_patient = job.waited_ms < HOLD_AIM_PART * job.aim_ms
+        if is_patient and len(open_) < START_PART * min(wanted, len(long_ids)):
+            return None
+        open_ = open_ or candidates
     scored = [
         (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
-        for each in candidates
+        for each in open_
     ]
     best_ms = min(score_ms for score_ms, _ in scored)
     near = [each for score_ms, each in scored if score_ms <= best_ms + SAME_MS]
@@ -70,21 +87,38 @@
 ) -> Sequence[estimates.Estimate]:
     if not _is_long(job):
         return ()
-    whole_ms = costs.predict_prefill_ms(chosen.pool, job.prompt_tokens)
-    wanted = math.ceil(whole_ms / PIECE_MS) - 1
-    wanted = min(wanted, chosen.pool.gang_engines_max - 1)
     long_ids = _find_long_region(candidates, now_ms)
     others = [
         each
-        for each in candidates
-        if each is not chosen and each.target.target_id in long_ids
+        for each in _find_free(candidates, long_ids, now_ms)
+        if each is not chosen
     ]
     others.sort(
         key=lambda each: (
             _score_ms(job, each, True, now_ms) + chance.uniform(0.0, SAME_MS)
         )
     )
-    return others[:wanted]
+    return others[: _count_parts(job, chosen.pool) - 1]
+
+
+def _count_parts(job: jobs.Job, pool: effective.Pool) -> int:
+    """Returns on how many engines the prompt is best read."""
+    whole_ms = costs.predict_prefill_ms(pool, job.prompt_tokens)
+    return min(pool.gang_engines_max, max(1, math.ceil(whole_ms / PIECE_MS)))
+
+
+def _find_free(
+    candidates: Sequence[estimates.Estimate],
+    long_ids: frozenset[str],
+    now_ms: float,
+) -> Sequence[estimates.Estimate]:
+    """Returns the engines for long prompts that have hardly any to read."""
+    return [
+        each
+        for each in candidates
+        if each.target.target_id in long_ids
+        and each.prefilling_ms(now_ms) <= FREE_MS
+    ]
 
 
 def _is_long(job: jobs.Job) -> bool:
