Count only short prompts' streams for the boundary between regions

Cause: answers to long prompts counted as streams that short prompts need room for. In a burst of archives, slow answers widened the front region, which left long reads fewer engines and made answers slower still (seen in the logs: 7 to 10 streams on each of the last 5 engines, first events after 3 to 6 s). Change: digests tell short streams apart; they alone move the boundary. The digests at once, the random rest of lanes and the start with the engines that have least to read stay.

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -18,6 +18,10 @@
 FAULT_PENALTY_MS = 5_000.0
 # Without digests for this long, what peers have on a target is not known.
 PEER_LOADS_MS = 2_000.0
+# Digests come about this often; older ones have lost some of their prefills.
+PEER_ROUND_MS = 200.0
+# Part of a planned prefill that still counts until its first token is seen.
+PREFILL_REST_LEAST = 0.5
 # What a target told of other VMs' requests fades over this time: most answers
 # of short prompts have ended by then.
 REPORT_FADES_MS = 1_500.0
@@ -117,21 +121,26 @@
         self._own[attempt_id] = work
         self._count(work, work.fresh_tokens, work.held_tokens, 1)
 
-    def first_token(self, attempt_id: str, now_ms: float) -> None:
-        """Notes that an attempt's prefill has ended."""
+    def first_token(self, attempt_id: str, now_ms: float) -> bool:
+        """Notes that a prefill has ended; returns whether it was a long one."""
         work = self._own.get(attempt_id)
-        if work is not None and not work.has_first_token:
-            work.has_first_token = True
-            self._count(work, -work.fresh_tokens, 0, 0)
-            self.note_response(now_ms - work.sent_ms, now_ms)
-            self.faults = 0
-
-    def end(self, attempt_id: str) -> None:
-        """Notes that an attempt has ended."""
+        if work is None or work.has_first_token:
+            return False
+        work.has_first_token = True
+        self._count(work, -work.fresh_tokens, 0, 0)
+        self.note_response(now_ms - work.sent_ms, now_ms)
+        self.faults = 0
+        return work.band >= length_band.MIDDLE_BAND
+
+    def end(self, attempt_id: str) -> bool:
+        """Notes an attempt's end; returns whether a long prefill ended so."""
         work = self._own.pop(attempt_id, None)
-        if work is not None:
-            open_tokens = 0 if work.has_first_token else work.fresh_tokens
-            self._count(work, -open_tokens, -work.held_tokens, -1)
+        if work is None:
+            return False
+        open_tokens = 0 if work.has_first_token else work.fresh_tokens
+        self._count(work, -open_tokens, -work.held_tokens, -1)
+        is_long = work.band >= length_band.MIDDLE_BAND
+        return is_long and not work.has_first_token
 
     def _count(
         self, work: OwnWork, open_tokens: int, held_tokens: int, streams: int
@@ -261,13 +270,26 @@
             return float(len(self._own))
         return len(self._own) + self._others_streams * (1.0 - max(0.0, faded))
 
+    def short_streams(self, now_ms: float) -> int:
+        """Returns own and peers' requests whose prompts are short."""
+        own = self._own_short_streams()
+        if now_ms - self._peer_ms < PEER_LOADS_MS:
+            own += self._peer.short_streams
+        return own
+
+    def _own_short_streams(self) -> int:
+        return sum(
+            work.band < length_band.MIDDLE_BAND for work in self._own.values()
+        )
+
     def prefilling_ms(self, now_ms: float) -> float:
         """Returns the predicted rest of all known prefills on the target."""
         own_ms = self._own_prefill_ms(now_ms)
         age_ms = now_ms - self._peer_ms
         if age_ms >= PEER_LOADS_MS:
             return own_ms
-        return own_ms + max(0.0, self._peer.prefill_ms - age_ms)
+        late_ms = max(0.0, age_ms - PEER_ROUND_MS)
+        return own_ms + max(0.0, self._peer.prefill_ms - late_ms)
 
     def _own_prefill_ms(self, now_ms: float) -> float:
         waiting = [w for w in self._own.values() if not w.has_first_token]
@@ -275,8 +297,10 @@
             return 0.0
         began_ms = min(w.sent_ms for w in waiting)
         planned_ms = sum(w.prefill_ms for w in waiting)
-        # What should have ended by now but has not still takes a moment.
-        return max(planned_ms / 4.0, planned_ms - (now_ms - began_ms))
+        # What should have ended by now but has not still takes a while: it
+        # waits for the end of a pass, or for others' prefills.
+        least_ms = planned_ms * PREFILL_REST_LEAST
+        return max(least_ms, planned_ms - (now_ms - began_ms))
 
     def own_streams(self) -> int:
         """Returns how many requests this VM has on the target."""
@@ -303,9 +327,19 @@
             tuple(self._totals.open_tokens),
             self._totals.held_tokens,
             len(self._own),
+            self._own_short_streams(),
             self._own_prefill_ms(now_ms),
         )
 
+    def describe(self, now_ms: float) -> str:
+        """Returns what is believed, with the age of what others told."""
+        return (
+            f"streams={self.recent_streams(now_ms):.1f} own={len(self._own)} "
+            f"prefill_ms={self.prefilling_ms(now_ms):.0f} "
+            f"peers_age_ms={min(now_ms - self._peer_ms, 1e9):.0f} "
+            f"report_age_ms={min(now_ms - self._report_ms, 1e9):.0f}"
+        )
+
     def prefixes(self) -> Mapping[str, int]:
         """Returns the prefixes believed cached, with their tokens."""
         return self._prefixes
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -91,11 +91,10 @@
         """
         heard = [peer for peer in self._peers.values() if peer.is_heard]
         fresh = [p for p in heard if now_ms - p.heard_ms <= NEWS_MS]
-        by_target: dict[str, list[tuple[dispatched.Dispatched, float]]] = {}
+        by_target: dict[str, list[dispatched.Dispatched]] = {}
         for peer in fresh:
-            age_ms = now_ms - peer.heard_ms
             for row in peer.rows:
-                by_target.setdefault(row.target_id, []).append((row, age_ms))
+                by_target.setdefault(row.target_id, []).append(row)
         scale = 1.0
         if len(self._peers) > FAN_OUT and fresh:
             scale = len(heard) / len(fresh)
@@ -109,17 +108,19 @@
 
 def _add_up(
     target_id: str,
-    rows: Iterable[tuple[dispatched.Dispatched, float]],
+    rows: Iterable[dispatched.Dispatched],
     scale: float,
 ) -> dispatched.Dispatched:
     held = 0
     streams = 0
+    short_streams = 0
     prefill_ms = 0.0
     totals: dict[int, int] = {}
-    for row, age_ms in rows:
+    for row in rows:
         held += row.held_tokens
         streams += row.streams
-        prefill_ms += max(0.0, row.prefill_ms - age_ms)
+        short_streams += row.short_streams
+        prefill_ms += row.prefill_ms
         for band, tokens in enumerate(row.pending_tokens):
             totals[band] = totals.get(band, 0) + tokens
     return dispatched.Dispatched(
@@ -127,5 +128,6 @@
         tuple(round(totals[band] * scale) for band in sorted(totals)),
         round(held * scale),
         round(streams * scale),
+        round(short_streams * scale),
         prefill_ms * scale,
     )
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -35,9 +35,9 @@
 # pass would be longer than what the answers beside them bear.
 FREE_MS = 60.0
 # Part of the wanted engines with which a long prompt starts at once, and part
-# of its aim after which it starts with those that are free.
+# of its aim after which it starts with whatever has least to read.
 START_PART = 0.7
-HOLD_AIM_PART = 0.15
+HOLD_AIM_PART = 0.3
 # What one more stream beside it costs a stream, from the time of a step.
 STREAM_MS = 8.0
 # Taking a place that is not free means waiting for an answer to end.
@@ -68,7 +68,8 @@
         is_patient = job.waited_ms < HOLD_AIM_PART * job.aim_ms
         if is_patient and len(open_) < START_PART * min(wanted, len(long_ids)):
             return None
-        open_ = open_ or candidates
+        if not is_patient:
+            open_ = _find_least_reading(candidates, long_ids, wanted, now_ms)
     scored = [
         (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
         for each in open_
@@ -88,17 +89,17 @@
     if not _is_long(job):
         return ()
     long_ids = _find_long_region(candidates, now_ms)
-    others = [
-        each
-        for each in _find_free(candidates, long_ids, now_ms)
-        if each is not chosen
-    ]
+    wanted = _count_parts(job, chosen.pool)
+    open_ = _find_free(candidates, long_ids, now_ms)
+    if len(open_) < wanted and job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
+        open_ = _find_least_reading(candidates, long_ids, wanted, now_ms)
+    others = [each for each in open_ if each is not chosen]
     others.sort(
         key=lambda each: (
             _score_ms(job, each, True, now_ms) + chance.uniform(0.0, SAME_MS)
         )
     )
-    return others[: _count_parts(job, chosen.pool) - 1]
+    return others[: wanted - 1]
 
 
 def _count_parts(job: jobs.Job, pool: effective.Pool) -> int:
@@ -121,6 +122,18 @@
     ]
 
 
+def _find_least_reading(
+    candidates: Sequence[estimates.Estimate],
+    long_ids: frozenset[str],
+    count: int,
+    now_ms: float,
+) -> Sequence[estimates.Estimate]:
+    """Returns so many engines for long prompts, those with least to read."""
+    found = [each for each in candidates if each.target.target_id in long_ids]
+    found.sort(key=lambda each: each.prefilling_ms(now_ms))
+    return found[:count]
+
+
 def _is_long(job: jobs.Job) -> bool:
     return job.prompt_tokens >= LONG_TOKENS
 
@@ -132,7 +145,7 @@
     ranked = sorted(
         (each.target.target_id for each in candidates), key=_rank_of
     )
-    streams = sum(each.recent_streams(now_ms) for each in candidates)
+    streams = sum(each.short_streams(now_ms) for each in candidates)
     needed = math.ceil(streams / SHORT_STREAMS) + 1
     least = min(REGION_LEAST, len(ranked) // 2)
     needed = max(least, min(len(ranked) - least, needed))
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -97,7 +97,9 @@
         self._connections = http_server.Connections()
         self._open = open_calls.OpenCalls(platform.door.write_failure)
         view = views.View()
-        scheduler = schedulers.Scheduler(outside, config, view)
+        scheduler = schedulers.Scheduler(
+            outside, config, view, lambda: self._peers.hurry()
+        )
         self.tools = tool_types.Tools(
             outside=outside,
             config=config,
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -54,6 +54,7 @@
         self._own = str(config.listen)
         self._loads = peer_loads.PeerLoads(self._own)
         self._round = 0
+        self._soon = asyncio.Event()
         self._known = 0
         self._log = logs.make_logger("peers")
 
@@ -62,15 +63,28 @@
         port = await self._outside.bind(self._take, self._config.listen)
         try:
             while True:
+                self._soon.clear()
                 self._play_round(port)
-                await asyncio.sleep(ROUND_MS / 1000.0)
+                await self._wait()
         finally:
             port.close()
 
+    def hurry(self) -> None:
+        """Has the next digest sent at once."""
+        self._soon.set()
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(ROUND_MS / 1000.0):
+                await self._soon.wait()
+        except TimeoutError:
+            pass
+
     def _take(self, data: bytes) -> None:
         message = codec.decode(data)
         if isinstance(message, load_digest.LoadDigest) and _is_sound(message):
             self._loads.take(message, self._outside.now_ms())
+            self._post_sums()
             return
         self._log.warning("Datagram dropped, it is no digest.")
 
@@ -78,14 +92,17 @@
         now_ms = self._outside.now_ms()
         self._loads.forget_silent(now_ms)
         self._note_peers()
-        rows = self._loads.sum_up(now_ms)
-        if rows:
-            self._scheduler.post(loads.Loads((), rows, ()))
+        self._post_sums()
         data = codec.encode(self._make_digest(now_ms))
         for receiver in self._choose_receivers():
             port.send(data, receiver)
         self._round += 1
 
+    def _post_sums(self) -> None:
+        rows = self._loads.sum_up(self._outside.now_ms())
+        if rows:
+            self._scheduler.post(loads.Loads((), rows, ()))
+
     def _make_digest(self, now_ms: float) -> load_digest.LoadDigest:
         chance = self._outside.random
         return load_digest.LoadDigest(
--- a/src/ruddergate/entry/placement.py
+++ b/src/ruddergate/entry/placement.py
@@ -20,11 +20,13 @@
         target: Where to run.
         attempt_id: Name of the attempt there.
         cached_tokens: Prompt tokens believed cached there.
+        believed: What the choice went by, for logs.
     """
 
     target: targets.Target
     attempt_id: str
     cached_tokens: int
+    believed: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -71,17 +71,23 @@
         request: requests.Request,
         events: AsyncIterator[answers.Event],
     ) -> AsyncIterator[bytes]:
+        pauses = _Pauses(request.arrived_ms)
         async with contextlib.aclosing(events):
             async for event in events:
                 if isinstance(event, answers.StreamEvents):
+                    pauses.note_event(self._tools.outside.now_ms())
                     yield event.data
                 elif isinstance(event, outcomes.NotServed):
                     self._note_end(
-                        request, event.reason.value, event.ran, event.detail
+                        request,
+                        event.reason.value,
+                        event.ran,
+                        event.detail,
+                        pauses,
                     )
                     # A proper end would make a broken answer look whole.
                     raise ConnectionAbortedError(event.detail)
-        self._note_end(request, "finished", outcomes.Ran.RAN, "")
+        self._note_end(request, "finished", outcomes.Ran.RAN, "", pauses)
 
     def _refuse(
         self, refusal: outcomes.NotServed, request_id: str
@@ -102,6 +108,7 @@
         reason: str,
         ran: outcomes.Ran,
         detail: str,
+        pauses: "_Pauses | None" = None,
     ) -> None:
         self._tools.metrics.note_outcome(reason, ran.value)
         took_ms = self._tools.outside.now_ms() - request.arrived_ms
@@ -116,4 +123,29 @@
             revision=request.workload.revision,
             prompt_tokens=request.prompt_tokens,
             took_ms=round(took_ms),
+            first_ms=round(pauses.first_ms) if pauses else None,
+            longest_pause_ms=round(pauses.longest_ms) if pauses else None,
         )
+
+
+class _Pauses:
+    """Times between the events of one stream, as they are handed on.
+
+    Attributes:
+        first_ms: From the call's arrival to the first event.
+        longest_ms: Longest time between two events so far.
+    """
+
+    def __init__(self, arrived_ms: float) -> None:
+        self.first_ms = -1.0
+        self.longest_ms = 0.0
+        self._last_ms = arrived_ms
+
+    def note_event(self, now_ms: float) -> None:
+        """Notes that events are handed on now."""
+        passed_ms = now_ms - self._last_ms
+        self._last_ms = now_ms
+        if self.first_ms < 0.0:
+            self.first_ms = passed_ms
+        else:
+            self.longest_ms = max(self.longest_ms, passed_ms)
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -31,8 +31,9 @@
 # What a target that fails with its own 5xx says is the answer; from here on a
 # repeatable call is worth another try.
 _SERVER_ERROR = 500
-# How long a call waits for a target when none can be used, in aims.
-NO_TARGET_WAIT_AIMS = 0.2
+# How long a call waits for a target at most, in aims; a policy that holds long
+# prompts back lets them go earlier (by_region.HOLD_AIM_PART).
+NO_TARGET_WAIT_AIMS = 0.5
 _NO_TARGET_RETRY_MS = 500.0
 
 
@@ -88,6 +89,7 @@
 ) -> AsyncIterator[answers.Event]:
     """Sends the call to one target and follows its answer."""
     errand = _make_errand(request, placed, progress, tools)
+    _log_start(request, placed, progress, tools)
     failed = False
     is_first = True
     try:
@@ -212,6 +214,33 @@
     return None
 
 
+def _log_start(
+    request: requests.Request,
+    placed: placement.Placed,
+    progress: _Progress,
+    tools: tool_types.Tools,
+) -> None:
+    now_ms = tools.outside.now_ms()
+    seat = placed.seats[0]
+    logs.make_logger("attempt").info(
+        "Attempt begins at {}.",
+        seat.target.target_id,
+        request_id=request.request_id,
+        route=request.payload.route.name,
+        pool=seat.target.pool,
+        hall=seat.target.hall,
+        prompt_tokens=request.prompt_tokens,
+        helpers=[each.target.target_id for each in placed.seats[1:]],
+        believed=seat.believed,
+        resume_after=progress.last_id,
+        sent=progress.sent,
+        waited_ms=round(now_ms - request.arrived_ms),
+        left_ms=round(request.remaining_ms(now_ms)),
+        revision=request.workload.revision,
+        view_age_ms=round(tools.view.age_ms(now_ms)),
+    )
+
+
 def _log_attempt(
     request: requests.Request,
     seat: placement.Seat,
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -23,8 +23,11 @@
 from ruddergate.messages import loads as load_messages
 
 # With requests waiting, targets are looked at this often.
-_TICK_MS = 50.0
+_TICK_MS = 20.0
 _IDLE_TICK_MS = 500.0
+# A lane that no target can take rests for a time drawn from this range: VMs
+# that wait for the same targets must not all go when one has become free.
+_LANE_REST_MS = (5.0, 60.0)
 _GONE_RETRY_MS = 1_000.0
 
 
@@ -52,7 +55,18 @@
         outside: environment.Environment,
         config: configs.EntryConfig,
         view: views.View,
+        note_long: Callable[[], None] = lambda: None,
     ) -> None:
+        """Makes an idle scheduler.
+
+        Args:
+            outside: Clock and chance.
+            config: Settings of the process.
+            view: What it goes by.
+            note_long: Called when a long prefill begins or ends here, which
+                peers had better hear of at once.
+        """
+        self._note_long = note_long
         self._outside = outside
         self._config = config
         self._view = view
@@ -65,6 +79,7 @@
         self._by_pool: dict[str, list[estimates.Estimate]] = {}
         self._ticked_ms = outside.now_ms()
         self._held_until_ms = 0.0
+        self._lane_rests_until_ms: dict[queueing.Lane, float] = {}
 
     def post(self, message: Message) -> None:
         """Sends the scheduler a message."""
@@ -184,7 +199,8 @@
         estimate = self._estimates.get(message.seat.target.target_id)
         if estimate is None:
             return
-        estimate.first_token(message.seat.attempt_id, now_ms)
+        if estimate.first_token(message.seat.attempt_id, now_ms):
+            self._note_long()
         if message.prefix:
             estimate.note_prefix(message.prefix, message.prefix_tokens)
 
@@ -192,7 +208,8 @@
         estimate = self._estimates.get(message.seat.target.target_id)
         if estimate is None:
             return
-        estimate.end(message.seat.attempt_id)
+        if estimate.end(message.seat.attempt_id):
+            self._note_long()
         if message.failed:
             estimate.note_fault(now_ms)
 
@@ -273,7 +290,11 @@
     def _give_places_of(
         self, pool: str, queue: queueing.Queue, now_ms: float
     ) -> None:
-        closed: set[queueing.Lane] = set()
+        closed = {
+            lane
+            for lane, until_ms in self._lane_rests_until_ms.items()
+            if now_ms < until_ms
+        }
         usable = [
             each
             for each in self._by_pool.get(pool, [])
@@ -285,6 +306,8 @@
             if not seats:
                 queue.put_back(job, now_ms)
                 closed.add(job.lane)
+                rest_ms = self._outside.random.uniform(*_LANE_REST_MS)
+                self._lane_rests_until_ms[job.lane] = now_ms + rest_ms
                 continue
             del self._asked[job.job_id]
             placed = placement.Placed(seats)
@@ -392,8 +415,13 @@
         work = estimates.OwnWork(
             fresh_tokens, held_tokens, now_ms, band, prefill_ms / parts
         )
+        believed = chosen.describe(now_ms)
         chosen.begin(attempt_id, work)
-        return placement.Seat(chosen.target, attempt_id, cached_tokens)
+        if band >= length_band.MIDDLE_BAND:
+            self._note_long()
+        return placement.Seat(
+            chosen.target, attempt_id, cached_tokens, believed
+        )
 
 
 def _answer(
--- a/src/ruddergate/fleet/dispatched.py
+++ b/src/ruddergate/fleet/dispatched.py
@@ -13,6 +13,7 @@
             band of the prompt's length.
         held_tokens: Memory that the work takes up, in tokens.
         streams: Requests in flight.
+        short_streams: Those of them whose prompts are short.
         prefill_ms: Predicted rest of their prefills on the target.
     """
 
@@ -20,6 +21,7 @@
     pending_tokens: tuple[int, ...]
     held_tokens: int
     streams: int
+    short_streams: int = 0
     prefill_ms: float = 0.0
 
     @property
