--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -13,6 +13,7 @@
 from ruddergate.entry import source_sync
 from ruddergate.http import server
 from ruddergate.platform import callers
+from ruddergate.platform import orders
 from ruddergate.platform import replicas
 from ruddergate.platform import store
 from ruddergate.telemetry import logs
@@ -28,6 +29,9 @@
 # From this part of that time on, a call with a key earns nothing here, so that
 # callers had better go to another VM.
 _READY_PART = 0.5
+# Answers to orders come in a few milliseconds; renewals come every
+# 800 ms.
+_ORDER_TIMEOUT_MS = 500.0
 # The balancer takes a VM out after two questions, a second apart.
 _STOP_LAG_MS = 2_600.0
 # What is left of the time for a stop when it is given up.
@@ -111,6 +115,7 @@
     platform = gateways.Platform(
         door=callers.make_door(),
         send=replicas.make_send(outside),
+        orders=orders.make_orders(outside, _ORDER_TIMEOUT_MS),
         source=store.make_source(
             outside, environment.parse_address(store_address), store_timeout_ms
         ),
--- a/src/ruddergate/decisions/gangs.py
+++ b/src/ruddergate/decisions/gangs.py
@@ -5,6 +5,8 @@
 
 # Memory of an engine that a gang leaves to other requests.
 LEFT_FREE = 0.1
+# Part of an engine's memory that a part of a prompt may take: others run there.
+SHARE_MOST = 0.55
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,3 +58,15 @@
     if segments[-1].tokens <= 0:
         return None
     return tuple(segments)
+
+
+def split_memory(held_tokens: int, memory_tokens: int) -> tuple[int, ...]:
+    """Returns the memory that each engine of a gang is to hold, evenly.
+
+    A request that leaves an engine some memory for others stays whole.
+    """
+    if held_tokens <= memory_tokens * (1.0 - LEFT_FREE):
+        return (held_tokens,)
+    count = math.ceil(held_tokens / (memory_tokens * SHARE_MOST))
+    each = math.ceil(held_tokens / count)
+    return (each,) * count
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -15,6 +15,7 @@
 
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import gangs
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.decisions.routing import policy as policies
 from ruddergate.settings import effective
@@ -45,13 +46,19 @@
 # Going to an engine of the other region, as a cost that load must outweigh.
 SHORT_SPILL_MS = 60.0
 LONG_SPILL_MS = 2_000.0
+# Memory that may be promised; the rest absorbs what peers send meanwhile.
+MEMORY_USE_MAX = 0.95
+# Without room the newest request is put off and read again.
+NO_ROOM_MS = 1_000.0
 # Scores this close are as good as equal; see by_length.
 SAME_MS = 10.0
 
 
 def make_by_region() -> policies.Policy:
     """Returns the policy; it keeps nothing between two decisions."""
-    return policies.Policy(_choose, choose_helpers=_choose_helpers)
+    return policies.Policy(
+        _choose, choose_helpers=_choose_helpers, splits_memory=True
+    )
 
 
 def _choose(
@@ -168,6 +175,10 @@
     if each.target.streams_max:
         over = streams + 1.0 - each.target.streams_max
         score_ms += max(0.0, over) * FULL_MS
+    room = each.pool.memory_tokens * MEMORY_USE_MAX - each.held_tokens(now_ms)
+    share = gangs.split_memory(job.held_tokens, each.pool.memory_tokens)[0]
+    if share > room:
+        score_ms += NO_ROOM_MS
     if _is_long(job) and not in_long_region:
         score_ms += LONG_SPILL_MS
     if not _is_long(job) and in_long_region:
--- a/src/ruddergate/decisions/routing/policy.py
+++ b/src/ruddergate/decisions/routing/policy.py
@@ -50,8 +50,11 @@
         shorter_first: Whether engines are asked to prefill shorter prompts of
             a class before longer ones.
         choose_helpers: Which other engines read parts of a prompt.
+        splits_memory: Whether helpers also hold parts of a prompt that does
+            not fit one engine.
     """
 
     choose: Choose
     shorter_first: bool = False
     choose_helpers: ChooseHelpers = choose_no_helpers
+    splits_memory: bool = False
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -16,6 +16,7 @@
 from ruddergate.entry import open_calls
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import relay_handler
+from ruddergate.entry import reservation_keeper
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import source_sync
 from ruddergate.entry import tools as tool_types
@@ -24,6 +25,7 @@
 from ruddergate.http import server as http_server
 from ruddergate.relay import door as doors
 from ruddergate.relay import errand as errands
+from ruddergate.relay import orders
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
@@ -70,11 +72,13 @@
     Attributes:
         door: How callers are understood and answered.
         send: Sends a call to a target.
+        orders: Orders that targets take.
         source: Calls of the store.
     """
 
     door: doors.Door
     send: errands.Send
+    orders: orders.Orders
     source: published.Source
 
 
@@ -116,10 +120,14 @@
             metrics=metric_types.EntryMetrics(),
             tracer=tracer,
         )
+        self._keeper = reservation_keeper.ReservationKeeper(
+            outside, platform.orders
+        )
         self._handler = relay_handler.RelayHandler(
             self.tools,
             platform.door,
             platform.send,
+            self._keeper,
             gateway_config.settings_age_max_ms,
         )
         self._peers = peer_exchange.PeerExchange(
--- a/src/ruddergate/entry/placement.py
+++ b/src/ruddergate/entry/placement.py
@@ -21,12 +21,14 @@
         attempt_id: Name of the attempt there.
         cached_tokens: Prompt tokens believed cached there.
         believed: What the choice went by, for logs.
+        held_tokens: Memory of the target that the attempt is to take up.
     """
 
     target: targets.Target
     attempt_id: str
     cached_tokens: int
     believed: str = ""
+    held_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -7,6 +7,7 @@
 from ruddergate import request as requests
 from ruddergate.entry import relay_admit
 from ruddergate.entry import relay_run
+from ruddergate.entry import reservation_keeper
 from ruddergate.entry import tools as tool_types
 from ruddergate.http import message
 from ruddergate.relay import answer as answers
@@ -22,6 +23,7 @@
         tools: What the stages share.
         door: How callers are understood and answered.
         send: Sends a call to a target.
+        keeper: Holds memory for requests.
         settings_age_max_ms: Oldest settings by which a key may be used.
     """
 
@@ -30,11 +32,13 @@
         tools: tool_types.Tools,
         door: doors.Door,
         send: errands.Send,
+        keeper: reservation_keeper.ReservationKeeper,
         settings_age_max_ms: float,
     ) -> None:
         self._tools = tools
         self._door = door
         self._send = send
+        self._keeper = keeper
         self._settings_age_max_ms = settings_age_max_ms
         self._log = logs.make_logger("entry")
 
@@ -50,7 +54,7 @@
         )
         if isinstance(request, outcomes.NotServed):
             return self._refuse(request, inquiry.request_id)
-        events = relay_run.run(request, self._send, self._tools)
+        events = relay_run.run(request, self._send, self._keeper, self._tools)
         try:
             first = await anext(events)
         except BaseException:
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -14,9 +14,11 @@
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.entry import model_run
 from ruddergate.entry import placement
+from ruddergate.entry import reservation_keeper
 from ruddergate.entry import tools as tool_types
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
+from ruddergate.relay import orders
 from ruddergate.telemetry import logs
 
 # A connection to a target in reach is up in a few milliseconds; packets lost
@@ -53,6 +55,7 @@
 async def run(
     request: requests.Request,
     send: errands.Send,
+    keeper: reservation_keeper.ReservationKeeper,
     tools: tool_types.Tools,
 ) -> AsyncIterator[answers.Event]:
     """Yields the answer in order, each event once; the last tells the end."""
@@ -64,7 +67,7 @@
             yield _conclude(placed, progress)
             return
         ended: answers.Event | None = None
-        attempt = _attempt(request, placed, progress, send, tools)
+        attempt = _attempt(request, placed, progress, send, keeper, tools)
         async with contextlib.aclosing(attempt) as events:
             async for event in events:
                 if isinstance(event, answers.StreamHead | answers.StreamEvents):
@@ -85,14 +88,27 @@
     placed: placement.Placed,
     progress: _Progress,
     send: errands.Send,
+    keeper: reservation_keeper.ReservationKeeper,
     tools: tool_types.Tools,
 ) -> AsyncIterator[answers.Event]:
     """Sends the call to one target and follows its answer."""
-    errand = _make_errand(request, placed, progress, tools)
+    reservations = _make_reservations(placed, tools)
     _log_start(request, placed, progress, tools)
     failed = False
     is_first = True
     try:
+        missing = await keeper.take(
+            tuple(reservations.values()), request.request_id
+        )
+        if missing is not None:
+            # A reservation runs nothing, whatever became of it.
+            yield outcomes.refuse(
+                outcomes.Reason.TARGET_UNREACHABLE,
+                f"{missing.target.target_id} has no memory to set aside",
+                _NO_TARGET_RETRY_MS,
+            )
+            return
+        errand = _make_errand(request, placed, reservations, progress, tools)
         with tools.tracer.span("attempt", request.traceparent):
             async with contextlib.aclosing(send(errand)) as events:
                 async for event in events:
@@ -111,6 +127,7 @@
                     failed = _is_targets_fault(event)
                     yield event
     finally:
+        keeper.give_back(tuple(reservations.values()))
         for index, seat in enumerate(placed.seats):
             is_main = index == 0
             tools.scheduler.post(placement.Ended(seat, failed and is_main))
@@ -122,9 +139,32 @@
     )
 
 
+def _make_reservations(
+    placed: placement.Placed, tools: tool_types.Tools
+) -> dict[str, orders.Reservation]:
+    """Returns the memory to set aside on helpers, by target."""
+    return {
+        seat.target.target_id: orders.Reservation(
+            seat.target,
+            f"{tools.config.vm_id}.{tools.incarnation}.{seat.attempt_id}",
+            seat.held_tokens,
+        )
+        for seat in placed.seats[1:]
+        if seat.held_tokens
+    }
+
+
+def _make_helper(
+    seat: placement.Seat, reservations: dict[str, orders.Reservation]
+) -> errands.Helper:
+    held = reservations.get(seat.target.target_id)
+    return errands.Helper(seat.target.address, held.name if held else "")
+
+
 def _make_errand(
     request: requests.Request,
     placed: placement.Placed,
+    reservations: dict[str, orders.Reservation],
     progress: _Progress,
     tools: tool_types.Tools,
 ) -> errands.Errand:
@@ -142,7 +182,7 @@
         urgency=_find_urgency(request),
         resume_after=progress.last_id,
         helpers=tuple(
-            errands.Helper(seat.target.address) for seat in placed.seats[1:]
+            _make_helper(seat, reservations) for seat in placed.seats[1:]
         ),
         patience=errands.Patience(CONNECT_TIMEOUT_MS, first_ms, gap_ms),
     )
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -12,6 +12,7 @@
 from ruddergate import outcomes
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import gangs
 from ruddergate.decisions import length_band
 from ruddergate.decisions import queueing
 from ruddergate.decisions.routing import by_name
@@ -342,20 +343,26 @@
         route = asked.route
         cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
         fresh = route.prompt_tokens - cached
-        held = route.held_tokens
+        shares = gangs.split_memory(route.held_tokens, asked.pool.memory_tokens)
         helpers = self._policy.choose_helpers(
             route, chosen, candidates, now_ms, self._outside.random
         )
         parts = 1 + len(helpers)
-        seat = self._sit(
-            asked, chosen, fresh // parts, held, cached, now_ms, parts
-        )
-        return (
-            seat,
-            *(
-                self._sit(asked, each, fresh // parts, 0, 0, now_ms, parts)
-                for each in helpers
-            ),
+        if self._policy.splits_memory and len(shares) > parts:
+            return ()
+        if not self._policy.splits_memory:
+            shares = (route.held_tokens,)
+        return tuple(
+            self._sit(
+                asked,
+                each,
+                fresh // parts,
+                shares[index] if index < len(shares) else 0,
+                cached if index == 0 else 0,
+                now_ms,
+                parts,
+            )
+            for index, each in enumerate((chosen, *helpers))
         )
 
     def _seat_service(
@@ -420,7 +427,7 @@
         if band >= length_band.MIDDLE_BAND:
             self._note_long()
         return placement.Seat(
-            chosen.target, attempt_id, cached_tokens, believed
+            chosen.target, attempt_id, cached_tokens, believed, held_tokens
         )
 
 
--- /dev/null
+++ b/src/ruddergate/platform/orders.py
@@ -0,0 +1,54 @@
+"""Orders to targets: memory that is set aside for a time."""
+
+from ruddergate import environment
+from ruddergate.http import client
+from ruddergate.relay import orders
+
+_PATH = "/api/order"
+_OK = 200
+# Statuses that say that a target will not do what was asked.
+_REFUSALS = frozenset({400, 409, 412, 421})
+
+
+def make_orders(
+    outside: environment.Environment, timeout_ms: float
+) -> orders.Orders:
+    """Returns the orders; each is given up after the timeout."""
+
+    async def reserve(
+        wanted: orders.Reservation, hold_ms: float
+    ) -> orders.Answer:
+        document = {
+            "op": "reserve",
+            "id": wanted.name,
+            "token-count": wanted.tokens,
+            "hold-ms": round(hold_ms),
+        }
+        return await _order(outside, wanted, document, timeout_ms)
+
+    async def release(held: orders.Reservation) -> orders.Answer:
+        document = {"op": "release", "id": held.name}
+        return await _order(outside, held, document, timeout_ms)
+
+    return orders.Orders(reserve, release)
+
+
+async def _order(
+    outside: environment.Environment,
+    reservation: orders.Reservation,
+    document: dict[str, object],
+    timeout_ms: float,
+) -> orders.Answer:
+    request = client.make_json_request("POST", _PATH, document)
+    answer = await client.fetch(
+        outside, reservation.target.address, request, timeout_ms
+    )
+    if isinstance(answer, client.Fault):
+        if not answer.sent:
+            return orders.Answer.REFUSED
+        return orders.Answer.UNKNOWN
+    if answer.status == _OK:
+        return orders.Answer.DONE
+    if answer.status in _REFUSALS:
+        return orders.Answer.REFUSED
+    return orders.Answer.UNKNOWN
--- /dev/null
+++ b/src/ruddergate/relay/orders.py
@@ -0,0 +1,44 @@
+"""Setting memory of targets aside: what is asked and what comes back."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from ruddergate.fleet import target as targets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Memory on one target under a name.
+
+    Attributes:
+        target: The target.
+        name: Name of the memory there; unlike any other VM's.
+        tokens: How much of it, in tokens.
+    """
+
+    target: targets.Target
+    name: str
+    tokens: int
+
+
+class Answer(enum.Enum):
+    """What became of an order."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orders:
+    """Orders that a platform's targets take.
+
+    Attributes:
+        reserve: Sets memory aside, or renews it, for so many milliseconds.
+        release: Gives memory back.
+    """
+
+    reserve: Callable[[Reservation, float], Awaitable[Answer]]
+    release: Callable[[Reservation], Awaitable[Answer]]
