--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -40,6 +40,7 @@
         sent_ms: When it was dispatched.
         band: Band of the prompt's length.
         prefill_ms: Predicted time of the engine for the fresh tokens.
+        is_long: Whether its prefill holds up the answers beside it.
         has_first_token: Whether its prefill has ended.
     """
 
@@ -48,6 +49,7 @@
     sent_ms: float
     band: int
     prefill_ms: float = 0.0
+    is_long: bool = False
     has_first_token: bool = False
 
 
@@ -130,7 +132,7 @@
         self._count(work, -work.fresh_tokens, 0, 0)
         self.note_response(now_ms - work.sent_ms, now_ms)
         self.faults = 0
-        return work.band >= length_band.MIDDLE_BAND
+        return work.is_long
 
     def end(self, attempt_id: str) -> bool:
         """Notes an attempt's end; returns whether a long prefill ended so."""
@@ -139,8 +141,7 @@
             return False
         open_tokens = 0 if work.has_first_token else work.fresh_tokens
         self._count(work, -open_tokens, -work.held_tokens, -1)
-        is_long = work.band >= length_band.MIDDLE_BAND
-        return is_long and not work.has_first_token
+        return work.is_long and not work.has_first_token
 
     def _count(
         self, work: OwnWork, open_tokens: int, held_tokens: int, streams: int
@@ -278,9 +279,7 @@
         return own
 
     def _own_short_streams(self) -> int:
-        return sum(
-            work.band < length_band.MIDDLE_BAND for work in self._own.values()
-        )
+        return sum(not work.is_long for work in self._own.values())
 
     def prefilling_ms(self, now_ms: float) -> float:
         """Returns the predicted rest of all known prefills on the target."""
--- a/src/ruddergate/decisions/length_band.py
+++ b/src/ruddergate/decisions/length_band.py
@@ -2,9 +2,6 @@
 
 _BOUNDS_TOKENS = (4_096, 16_384, 65_536, 262_144)
 BANDS = len(_BOUNDS_TOKENS) + 1
-# Prompts from this band on take an engine long enough for peers to hear of it
-# at once.
-MIDDLE_BAND = 2
 # Prompts from this band on count as long.
 LONG_BAND = 3
 
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -418,13 +418,19 @@
     ) -> placement.Seat:
         attempt_id = environment.make_token(self._outside.random)
         band = length_band.find_band(asked.route.prompt_tokens)
+        is_long = costs.is_long(chosen.pool, fresh_tokens * parts)
         prefill_ms = costs.predict_prefill_ms(chosen.pool, fresh_tokens * parts)
         work = estimates.OwnWork(
-            fresh_tokens, held_tokens, now_ms, band, prefill_ms / parts
+            fresh_tokens,
+            held_tokens,
+            now_ms,
+            band,
+            prefill_ms / parts,
+            is_long,
         )
         believed = chosen.describe(now_ms)
         chosen.begin(attempt_id, work)
-        if band >= length_band.MIDDLE_BAND:
+        if is_long:
             self._note_long()
         return placement.Seat(
             chosen.target, attempt_id, cached_tokens, believed, held_tokens
