--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from ruddergate.decisions import length_band
+from ruddergate.decisions import pause_class
 from ruddergate.fleet import cache_event
 from ruddergate.fleet import condition
 from ruddergate.fleet import dispatched
@@ -41,6 +42,7 @@
         band: Band of the prompt's length.
         prefill_ms: Predicted time of the engine for the fresh tokens.
         is_long: Whether its prefill holds up the answers beside it.
+        pause_class: Class of the pause that its answer bears.
         has_first_token: Whether its prefill has ended.
     """
 
@@ -50,6 +52,7 @@
     band: int
     prefill_ms: float = 0.0
     is_long: bool = False
+    pause_class: int = pause_class.CLASSES - 1
     has_first_token: bool = False
 
 
@@ -271,15 +274,19 @@
             return float(len(self._own))
         return len(self._own) + self._others_streams * (1.0 - max(0.0, faded))
 
-    def short_streams(self, now_ms: float) -> int:
-        """Returns own and peers' requests whose prompts are short."""
-        own = self._own_short_streams()
-        if now_ms - self._peer_ms < PEER_LOADS_MS:
-            own += self._peer.short_streams
-        return own
+    def streams_by_pause(self, now_ms: float) -> tuple[int, ...]:
+        """Returns own and peers' requests by class of the pause they bear."""
+        own = self._own_by_pause()
+        peers = self._peer.streams_by_pause
+        if now_ms - self._peer_ms >= PEER_LOADS_MS or len(peers) != len(own):
+            return own
+        return tuple(map(sum, zip(own, peers, strict=True)))
 
-    def _own_short_streams(self) -> int:
-        return sum(not work.is_long for work in self._own.values())
+    def _own_by_pause(self) -> tuple[int, ...]:
+        counts = [0] * pause_class.CLASSES
+        for work in self._own.values():
+            counts[work.pause_class] += 1
+        return tuple(counts)
 
     def prefilling_ms(self, now_ms: float) -> float:
         """Returns the predicted rest of all known prefills on the target."""
@@ -326,7 +333,7 @@
             tuple(self._totals.open_tokens),
             self._totals.held_tokens,
             len(self._own),
-            self._own_short_streams(),
+            self._own_by_pause(),
             self._own_prefill_ms(now_ms),
         )
 
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -1,5 +1,6 @@
 """What peers have running on targets, summed from their digests."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import random
@@ -113,13 +114,13 @@
 ) -> dispatched.Dispatched:
     held = 0
     streams = 0
-    short_streams = 0
+    by_pause: collections.Counter[int] = collections.Counter()
     prefill_ms = 0.0
     totals: dict[int, int] = {}
     for row in rows:
         held += row.held_tokens
         streams += row.streams
-        short_streams += row.short_streams
+        by_pause.update(dict(enumerate(row.streams_by_pause)))
         prefill_ms += row.prefill_ms
         for band, tokens in enumerate(row.pending_tokens):
             totals[band] = totals.get(band, 0) + tokens
@@ -128,6 +129,6 @@
         tuple(round(totals[band] * scale) for band in sorted(totals)),
         round(held * scale),
         round(streams * scale),
-        round(short_streams * scale),
+        tuple(round(by_pause[each] * scale) for each in sorted(by_pause)),
         prefill_ms * scale,
     )
--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -9,26 +9,26 @@
 from collections.abc import Sequence
 import dataclasses
 
-# A pass without anything to read, from the published steps (46 of about 1 ms).
-PASS_MS = 55.0
-# Longest reading in a pass that answers bear: their routes' pauses (200 ms for
-# short prompts, 500 ms and more for others), less a pass and a margin.
-SHORT_BEARS_MS = 130.0
-LONG_BEARS_MS = 420.0
-# What an answer is worth, in that of a short prompt's answer. Worth grows with
-# the prompt's length, but more slowly.
-LONG_ANSWER_WORTH = 3.0
+from ruddergate.decisions import pause_class
+
+# Worth grows with a prompt's length, but more slowly; a prompt of the short
+# length here is worth as much as an answer of the first class of pauses.
 WORTH_EXPONENT = 0.75
 SHORT_PROMPT_TOKENS = 5_000.0
 # Part of an answer's worth that is lost when it is late.
 LATE_LOSS = 0.75
+# Part of the aim up to which a plan is certain to be in time, and from which on
+# it is late: predictions err by up to a factor of two, mostly to the late side.
+SAFE_AIMS = 0.25
+LATE_AIMS = 0.95
 # From a piece's end to the first token at the caller: the last pass and the
 # engines' start at different moments.
 START_MS = 150.0
+# Callers give a stream up that has not begun after four times its aim. Some of
+# that is left for what a prediction does not know.
+GIVE_UP_AIMS = 3.0
 # What each engine taking part costs besides, so that none does for nothing.
 ENGINE_COST = 0.01
-# Cost of a second until the first token, so that faster is better.
-SECOND_COST = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,15 +38,13 @@
     Attributes:
         target_id: Its name.
         rest_ms: Predicted rest of what it has to read already.
-        short_answers: Answers to short prompts under way there.
-        long_answers: Other answers under way there.
+        answers: Answers under way there, by class of the pause they bear.
         has_room: Whether its memory takes the answer's part.
     """
 
     target_id: str
     rest_ms: float
-    short_answers: float
-    long_answers: float
+    answers: tuple[int, ...]
     has_room: bool
 
 
@@ -55,7 +53,8 @@
     """Engines that read a prompt in even pieces.
 
     Attributes:
-        engines: Their names; the first one writes the answer.
+        engines: Their names; the first one writes the answer, those behind it
+            hold parts of the prompt if one engine's memory is too small.
         first_ms: Predicted time from now to the first token.
         harm: Worth lost by others.
         cost: Worth lost by all, with the prompt's own.
@@ -70,9 +69,10 @@
 def make_plan(
     whole_ms: float,
     prompt_tokens: int,
-    left_ms: float,
+    aim_ms: float,
+    waited_ms: float,
     engines: Sequence[Engine],
-    parts_least: int,
+    holders_needed: int,
     parts_most: int,
 ) -> Plan | None:
     """Returns the plan that costs least, or None if there is none.
@@ -80,15 +80,24 @@
     Args:
         whole_ms: Time that one idle engine would read for.
         prompt_tokens: Length of the prompt.
-        left_ms: Time left within which its first token is in time.
+        aim_ms: Time to its first token within which it is in time.
+        waited_ms: How much of that has passed.
         engines: Engines to choose from.
-        parts_least: Least number of engines, for their memory.
+        holders_needed: Engines whose memory the prompt takes.
         parts_most: Most engines that can read one prompt.
     """
     best: Plan | None = None
     most = min(parts_most, len(engines))
-    for parts in range(max(1, parts_least), most + 1):
-        found = _plan_parts(whole_ms, prompt_tokens, left_ms, engines, parts)
+    for parts in range(holders_needed, most + 1):
+        found = _plan_parts(
+            whole_ms,
+            prompt_tokens,
+            aim_ms,
+            waited_ms,
+            engines,
+            holders_needed,
+            parts,
+        )
         if found is not None and (best is None or found.cost < best.cost):
             best = found
     return best
@@ -97,8 +106,10 @@
 def _plan_parts(
     whole_ms: float,
     prompt_tokens: int,
-    left_ms: float,
+    aim_ms: float,
+    waited_ms: float,
     engines: Sequence[Engine],
+    holders_needed: int,
     parts: int,
 ) -> Plan | None:
     piece_ms = whole_ms / parts
@@ -106,34 +117,43 @@
         engines,
         key=lambda each: (_find_harm(each, piece_ms), each.rest_ms),
     )
-    chosen = ranked[:parts]
-    writers = [each for each in chosen if each.has_room]
-    if not writers:
+    holders = [each for each in ranked if each.has_room][:holders_needed]
+    if len(holders) < holders_needed:
         return None
-    writer = min(writers, key=_count_answers)
+    others = [each for each in ranked if each not in holders]
+    chosen = [*holders, *others[: parts - holders_needed]]
+    writer = min(holders, key=_count_answers)
     harm = sum(_find_harm(each, piece_ms) for each in chosen)
     rest_ms = max(each.rest_ms for each in chosen)
     first_ms = rest_ms + piece_ms + START_MS
-    cost = harm + parts * ENGINE_COST + first_ms / 1000.0 * SECOND_COST
-    if first_ms > left_ms:
-        cost += LATE_LOSS * find_worth(prompt_tokens)
-    others = [each.target_id for each in chosen if each is not writer]
-    return Plan((writer.target_id, *others), first_ms, harm, cost)
+    cost = harm + parts * ENGINE_COST
+    worth = find_worth(prompt_tokens)
+    aims = (waited_ms + first_ms) / aim_ms
+    cost += _find_late_risk(aims) * LATE_LOSS * worth
+    if aims > GIVE_UP_AIMS:
+        cost += (1.0 - LATE_LOSS) * worth
+    rest = [each.target_id for each in chosen if each is not writer]
+    return Plan((writer.target_id, *rest), first_ms, harm, cost)
+
+
+def _find_late_risk(aims: float) -> float:
+    """Returns the chance that a first token predicted so is late."""
+    risk = (aims - SAFE_AIMS) / (LATE_AIMS - SAFE_AIMS)
+    return min(1.0, max(0.0, risk))
 
 
 def _find_harm(engine: Engine, piece_ms: float) -> float:
     """Returns the worth that a piece makes late on an engine."""
     reading_ms = engine.rest_ms + piece_ms
     harm = 0.0
-    if reading_ms > SHORT_BEARS_MS:
-        harm += engine.short_answers * LATE_LOSS
-    if reading_ms > LONG_BEARS_MS:
-        harm += engine.long_answers * LONG_ANSWER_WORTH * LATE_LOSS
+    for class_, count in enumerate(engine.answers):
+        if reading_ms > pause_class.BEARS_MS[class_]:
+            harm += count * pause_class.WORTH[class_] * LATE_LOSS
     return harm
 
 
-def _count_answers(engine: Engine) -> float:
-    return engine.short_answers + engine.long_answers
+def _count_answers(engine: Engine) -> int:
+    return sum(engine.answers)
 
 
 def find_worth(prompt_tokens: int) -> float:
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -15,6 +15,7 @@
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import gangs
+from ruddergate.decisions import pause_class
 from ruddergate.decisions import reading_plan
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.decisions.routing import policy as policies
@@ -29,8 +30,8 @@
 # its aim.
 PATIENT_HARM = 1.0
 HOLD_AIM_PART = 0.3
-# Part of the aim that a plan may use up; the rest absorbs its errors.
-AIM_USE_MAX = 0.8
+# Without this much time to spare a long prompt waits no longer.
+SLACK_MS = 200.0
 # What one more stream beside it costs a stream, from the time of a step.
 STREAM_MS = 8.0
 # Taking a place that is not free means waiting for an answer to end.
@@ -93,7 +94,9 @@
 def _had_better_wait(job: jobs.Job, plan: reading_plan.Plan) -> bool:
     if job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
         return False
-    return plan.harm > PATIENT_HARM
+    slack_ms = job.aim_ms * reading_plan.LATE_AIMS
+    slack_ms -= job.waited_ms + plan.first_ms
+    return plan.harm > PATIENT_HARM and slack_ms > SLACK_MS
 
 
 def _plan(
@@ -110,7 +113,8 @@
     return reading_plan.make_plan(
         costs.predict_prefill_ms(pool, job.prompt_tokens),
         job.prompt_tokens,
-        job.aim_ms * AIM_USE_MAX - job.waited_ms,
+        job.aim_ms,
+        job.waited_ms,
         engines,
         len(shares),
         pool.gang_engines_max,
@@ -120,13 +124,11 @@
 def _describe(
     each: estimates.Estimate, share_tokens: int, now_ms: float
 ) -> reading_plan.Engine:
-    short = float(each.short_streams(now_ms))
     room = each.pool.memory_tokens * MEMORY_USE_MAX - each.held_tokens(now_ms)
     return reading_plan.Engine(
         target_id=each.target.target_id,
         rest_ms=each.prefilling_ms(now_ms),
-        short_answers=short,
-        long_answers=max(0.0, each.recent_streams(now_ms) - short),
+        answers=each.streams_by_pause(now_ms),
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
     )
 
@@ -146,7 +148,7 @@
     ranked = sorted(
         (each.target.target_id for each in candidates), key=_rank_of
     )
-    streams = sum(each.short_streams(now_ms) for each in candidates)
+    streams = sum(each.streams_by_pause(now_ms)[0] for each in candidates)
     needed = math.ceil(streams / SHORT_STREAMS) + 1
     least = min(REGION_LEAST, len(ranked) // 2)
     needed = max(least, min(len(ranked) - least, needed))
@@ -168,8 +170,8 @@
     rest_ms = each.prefilling_ms(now_ms)
     own_ms = costs.predict_prefill_ms(each.pool, job.prompt_tokens)
     score_ms = rest_ms + streams * STREAM_MS
-    if rest_ms + own_ms > reading_plan.SHORT_BEARS_MS:
-        score_ms += each.short_streams(now_ms) * LATE_MS
+    if rest_ms + own_ms > pause_class.BEARS_MS[0]:
+        score_ms += each.streams_by_pause(now_ms)[0] * LATE_MS
     if each.target.streams_max:
         over = streams + 1.0 - each.target.streams_max
         score_ms += max(0.0, over) * FULL_MS
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -1,6 +1,7 @@
 """A request as a routing policy sees it."""
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +17,8 @@
         waited_ms: How long it has waited here.
         aim_ms: Time to the first token within which it is in time; 0 when no
             aim is known.
+        pause_aim_ms: Longest pause between two events of its answer within
+            which it is in time; infinite when no pause matters.
         hall: Hall of this VM, or empty when it does not matter.
     """
 
@@ -26,4 +29,5 @@
     is_long: bool
     waited_ms: float
     aim_ms: float = 0.0
+    pause_aim_ms: float = math.inf
     hall: str = ""
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import math
 
 from ruddergate import outcomes
 from ruddergate import request as requests
@@ -26,6 +27,14 @@
 CONNECT_TIMEOUT_MS = 500.0
 # Targets tried for a connection, besides those that were sent the call.
 UNREACHABLE_MAX = 4
+_NOT_THE_TARGETS_FAULT = (
+    outcomes.Reason.TIME_LIMIT,
+    outcomes.Reason.NO_MEMORY,
+)
+_NOTHING_SENT = (
+    outcomes.Reason.TARGET_UNREACHABLE,
+    outcomes.Reason.NO_MEMORY,
+)
 # Silence that a target is allowed before another one takes over, where the
 # route lets another one take over: times the aim, and at least so long.
 SILENCE_AIMS = 3.0
@@ -101,9 +110,10 @@
             tuple(reservations.values()), request.request_id
         )
         if missing is not None:
+            progress.excluded |= {missing.target.target_id}
             # A reservation runs nothing, whatever became of it.
             yield outcomes.refuse(
-                outcomes.Reason.TARGET_UNREACHABLE,
+                outcomes.Reason.NO_MEMORY,
                 f"{missing.target.target_id} has no memory to set aside",
                 _NO_TARGET_RETRY_MS,
             )
@@ -135,7 +145,7 @@
 
 def _is_targets_fault(event: answers.Event) -> bool:
     return isinstance(event, outcomes.NotServed) and (
-        event.reason is not outcomes.Reason.TIME_LIMIT
+        event.reason not in _NOT_THE_TARGETS_FAULT
     )
 
 
@@ -228,8 +238,9 @@
     _log_attempt(request, seat, ended, progress, tools)
     tools.metrics.attempts.inc({"result": ended.reason.value})
     progress.ran = model_run.worse(progress.ran, ended.ran)
-    progress.excluded |= {seat.target.target_id}
-    if ended.reason is outcomes.Reason.TARGET_UNREACHABLE:
+    if ended.reason is not outcomes.Reason.NO_MEMORY:
+        progress.excluded |= {seat.target.target_id}
+    if ended.reason in _NOTHING_SENT:
         # Nothing was sent, so this counts against no limit of attempts.
         progress.unreachable += 1
         if progress.unreachable > UNREACHABLE_MAX:
@@ -347,6 +358,7 @@
             is_long=band >= length_band.LONG_BAND,
             waited_ms=now_ms,
             aim_ms=route.aim_ms,
+            pause_aim_ms=route.gap_aim_ms if route.is_stream else math.inf,
             hall=tools.config.hall,
         ),
         pool=pool,
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -14,6 +14,7 @@
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import gangs
 from ruddergate.decisions import length_band
+from ruddergate.decisions import pause_class
 from ruddergate.decisions import queueing
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
@@ -340,7 +341,6 @@
         )
         if chosen is None:
             return ()
-        route = asked.route
         cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
         fresh = route.prompt_tokens - cached
         shares = gangs.split_memory(route.held_tokens, asked.pool.memory_tokens)
@@ -427,6 +427,7 @@
             band,
             prefill_ms / parts,
             is_long,
+            pause_class.find_class(asked.route.pause_aim_ms),
         )
         believed = chosen.describe(now_ms)
         chosen.begin(attempt_id, work)
--- a/src/ruddergate/fleet/dispatched.py
+++ b/src/ruddergate/fleet/dispatched.py
@@ -13,7 +13,8 @@
             band of the prompt's length.
         held_tokens: Memory that the work takes up, in tokens.
         streams: Requests in flight.
-        short_streams: Those of them whose prompts are short.
+        streams_by_pause: The requests by class of the pause that their
+            answers bear, see decisions/pause_class.py.
         prefill_ms: Predicted rest of their prefills on the target.
     """
 
@@ -21,7 +22,7 @@
     pending_tokens: tuple[int, ...]
     held_tokens: int
     streams: int
-    short_streams: int = 0
+    streams_by_pause: tuple[int, ...] = ()
     prefill_ms: float = 0.0
 
     @property
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -32,6 +32,7 @@
     STOPPING = "stopping"
     TIME_LIMIT = "time_limit"
     TARGET_REFUSED = "target_refused"
+    NO_MEMORY = "no_memory"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_LOST = "target_lost"
     TARGET_BROKE_PROTOCOL = "target_broke_protocol"
