--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -43,6 +43,8 @@
         prefill_ms: Predicted time of the engine for the fresh tokens.
         is_long: Whether its prefill holds up the answers beside it.
         pause_class: Class of the pause that its answer bears.
+        is_writing: Whether the answer is written here; else this target only
+            reads part of the prompt.
         has_first_token: Whether its prefill has ended.
     """
 
@@ -53,6 +55,7 @@
     prefill_ms: float = 0.0
     is_long: bool = False
     pause_class: int = pause_class.CLASSES - 1
+    is_writing: bool = True
     has_first_token: bool = False
 
 
@@ -267,12 +270,16 @@
 
         What the target told with an old answer fades.
         """
+        own = self._own_answers()
         if now_ms - self._peer_ms < PEER_LOADS_MS:
-            return float(len(self._own) + self._peer.streams)
+            return float(own + self._peer.streams)
         faded = (now_ms - self._report_ms) / REPORT_FADES_MS
         if self._report is None or faded >= 1.0:
-            return float(len(self._own))
-        return len(self._own) + self._others_streams * (1.0 - max(0.0, faded))
+            return float(own)
+        return own + self._others_streams * (1.0 - max(0.0, faded))
+
+    def _own_answers(self) -> int:
+        return sum(work.is_writing for work in self._own.values())
 
     def streams_by_pause(self, now_ms: float) -> tuple[int, ...]:
         """Returns own and peers' requests by class of the pause they bear."""
@@ -285,7 +292,7 @@
     def _own_by_pause(self) -> tuple[int, ...]:
         counts = [0] * pause_class.CLASSES
         for work in self._own.values():
-            counts[work.pause_class] += 1
+            counts[work.pause_class] += work.is_writing
         return tuple(counts)
 
     def prefilling_ms(self, now_ms: float) -> float:
@@ -332,7 +339,7 @@
             self.target.target_id,
             tuple(self._totals.open_tokens),
             self._totals.held_tokens,
-            len(self._own),
+            self._own_answers(),
             self._own_by_pause(),
             self._own_prefill_ms(now_ms),
         )
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -361,6 +361,7 @@
                 cached if index == 0 else 0,
                 now_ms,
                 parts,
+                is_writing=index == 0,
             )
             for index, each in enumerate((chosen, *helpers))
         )
@@ -415,6 +416,7 @@
         cached_tokens: int,
         now_ms: float,
         parts: int = 1,
+        is_writing: bool = True,
     ) -> placement.Seat:
         attempt_id = environment.make_token(self._outside.random)
         band = length_band.find_band(asked.route.prompt_tokens)
@@ -428,6 +430,7 @@
             prefill_ms / parts,
             is_long,
             pause_class.find_class(asked.route.pause_aim_ms),
+            is_writing,
         )
         believed = chosen.describe(now_ms)
         chosen.begin(attempt_id, work)
