Write logs without waiting, and keep a leaving target leaving

Cause: a slow reader of standard output would have held requests up, and an old entry of a target that had said it leaves could have brought it back. Change: a thread writes lines from a bounded line-up and counts what is left out; names seen leaving stay so for the life of the process.

--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -10,6 +10,7 @@
 from ruddergate import environment
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import view as views
+from ruddergate.fleet import condition
 from ruddergate.fleet import target as targets
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
@@ -56,6 +57,7 @@
         self._position: int | None = None
         self._targets: dict[str, targets.Target] = {}
         self._lapsed_until_ms: dict[str, float] = {}
+        self._leaving: set[str] = set()
         self._answered_ms = outside.now_ms()
         self._outage_ended_ms = float("-inf")
         self._is_lost = False
@@ -137,6 +139,7 @@
             self._drop(target_id, now_ms)
         for target_id, target in listed.items():
             self._lapsed_until_ms.pop(target_id, None)
+            target = self._keep_leaving(target)
             if self._targets.get(target_id) != target:
                 self._log_target(target)
             self._targets[target_id] = target
@@ -144,6 +147,19 @@
             if now_ms >= until_ms:
                 self._forget(target_id)
 
+    def _keep_leaving(self, target: targets.Target) -> targets.Target:
+        """Returns the target, leaving if it ever was: late news can't undo it.
+
+        A target that starts again has a new name.
+        """
+        if target.condition is condition.Condition.LEAVING:
+            self._leaving.add(target.target_id)
+        if target.target_id not in self._leaving:
+            return target
+        return dataclasses.replace(
+            target, condition=condition.Condition.LEAVING
+        )
+
     def _drop(self, target_id: str, now_ms: float) -> None:
         """Takes a target off, later if its entry may only have lapsed."""
         if target_id not in self._targets:
--- a/src/ruddergate/telemetry/logs.py
+++ b/src/ruddergate/telemetry/logs.py
@@ -1,13 +1,17 @@
 """Structured logs: short sentences, each with the prefix of its part."""
 
+import atexit
 import datetime as dt
 import sys
+import traceback
 from typing import TextIO
 from typing import TYPE_CHECKING
 
 import loguru
 import orjson
 
+from ruddergate.telemetry import line_writer
+
 if TYPE_CHECKING:
     Logger = loguru.Logger
 
@@ -26,11 +30,13 @@
         sink: Where lines go; standard error if None.
     """
     chosen = sink if sink is not None else sys.stderr
+    writer = line_writer.LineWriter(chosen)
+    atexit.register(writer.flush)
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": "main", "request_id": ""})
     if as_json:
         loguru.logger.add(
-            lambda line: chosen.write(_render(line.record)),
+            lambda line: writer.write(_render(line.record)),
             level=level,
             format="{message}",
             # Formatting of variables in tracebacks costs more than it tells.
@@ -38,7 +44,9 @@
             diagnose=False,
         )
     else:
-        loguru.logger.add(chosen, level=level, format=_TEXT)
+        loguru.logger.add(
+            lambda line: writer.write(str(line)), level=level, format=_TEXT
+        )
 
 
 def _render(record: "loguru.Record") -> str:
@@ -57,8 +65,6 @@
 
 
 def _render_traceback(fault: "loguru.RecordException") -> str:
-    import traceback
-
     lines = traceback.format_exception(fault.type, fault.value, fault.traceback)
     return "".join(lines)
 
