--- /dev/null
+++ b/standins/gateway_caller.py
@@ -0,0 +1,148 @@
+"""A caller of gateways, who notes what came back."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from ruddergate import environment
+from ruddergate.http import client
+from ruddergate.http import message
+from standins import gateway_cluster
+from standins import virtual_process
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call, as one attempt of a caller.
+
+    Attributes:
+        request_id: Name of the attempt.
+        route: Name of the route.
+        vm: The gateway asked.
+        prompt_tokens: Length of the prompt; 0 for a plain call.
+        output_tokens: Most tokens of the answer.
+        key: The caller's key.
+        time_limit_ms: How long the caller waits.
+        leaves_after_ms: When the caller leaves; None to stay.
+    """
+
+    request_id: str
+    route: str
+    vm: str
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    key: str = gateway_cluster.KEY
+    time_limit_ms: float = 10_000.0
+    leaves_after_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Got:
+    """What came back.
+
+    Attributes:
+        call: The call.
+        status: HTTP status; 0 without an answer.
+        headers: Headers of the answer.
+        body: What came of the body.
+        is_whole: Whether the answer ended properly.
+        sent_s: When the call was sent, on the loop's clock.
+        first_ms: Time to the first byte of the body; None without any.
+        took_ms: Time to the end.
+    """
+
+    call: Call
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+    sent_s: float
+    first_ms: float | None
+    took_ms: float
+
+
+class Caller:
+    """Sends calls from outside the halls."""
+
+    def __init__(self, cluster: gateway_cluster.GatewayCluster) -> None:
+        self._process = virtual_process.VirtualProcess("caller", "")
+        self._outside = cluster.network.make_environment(self._process, 1)
+
+    async def send(self, call: Call) -> Got:
+        """Sends a call and reads its answer to the end."""
+        return await self._process.start(lambda: self._send(call))
+
+    async def _send(self, call: Call) -> Got:
+        sent_s = asyncio.get_running_loop().time()
+        began_ms = self._outside.now_ms()
+        limit_ms = call.leaves_after_ms or call.time_limit_ms + 1_000.0
+        parts: list[bytes] = []
+        found = [0, {}, False, None]
+        try:
+            async with asyncio.timeout(limit_ms / 1000.0):
+                await self._read(call, parts, found, began_ms)
+        except TimeoutError:
+            pass
+        status, headers, is_whole, first_ms = found
+        took_ms = self._outside.now_ms() - began_ms
+        return Got(
+            call,
+            status,
+            headers,
+            b"".join(parts),
+            is_whole,
+            sent_s,
+            first_ms,
+            took_ms,
+        )
+
+    async def _read(
+        self, call: Call, parts: list[bytes], found: list, began_ms: float
+    ) -> None:
+        address = environment.Address(call.vm, gateway_cluster.FRONT_PORT)
+        exchange = await client.start(
+            self._outside, address, _make_request(call), 1_000.0
+        )
+        if isinstance(exchange, client.Fault):
+            return
+        try:
+            fault = await exchange.read_head()
+            if fault is not None:
+                return
+            found[0], found[1] = exchange.status, exchange.headers
+            while True:
+                part = await exchange.read_part()
+                if isinstance(part, client.Fault):
+                    return
+                if not part:
+                    found[2] = True
+                    return
+                if found[3] is None:
+                    found[3] = self._outside.now_ms() - began_ms
+                parts.append(part)
+        except (OSError, h11.ProtocolError):
+            return
+        finally:
+            exchange.close()
+
+
+def _make_request(call: Call) -> message.OutgoingRequest:
+    headers = {
+        "x-attempt-id": call.request_id,
+        "x-deadline-ms": str(int(call.time_limit_ms)),
+        "x-api-key": call.key,
+        # What only gateways may say must not get through.
+        "x-tenant-id": "somebody-else",
+    }
+    if call.prompt_tokens:
+        headers["x-model"] = "m"
+        headers["x-token-usage"] = f"{call.prompt_tokens},{call.output_tokens}"
+        headers["x-prefix-hash"] = f"aa:40,bb:{call.prompt_tokens - 40}"
+    return message.OutgoingRequest(
+        "POST",
+        f"/{call.route}/x",
+        headers,
+        b"prompt",
+        gateway_cluster.HOST,
+    )
--- /dev/null
+++ b/standins/gateway_cluster.py
@@ -0,0 +1,341 @@
+"""Gateways, a store and replicas in virtual time."""
+
+import asyncio
+import dataclasses
+
+from ruddergate import environment
+from ruddergate.entry import config as configs
+from ruddergate.entry import gateway as gateways
+from ruddergate.entry import peer_exchange
+from ruddergate.entry import source_sync
+from ruddergate.platform import callers
+from ruddergate.platform import orders
+from ruddergate.platform import replicas
+from ruddergate.platform import store as stores
+from ruddergate.telemetry import traces
+from standins import pass_engine
+from standins import platform_replica
+from standins import platform_store
+from standins import virtual_network
+from standins import virtual_process
+
+FRONT_PORT = 80
+_READY_PORT = 81
+_METRICS_PORT = 82
+_PEER_PORT = 83
+_REPLICA_PORT = 90
+_STORE = environment.Address("store", 70)
+HOST = "app.example"
+KEY = "key-of-w1"
+REVOKE_MS = 5_000.0
+_HEARTBEAT_S = 1.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """Sizes of a cluster.
+
+    Attributes:
+        vms: Gateways.
+        halls: Data halls, over which all is spread.
+        engines: Engines.
+        services: Replicas of the plain service.
+        seed: Source of all chance.
+    """
+
+    vms: int = 3
+    halls: int = 3
+    engines: int = 5
+    services: int = 3
+    seed: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One VM or replica.
+
+    Attributes:
+        name: Its name, which is also its host.
+        hall: Its hall.
+        process: What runs there now.
+        starts: How often it was started.
+        gateway: The gateway, on a VM.
+        replica: The replica, elsewhere.
+        stop: Begins a planned stop.
+        task: The gateway's task.
+    """
+
+    name: str
+    hall: str
+    process: virtual_process.VirtualProcess
+    starts: int = 0
+    gateway: gateways.Gateway | None = None
+    replica: platform_replica.PlatformReplica | None = None
+    stop: asyncio.Event | None = None
+    task: asyncio.Task | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A time in which a VM or hall could not answer anybody.
+
+    Attributes:
+        name: The VM or hall.
+        from_s: When it began, on the loop's clock.
+        to_s: When it ended.
+    """
+
+    name: str
+    from_s: float
+    to_s: float
+
+
+class GatewayCluster:
+    """All nodes of one run.
+
+    Attributes:
+        network: Their network.
+        store: What the platform publishes.
+        vms: Gateways by name.
+        targets: Replicas by name.
+        all_replicas: Every incarnation that ever ran.
+        revision: Revision of the configuration last published.
+        keys: Keys by workspace, as the next revision publishes them.
+        disturbances: Times in which VMs could not answer.
+    """
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self.network = virtual_network.VirtualNetwork(
+            layout.seed, virtual_network.Latency()
+        )
+        self.store = platform_store.PlatformStore()
+        self.vms: dict[str, Node] = {}
+        self.targets: dict[str, Node] = {}
+        self.all_replicas: list[platform_replica.PlatformReplica] = []
+        self.revision = 0
+        self.keys = {"w1": [KEY]}
+        self.disturbances: list[Disturbance] = []
+        self._engines: dict[str, platform_replica.PlatformReplica] = {}
+
+    async def start(self) -> None:
+        """Starts everything and waits until gateways are ready."""
+        process = virtual_process.VirtualProcess("store", "store")
+        outside = self.network.make_environment(process, 1)
+        handler = self.store.make_handler()
+        process.start(lambda: outside.serve(handler, _STORE))
+        self.publish()
+        for number in range(self.layout.engines):
+            self._add_target(f"engine-{number}", number)
+        for number in range(self.layout.services):
+            self._add_target(f"service-{number}", number)
+        for number in range(self.layout.vms):
+            hall = f"hall-{number % self.layout.halls}"
+            node = Node(f"vm-{number}", hall, _make_process("", ""))
+            self.vms[node.name] = node
+            self.start_vm(node)
+        await asyncio.sleep(2.0)
+
+    def publish(self, **changes: object) -> None:
+        """Publishes the next revision of the configuration."""
+        self.revision += 1
+        self.store.put("op/config", make_configuration(self, **changes))
+
+    def start_vm(self, node: Node) -> None:
+        """Starts a gateway's process, for the first time or again."""
+        node.starts += 1
+        node.process = _make_process(node.name, node.hall)
+        outside = self.network.make_environment(node.process, node.starts)
+        config = configs.EntryConfig(
+            vm_id=node.name,
+            hall=node.hall,
+            listen=environment.Address(node.name, FRONT_PORT),
+            policy="by_region",
+            service_policy="least_recent",
+        )
+        gateway = gateways.Gateway(
+            outside,
+            config,
+            self._make_config(node),
+            _make_platform(outside),
+            traces.Tracer(None),
+        )
+        node.gateway = gateway
+        stop = node.stop = asyncio.Event()
+        node.task = node.process.start(lambda: gateway.run(stop))
+
+    def _make_config(self, node: Node) -> gateways.GatewayConfig:
+        seeds = tuple(
+            environment.Address(f"vm-{number}", _PEER_PORT)
+            for number in range(min(2, self.layout.vms))
+        )
+        return gateways.GatewayConfig(
+            ready_listen=environment.Address(node.name, _READY_PORT),
+            metrics_listen=environment.Address(node.name, _METRICS_PORT),
+            settings_age_max_ms=REVOKE_MS - 1_200.0,
+            ready_age_max_ms=REVOKE_MS * 0.5,
+            stop_lag_ms=2_600.0,
+            stop_limit_ms=7_600.0,
+            pace=source_sync.Pace(),
+            retry_share=0.15,
+            retry_most=4.0,
+            peers=peer_exchange.PeerConfig(
+                environment.Address(node.name, _PEER_PORT), seeds
+            ),
+        )
+
+    def kill(self, node: Node) -> None:
+        """Ends a node at once."""
+        node.process.kill()
+        self.network.reset_node(node.process)
+
+    def _add_target(self, name: str, number: int) -> None:
+        hall = f"hall-{number % self.layout.halls}"
+        node = Node(name, hall, _make_process("", ""))
+        self.targets[name] = node
+        self.start_target(node)
+
+    def start_target(self, node: Node) -> None:
+        """Starts a replica as a new incarnation."""
+        node.starts += 1
+        node.process = _make_process(node.name, node.hall)
+        outside = self.network.make_environment(node.process, node.starts)
+        is_engine = node.name.startswith("engine")
+        figures = pass_engine.Figures() if is_engine else None
+        replica = platform_replica.PlatformReplica(
+            f"{node.name}.{node.starts}", outside, figures, self._engines
+        )
+        node.replica = replica
+        self.all_replicas.append(replica)
+        address = environment.Address(node.name, _REPLICA_PORT)
+        self._engines[str(address)] = replica
+        node.process.start(
+            lambda: outside.serve(replica.make_handler(), address)
+        )
+        if replica.engine is not None:
+            node.process.start(replica.engine.run)
+        node.process.start(lambda: self._keep_listed(node, replica))
+
+    async def _keep_listed(
+        self, node: Node, replica: platform_replica.PlatformReplica
+    ) -> None:
+        number = 0
+        while True:
+            number += 1
+            self.list_target(node, replica, "ready", number)
+            await asyncio.sleep(_HEARTBEAT_S)
+
+    def list_target(
+        self,
+        node: Node,
+        replica: platform_replica.PlatformReplica,
+        state: str,
+        number: int = 0,
+    ) -> None:
+        """Writes a replica's entry."""
+        is_engine = replica.engine is not None
+        self.store.put(
+            f"servers/{replica.name}",
+            {
+                "service": "engines" if is_engine else "notices",
+                "address": f"{node.name}:{_REPLICA_PORT}",
+                "zone": node.hall,
+                "slots": 8 if is_engine else 6,
+                "state": state,
+                "sequence": number,
+            },
+        )
+
+    def unlist_target(self, node: Node) -> None:
+        """Removes a replica's entry."""
+        self.store.remove(f"servers/{node.replica.name}")
+
+
+def _make_process(name: str, hall: str) -> virtual_process.VirtualProcess:
+    return virtual_process.VirtualProcess(name, hall)
+
+
+def _make_platform(outside: environment.Environment) -> gateways.Platform:
+    return gateways.Platform(
+        door=callers.make_door(),
+        send=replicas.make_send(outside),
+        orders=orders.make_orders(outside, 500.0),
+        source=stores.make_source(outside, _STORE, 1_500.0),
+    )
+
+
+def make_configuration(
+    cluster: GatewayCluster, **changes: object
+) -> dict[str, object]:
+    """Returns the configuration of a cluster, with changes to its top."""
+    stream = {"route-type": "streaming", "resumable": True, "max-attempts": 2}
+    figures = pass_engine.Figures()
+    document = {
+        "config-version": cluster.revision,
+        "routes": [
+            _make_route("short", "engines", 300, 10_000, 200, **stream),
+            _make_route("long", "engines", 3_000, 15_000, 800, **stream),
+            _make_route(
+                "once",
+                "engines",
+                300,
+                10_000,
+                200,
+                **{**stream, "resumable": False},
+            ),
+            _make_route("unsafe", "notices", 300, 2_000, 0),
+            _make_route(
+                "safe",
+                "notices",
+                300,
+                2_000,
+                0,
+                **{"route-type": "safe", "max-attempts": 2},
+            ),
+            _make_route("open", "notices", 300, 2_000, 0, is_open=True),
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "engine": {
+                    "slots": figures.slots,
+                    "kv-capacity": figures.memory_tokens,
+                    "step_ms": figures.step_ms,
+                    "read_per_s": figures.read_per_ms * 1000.0,
+                    "pairs_per_m": figures.pairs_ms_per_m,
+                    "hop_ms": 0.1,
+                },
+            },
+            {"name": "notices"},
+        ],
+        "tenants": [
+            {"name": name, "api-keys": keys, "priority": 1}
+            for name, keys in cluster.keys.items()
+        ],
+    }
+    return {**document, **changes}
+
+
+def _make_route(
+    name: str,
+    service: str,
+    aim_ms: int,
+    timeout_ms: int,
+    gap_ms: int,
+    is_open: bool = False,
+    **fields: object,
+) -> dict[str, object]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path-prefix": f"/{name}/",
+        "service": service,
+        "route-type": "unsafe",
+        "timeout-ms": timeout_ms,
+        "target-latency-ms": aim_ms,
+        "gap_aim_ms": gap_ms,
+        "priority": 1,
+        "max-attempts": 1,
+        "allow-anonymous": is_open,
+        **fields,
+    }
--- /dev/null
+++ b/standins/gateway_schedules.py
@@ -0,0 +1,230 @@
+"""Random schedules of calls and faults for gateways, each from a seed.
+
+`python -m standins.gateway_schedules --first 1 --count 100` plays many and
+prints the seeds whose promises were broken.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import random
+import sys
+
+import cyclopts
+import loguru
+
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import gateway_promises
+from standins import virtual_network
+from standins import virtual_process
+
+_CALLS = 60
+_DURATION_S = 10.0
+_FAULTS = 6
+_ROUTES = ("short", "short", "short", "long", "once", "unsafe", "safe")
+
+
+def play(seed: int) -> tuple[list[str], dict[int, int]]:
+    """Plays one schedule; returns broken promises and counts of statuses."""
+    return virtual_process.run(lambda: _play(seed))
+
+
+async def _play(seed: int) -> tuple[list[str], dict[int, int]]:
+    chance = random.Random(seed)
+    cluster = gateway_cluster.GatewayCluster(
+        gateway_cluster.Layout(vms=chance.choice((2, 4)), seed=seed)
+    )
+    await cluster.start()
+    caller = gateway_caller.Caller(cluster)
+    faults = [
+        asyncio.ensure_future(_play_fault(cluster, chance))
+        for _ in range(_FAULTS)
+    ]
+    calls = [
+        asyncio.ensure_future(
+            _send_later(caller, _make_call(chance, cluster, n), chance)
+        )
+        for n in range(_CALLS)
+    ]
+    got = await asyncio.gather(*calls)
+    for fault in faults:
+        fault.cancel()
+    # What was set aside for the last calls must lapse by itself.
+    await asyncio.sleep(4.0)
+    counts: dict[int, int] = {}
+    for each in got:
+        counts[each.status] = counts.get(each.status, 0) + 1
+    return gateway_promises.find_broken(cluster, got), counts
+
+
+def _make_call(
+    chance: random.Random,
+    cluster: gateway_cluster.GatewayCluster,
+    number: int,
+) -> gateway_caller.Call:
+    route = chance.choice(_ROUTES)
+    prompt = {"short": 5_000, "once": 3_000, "long": 0}.get(route)
+    if route == "long":
+        prompt = chance.choice((45_000, 210_000, 600_000))
+    is_stream = prompt is not None
+    return gateway_caller.Call(
+        request_id=f"r{number}",
+        route=route,
+        vm=chance.choice(sorted(cluster.vms)),
+        prompt_tokens=prompt or 0,
+        output_tokens=chance.randrange(50, 1_200) if is_stream else 0,
+        time_limit_ms=10_000.0 if is_stream else 2_000.0,
+        leaves_after_ms=chance.choice((None, None, None, None, 400.0)),
+    )
+
+
+async def _send_later(
+    caller: gateway_caller.Caller,
+    call: gateway_caller.Call,
+    chance: random.Random,
+) -> gateway_caller.Got:
+    await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
+    return await caller.send(call)
+
+
+async def _play_fault(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
+    fault = chance.choice(_FAULT_KINDS)
+    await fault(cluster, chance)
+
+
+@contextlib.contextmanager
+def _note_disturbance(
+    cluster: gateway_cluster.GatewayCluster, name: str
+) -> Iterator[None]:
+    loop = asyncio.get_running_loop()
+    from_s = loop.time()
+    try:
+        yield
+    finally:
+        cluster.disturbances.append(
+            gateway_cluster.Disturbance(name, from_s, loop.time())
+        )
+
+
+async def _kill_vm(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.vms[chance.choice(sorted(cluster.vms))]
+    cluster.kill(node)
+    await asyncio.sleep(chance.uniform(0.1, 3.0))
+    cluster.start_vm(node)
+
+
+async def _freeze_vm(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.vms[chance.choice(sorted(cluster.vms))]
+    node.process.freeze()
+    with _note_disturbance(cluster, node.name):
+        await asyncio.sleep(chance.uniform(0.5, 5.0))
+    node.process.wake()
+
+
+async def _stop_vm(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.vms[chance.choice(sorted(cluster.vms))]
+    if node.process.is_dead:
+        return
+    node.stop.set()
+    await asyncio.sleep(8.0)
+    cluster.kill(node)
+    cluster.start_vm(node)
+
+
+async def _kill_target(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.targets[chance.choice(sorted(cluster.targets))]
+    cluster.kill(node)
+    await asyncio.sleep(chance.uniform(0.5, 3.0))
+    cluster.unlist_target(node)
+    cluster.start_target(node)
+
+
+async def _spoil_target(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.targets[chance.choice(sorted(cluster.targets))]
+    wrong = node.replica.wrong
+    name = chance.choice(
+        ("refuse", "fail", "lose", "break_off", "unsigned", "foreign")
+    )
+    setattr(wrong, name, chance.uniform(0.2, 1.0))
+    await asyncio.sleep(chance.uniform(1.0, 6.0))
+    setattr(wrong, name, 0.0)
+
+
+async def _cut_hall(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    cut = virtual_network.Cut(f"hall-{chance.randrange(3)}", "")
+    cluster.network.cuts.append(cut)
+    with _note_disturbance(cluster, cut.on):
+        await asyncio.sleep(chance.uniform(0.5, 5.0))
+    cluster.network.cuts.remove(cut)
+
+
+async def _trouble_store(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    cluster.store.trouble = chance.choice(("busy", "reset", "silent"))
+    await asyncio.sleep(chance.uniform(0.5, 6.0))
+    cluster.store.trouble = ""
+
+
+async def _forget_history(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    cluster.publish()
+    cluster.store.forget_history()
+
+
+_FAULT_KINDS: tuple[Callable, ...] = (
+    _kill_vm,
+    _freeze_vm,
+    _stop_vm,
+    _kill_target,
+    _spoil_target,
+    _spoil_target,
+    _cut_hall,
+    _trouble_store,
+    _forget_history,
+)
+
+
+def main(*, first: int = 1, count: int = 20) -> int:
+    """Plays many schedules.
+
+    Args:
+        first: First seed.
+        count: Number of seeds.
+    """
+    loguru.logger.remove()
+    failed = 0
+    total: dict[int, int] = {}
+    for seed in range(first, first + count):
+        broken, counts = play(seed)
+        failed += bool(broken)
+        for status, number in counts.items():
+            total[status] = total.get(status, 0) + number
+        for each in broken:
+            print(f"seed {seed}: {each}")
+    print(f"{count} seeds, {count * _CALLS} calls, {count * _FAULTS} faults")
+    print(f"statuses: {dict(sorted(total.items()))}")
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(cyclopts.run(main))
--- /dev/null
+++ b/standins/platform_replica.py
@@ -0,0 +1,230 @@
+"""A replica of the users' platform: an engine or a plain service.
+
+It records what it ran, and misbehaves as it is told to.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import orjson
+
+from ruddergate.http import message
+from ruddergate.http import server
+from standins import pass_engine
+
+_TOKENS_PER_EVENT = 46
+_SIGNATURE = "X-Replica-Signature"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One run of a request.
+
+    Attributes:
+        request_id: The caller's name for it.
+        replica: The replica.
+        workspace: As it was told.
+        resumed_after: The event behind which it went on; 0 for the start.
+        at_ms: When it began.
+    """
+
+    request_id: str
+    replica: str
+    workspace: str
+    resumed_after: int
+    at_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Misbehaviour:
+    """What a replica does wrong; chances are drawn for each request.
+
+    Attributes:
+        refuse: Chance to answer that it did not run the request.
+        fail: Chance to run it and answer 500.
+        lose: Chance to run it and close without an answer.
+        break_off: Chance to break an answer off in its middle.
+        unsigned: Chance to answer without its signature.
+        foreign: Chance to answer with another request's name.
+        mute: Whether it takes requests and says nothing.
+    """
+
+    refuse: float = 0.0
+    fail: float = 0.0
+    lose: float = 0.0
+    break_off: float = 0.0
+    unsigned: float = 0.0
+    foreign: float = 0.0
+    mute: bool = False
+
+
+class PlatformReplica:
+    """One incarnation of a replica.
+
+    Attributes:
+        name: Its incarnation.
+        runs: Every run it began.
+        wrong: What it does wrong.
+        tickets: Memory set aside, by name, with the time at which it lapses.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        outside,  # noqa: ANN001
+        figures: pass_engine.Figures | None,
+        peers: dict,
+    ) -> None:
+        self.name = name
+        self.runs: list[Run] = []
+        self.wrong = Misbehaviour()
+        self.tickets: dict[str, tuple[int, float]] = {}
+        self.engine = pass_engine.PassEngine(figures) if figures else None
+        self._outside = outside
+        self._peers = peers
+        self._count = 0
+        self._working = 0
+
+    def make_handler(self):  # noqa: ANN201
+        """Returns the stream handler that serves the replica."""
+        return server.make_stream_handler(self._handle, server.Limits())
+
+    async def _handle(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        if incoming.path == "/api/order":
+            return self._take_order(orjson.loads(incoming.body))
+        if self.wrong.mute:
+            await asyncio.sleep(3_600.0)
+        expected = incoming.headers.get("x-expect-replica", self.name)
+        if expected != self.name:
+            return message.Response(421, {"X-Replica-Id": self.name}, b"")
+        if self._draw(self.wrong.refuse):
+            return message.Response(503, {"X-Not-Executed": "1"}, b"")
+        return await self._run(incoming)
+
+    def _take_order(self, order: dict) -> message.Response:
+        now_ms = self._outside.now_ms()
+        held = {k: v for k, v in self.tickets.items() if v[1] > now_ms}
+        self.tickets = held
+        if order["op"] == "release":
+            held.pop(order["id"], None)
+            return message.make_json_response(200, {"free": 0})
+        memory = self.engine.figures.memory_tokens if self.engine else 0
+        used = sum(
+            each[0] for name, each in held.items() if name != order["id"]
+        )
+        if used + order["token-count"] > memory:
+            return message.make_json_response(409, {"free": memory - used})
+        lapses_ms = now_ms + order["hold-ms"]
+        held[order["id"]] = (order["token-count"], lapses_ms)
+        return message.make_json_response(200, {"free": memory - used})
+
+    def held_tokens(self) -> int:
+        """Returns the memory that is set aside now."""
+        now_ms = self._outside.now_ms()
+        return sum(
+            each[0] for each in self.tickets.values() if each[1] > now_ms
+        )
+
+    async def _run(self, incoming: message.IncomingRequest) -> message.Response:
+        found = incoming.headers
+        after = int(found.get("last-event-id", "0") or 0)
+        run = Run(
+            found["x-attempt-id"],
+            self.name,
+            found.get("x-tenant-id", ""),
+            after,
+            self._outside.now_ms(),
+        )
+        self.runs.append(run)
+        self._working += 1
+        try:
+            headers = self._make_headers(run)
+            if self.engine is None:
+                return await self._answer_plain(run, headers)
+            prompt, output = map(int, found["x-token-usage"].split(","))
+            if self._draw(self.wrong.lose):
+                return message.Response(200, headers, _break_off(()))
+            helpers = found.get("helpers", "")
+            await self._read_prompt(prompt, helpers)
+            return message.Response(
+                200, headers, self._write(run, prompt, output)
+            )
+        finally:
+            self._working -= 1
+
+    def _make_headers(self, run: Run) -> dict[str, str]:
+        named = run.request_id
+        if self._draw(self.wrong.foreign):
+            named = "another"
+        load = f"{self._working},0,8"
+        headers = {"X-Attempt-Id": named, "X-Replica-Load": load}
+        if not self._draw(self.wrong.unsigned):
+            headers[_SIGNATURE] = f"{self.name}.{run.request_id}"
+        return headers
+
+    async def _answer_plain(
+        self, run: Run, headers: dict[str, str]
+    ) -> message.Response:
+        await asyncio.sleep(0.09)
+        if self._draw(self.wrong.lose):
+            return message.Response(200, headers, _break_off(()))
+        if self._draw(self.wrong.fail):
+            return message.Response(500, headers, b"failed")
+        body = make_plain_body(run.request_id)
+        if self._draw(self.wrong.break_off):
+            return message.Response(200, headers, _break_off((body[:5],)))
+        return message.Response(200, headers, body)
+
+    async def _read_prompt(self, prompt: int, helpers: str) -> None:
+        names = [each.partition("/")[0] for each in helpers.split(",") if each]
+        others = [self._peers[name].engine for name in names]
+        engines = [self.engine, *others]
+        piece = prompt / len(engines)
+        await asyncio.gather(*(each.read(piece, prompt) for each in engines))
+
+    async def _write(
+        self, run: Run, prompt: int, output: int
+    ) -> AsyncIterator[bytes]:
+        events = count_events(output)
+        breaks_at = -1
+        if self._draw(self.wrong.break_off):
+            breaks_at = self._outside.random.randrange(1, events + 1)
+        async with self.engine.place():
+            writer = self.engine.start_writing(prompt)
+            with contextlib.ExitStack() as stack:
+                stack.callback(self.engine.stop_writing, writer)
+                for number in range(run.resumed_after + 1, events + 1):
+                    await writer.events.get()
+                    event = make_event(run.request_id, number)
+                    if number == breaks_at:
+                        yield event[: len(event) // 2]
+                        raise ConnectionResetError("the replica breaks off")
+                    yield event
+
+    def _draw(self, chance: float) -> bool:
+        return chance > 0.0 and self._outside.random.random() < chance
+
+
+def count_events(output_tokens: int) -> int:
+    """Returns the events of an answer of that many tokens."""
+    return max(1, -(-output_tokens // _TOKENS_PER_EVENT))
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Returns one event of the answer to a request."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+def make_plain_body(request_id: str) -> bytes:
+    """Returns the plain answer to a request."""
+    return f"answer to {request_id}".encode()
+
+
+async def _break_off(parts: tuple[bytes, ...]) -> AsyncIterator[bytes]:
+    for part in parts:
+        yield part
+    raise ConnectionResetError("the replica breaks off")
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,134 @@
+"""The platform's store: items with revisions, read and watched over HTTP."""
+
+import asyncio
+import base64
+import dataclasses
+import urllib.parse
+
+import orjson
+
+from ruddergate.http import message
+from ruddergate.http import server
+
+_WATCH_POLL_S = 0.01
+# A read is answered in pages of so many items.
+PAGE_ITEMS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    key: str
+    value: bytes | None
+
+
+class PlatformStore:
+    """What operators and targets have written; served to gateways.
+
+    Attributes:
+        revision: Revision of the last change.
+        trouble: Empty, or `busy` (503), `reset` or `silent`.
+        calls: Calls answered or not.
+        lag: Watches tell changes only up to this revision; None for all.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.trouble = ""
+        self.calls = 0
+        self.lag: int | None = None
+        self._items: dict[str, _Change] = {}
+        self._history: list[_Change] = []
+        self._forgotten = 0
+
+    def put(self, key: str, document: object) -> None:
+        """Writes an item."""
+        self.put_bytes(key, orjson.dumps(document))
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Writes an item's bytes, whatever they are."""
+        self.revision += 1
+        change = _Change(self.revision, key, value)
+        self._items[key] = change
+        self._history.append(change)
+
+    def remove(self, key: str) -> None:
+        """Removes an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._history.append(_Change(self.revision, key, None))
+
+    def forget_history(self) -> None:
+        """Drops the history; watches from before get 410."""
+        self._forgotten = self.revision
+        self._history.clear()
+
+    def make_handler(self):  # noqa: ANN201
+        """Returns the stream handler that serves the store."""
+        return server.make_stream_handler(self._handle, server.Limits())
+
+    async def _handle(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        self.calls += 1
+        match self.trouble:
+            case "busy":
+                return message.make_json_response(503, {})
+            case "reset":
+                return message.Response(200, {}, _break_off())
+            case "silent":
+                await asyncio.sleep(3_600.0)
+        query = dict(urllib.parse.parse_qsl(incoming.query))
+        if incoming.path.endswith("kv-range"):
+            return self._read(query)
+        return await self._watch(query)
+
+    def _read(self, query: dict[str, str]) -> message.Response:
+        prefix = query.get("path-prefix", "")
+        after = query.get("since-rev", "")
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        page = [_render(self._items[key]) for key in keys[:PAGE_ITEMS]]
+        document = {
+            "items": page,
+            "more": len(keys) > PAGE_ITEMS,
+            "at": self.revision,
+        }
+        return message.make_json_response(200, document)
+
+    async def _watch(self, query: dict[str, str]) -> message.Response:
+        since = int(query["since-rev"])
+        left_s = int(query.get("wait-ms", "0")) / 1000.0
+        while True:
+            if since < self._forgotten:
+                return message.make_json_response(410, {})
+            last = self.revision if self.lag is None else self.lag
+            found = [
+                each for each in self._history if since < each.revision <= last
+            ]
+            if found or left_s <= 0.0:
+                document = {
+                    "events": [_render(each) for each in found],
+                    "at": max(since, last),
+                }
+                return message.make_json_response(200, document)
+            await asyncio.sleep(_WATCH_POLL_S)
+            left_s -= _WATCH_POLL_S
+
+
+def _render(change: _Change) -> dict[str, object]:
+    if change.value is None:
+        return {"key": change.key, "revision": change.revision, "gone": True}
+    return {
+        "key": change.key,
+        "value": base64.b64encode(change.value).decode(),
+        "revision": change.revision,
+        "made": change.revision,
+        "lease": 0,
+    }
+
+
+async def _break_off():  # noqa: ANN202
+    raise ConnectionResetError("the store resets")
+    yield b""
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -225,12 +225,13 @@
         async def deliver() -> None:
             take(data)
 
+        def arrive() -> None:
+            if not (sink.is_dead or sink.is_frozen):
+                sink.start(deliver)
+
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            self.latency_s(source, sink),
-            lambda: sink.start(deliver),
-            context=self.neutral,
-        )
+        delay_s = self.latency_s(source, sink)
+        loop.call_later(delay_s, arrive, context=self.neutral)
 
     def _unlisten(
         self, process: processes.VirtualProcess, address: environment.Address
--- a/standins/virtual_process.py
+++ b/standins/virtual_process.py
@@ -27,13 +27,14 @@
         name: Name of the node it runs on.
         hall: Data hall of the node.
         is_dead: Whether it was killed.
+        is_frozen: Whether it stands still.
     """
 
     def __init__(self, name: str, hall: str) -> None:
         self.name = name
         self.hall = hall
         self.is_dead = False
-        self._is_frozen = False
+        self.is_frozen = False
         self._tasks: set[asyncio.Task] = set()
         self._parked: list[_Call] = []
 
@@ -52,11 +53,11 @@
 
     def freeze(self) -> None:
         """Stops the process, as SIGSTOP does."""
-        self._is_frozen = True
+        self.is_frozen = True
 
     def wake(self) -> None:
         """Lets the process go on, as SIGCONT does."""
-        self._is_frozen = False
+        self.is_frozen = False
         parked, self._parked = self._parked, []
         loop = asyncio.get_running_loop()
         for call in parked:
@@ -76,7 +77,7 @@
         """Runs a callback of this process, now or when it wakes."""
         if self.is_dead:
             return
-        if self._is_frozen:
+        if self.is_frozen:
             self._parked.append(call)
         else:
             call.callback(*call.args)
--- /dev/null
+++ b/tests/test_event_splitter.py
@@ -0,0 +1,37 @@
+"""Streams are cut at the ends of events, wherever the bytes are cut."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from ruddergate.relay import event_splitter
+
+_EVENTS = b"".join(
+    f"id: {number}\ndata: a\ndata: b\n\n".encode() for number in range(1, 9)
+)
+
+
+class EventSplitterTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, len(_EVENTS)), max_size=12)
+    )
+    def test_every_way_of_cutting_gives_the_same(self, cuts: list[int]) -> None:
+        splitter = event_splitter.EventSplitter()
+        bounds = [0, *sorted(cuts), len(_EVENTS)]
+        whole = b""
+        for first, last in zip(bounds, bounds[1:], strict=False):
+            events = splitter.feed(_EVENTS[first:last])
+            if events is not None:
+                whole += events.data
+                self.assertTrue(events.data.endswith(b"\n\n"))
+                self.assertEqual(events.last_id, str(whole.count(b"\n\n")))
+        self.assertEqual(whole, _EVENTS)
+        self.assertTrue(splitter.is_between_events())
+
+    def test_torn_event_is_held_back(self) -> None:
+        splitter = event_splitter.EventSplitter()
+        events = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertEqual(events.data, b"id: 1\ndata: a\n\n")
+        self.assertEqual(events.last_id, "1")
+        self.assertFalse(splitter.is_between_events())
--- /dev/null
+++ b/tests/test_gateway_schedules.py
@@ -0,0 +1,24 @@
+"""Promises of gateways under random faults; each seed plays the same again."""
+
+import unittest
+
+from standins import gateway_schedules
+
+# Seeds in which a promise was once taken for broken, with the cause.
+#   21: a VM that was frozen answered late; the check now knows such times.
+_REGRESSIONS = (21,)
+_FIRST = 300
+_COUNT = 12
+
+
+class GatewaySchedulesTest(unittest.TestCase):
+    def test_promises_hold(self) -> None:
+        for seed in (*_REGRESSIONS, *range(_FIRST, _FIRST + _COUNT)):
+            with self.subTest(seed=seed):
+                broken, counts = gateway_schedules.play(seed)
+                self.assertEqual(broken, [])
+                self.assertGreater(counts.get(200, 0), 10)
+
+    def test_same_seed_plays_the_same(self) -> None:
+        first = gateway_schedules.play(5)
+        self.assertEqual(gateway_schedules.play(5), first)
--- /dev/null
+++ b/tests/test_line_writer.py
@@ -0,0 +1,31 @@
+"""Logs never hold up whoever logs, and tell how much was left out."""
+
+import io
+import os
+import time
+import unittest
+
+from ruddergate.telemetry import line_writer
+
+
+class LineWriterTest(unittest.TestCase):
+    def test_reader_that_does_not_read_holds_nobody_up(self) -> None:
+        read_end, write_end = os.pipe()
+        sink = os.fdopen(write_end, "w")
+        writer = line_writer.LineWriter(sink)
+        line = "x" * 1_000 + "\n"
+        count = line_writer.WAITING_MAX + 500
+        began_s = time.process_time()
+        for _ in range(count):
+            writer.write(line)
+        self.assertLess(time.process_time() - began_s, 1.0)
+        self.assertGreaterEqual(writer.left_out, 500)
+        os.close(read_end)
+
+    def test_lines_beyond_the_allowance_are_counted(self) -> None:
+        sink = io.StringIO()
+        writer = line_writer.LineWriter(sink)
+        for number in range(int(line_writer.LINES_BURST) + 50):
+            writer.write(f"{number}\n")
+        self.assertGreaterEqual(writer.left_out, 40)
+        writer.flush()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,289 @@
+"""The users' platform: what comes over the wire is decoded, never trusted."""
+
+import base64
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+
+from ruddergate import environment
+from ruddergate import outcomes
+from ruddergate.fleet import condition
+from ruddergate.http import message
+from ruddergate.http import server
+from ruddergate.platform import callers
+from ruddergate.platform import configuration
+from ruddergate.platform import headers
+from ruddergate.platform import store
+from ruddergate.platform import targets
+from ruddergate.relay import published
+from ruddergate.settings import catalog as catalogs
+from standins import virtual_network
+from standins import virtual_process
+
+# Statuses that promise that a call did not run and never will.
+_PROMISES = {408, 421, 429, 503}
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=10,
+)
+
+
+def _incoming(fields: dict[str, str]) -> message.IncomingRequest:
+    return message.IncomingRequest(
+        "POST", "/a/b", "", fields, b"", "/a/b", tuple(fields.items())
+    )
+
+
+class CallersTest(unittest.TestCase):
+    def test_not_run_statuses_are_told_only_when_nothing_ran(self) -> None:
+        door = callers.make_door()
+        for reason, ran in itertools.product(outcomes.Reason, outcomes.Ran):
+            failure = outcomes.NotServed(reason, ran, "why", 100.0)
+            status = door.write_failure(failure).status
+            if ran is not outcomes.Ran.NOT_RUN:
+                self.assertNotIn(status, _PROMISES, (reason, ran))
+
+    def test_retry_after_is_in_seconds(self) -> None:
+        refusal = outcomes.refuse(outcomes.Reason.NO_TARGET, "why", 250.0)
+        answer = callers.make_door().write_failure(refusal)
+        self.assertEqual(answer.headers["retry-after"], "0.250")
+
+    def test_call_is_read(self) -> None:
+        inquiry = callers.make_door().read(
+            _incoming(
+                {
+                    "host": "a.example",
+                    "x-attempt-id": "9c41",
+                    "x-deadline-ms": "10000",
+                    "x-token-usage": "1460,80",
+                    "x-prefix-hash": "5c1e:800,91bd:410",
+                    "last-event-id": "12",
+                    "x-api-key": "k",
+                }
+            )
+        )
+        self.assertEqual(inquiry.request_id, "9c41")
+        self.assertEqual(inquiry.time_limit_ms, 10_000.0)
+        self.assertEqual(inquiry.prompt_tokens, 1_460)
+        self.assertEqual(inquiry.output_tokens_max, 80)
+        self.assertEqual(inquiry.prefix_name, "5c1e")
+        self.assertEqual(inquiry.last_event, "12")
+
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ("x-deadline-ms", "x-token-usage", "x-prefix-hash")
+            ),
+            strategies.text(max_size=20),
+        )
+    )
+    def test_any_header_value_is_borne(self, fields: dict[str, str]) -> None:
+        inquiry = callers.make_door().read(_incoming(fields))
+        self.assertGreaterEqual(inquiry.prompt_tokens, 0)
+
+    def test_targets_see_neither_keys_nor_forged_orders(self) -> None:
+        fields = (
+            ("X-Api-Key", "k"),
+            ("X-Tenant-Id", "forged"),
+            ("Helpers", "1.2.3.4:5"),
+            ("X-Expect-Replica", "forged"),
+            ("Priority", "0"),
+            ("Connection", "keep-alive, X-Hop"),
+            ("X-Hop", "1"),
+            ("X-Own", "1"),
+            ("X-Own", "2"),
+        )
+        self.assertEqual(
+            headers.select_for_target(fields), (("X-Own", "1"), ("X-Own", "2"))
+        )
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_route_and_key_are_read(self) -> None:
+        found = configuration.read_catalog(
+            {
+                "config-version": 7,
+                "routes": [
+                    {
+                        "name": "r",
+                        "hostname": "A.example",
+                        "path-prefix": "/a/",
+                        "route-type": "streaming",
+                        "resumable": True,
+                        "timeout-ms": 10_000,
+                        "target-latency-ms": 300,
+                        "gap_aim_ms": 200,
+                        "max-attempts": 2,
+                        "traffic-split": [
+                            {"service": "s", "weight": 90},
+                            {"service": "t", "weight": 10},
+                        ],
+                    }
+                ],
+                "services": [{"name": "s", "engine": {"read_per_s": 256_000}}],
+                "tenants": [{"name": "w", "api-keys": ["k1", "k2"]}],
+            }
+        )
+        route = found.find_route("a.example:80", "/a/b/c")
+        self.assertEqual([each.weight for each in route.shares], [90.0, 10.0])
+        self.assertTrue(route.repeatable)
+        self.assertEqual(found.workspaces["k2"].name, "w")
+        self.assertEqual(found.find_pool("s").prefill_tokens_per_s, 256_000.0)
+
+    def test_streams_are_repeatable_only_if_resumable(self) -> None:
+        for resumable in (True, False):
+            found = configuration.read_catalog(
+                {
+                    "config-version": 1,
+                    "routes": [
+                        {
+                            "path-prefix": "/a/",
+                            "route-type": "streaming",
+                            "resumable": resumable,
+                            "service": "s",
+                        }
+                    ],
+                }
+            )
+            route = found.find_route("", "/a/")
+            self.assertIs(route.repeatable, resumable)
+
+    def test_unknown_kinds_of_routes_run_once(self) -> None:
+        found = configuration.read_catalog(
+            {
+                "config-version": 1,
+                "routes": [
+                    {
+                        "path-prefix": "/a/",
+                        "route-type": "new",
+                        "service": "s",
+                    }
+                ],
+            }
+        )
+        self.assertFalse(found.find_route("", "/a/").repeatable)
+
+    @hypothesis.given(_JSON)
+    def test_any_document_is_borne(self, document: object) -> None:
+        found = configuration.read_catalog(document)
+        self.assertIsInstance(found, catalogs.Catalog | str)
+
+    @hypothesis.given(
+        strategies.fixed_dictionaries(
+            {
+                "config-version": strategies.just(3),
+                "routes": strategies.lists(_JSON, max_size=2),
+                "services": strategies.lists(_JSON, max_size=2),
+                "tenants": strategies.lists(_JSON, max_size=2),
+            }
+        )
+    )
+    def test_any_parts_are_borne(self, document: object) -> None:
+        found = configuration.read_catalog(document)
+        self.assertIsInstance(found, catalogs.Catalog | str)
+
+    def test_longest_prefix_wins(self) -> None:
+        routes = [
+            {"name": name, "path-prefix": prefix, "service": "s"}
+            for name, prefix in (("a", "/a/"), ("b", "/a/b/"), ("c", "/"))
+        ]
+        found = configuration.read_catalog(
+            {"config-version": 1, "routes": routes}
+        )
+        cases = {"/a/b/c": "b", "/a/b": "a", "/a": "c", "/x": "c"}
+        for path, name in cases.items():
+            self.assertEqual(found.find_route("", path).name, name, path)
+
+
+class TargetsTest(unittest.TestCase):
+    def test_states(self) -> None:
+        for state, expected in (
+            ("ready", condition.Condition.LIVE),
+            ("draining", condition.Condition.LEAVING),
+            ("anything", condition.Condition.LEAVING),
+        ):
+            found = targets.read_target(
+                "i-1", {"service": "s", "address": "1.2.3.4:5", "state": state}
+            )
+            self.assertIs(found.condition, expected)
+
+    @hypothesis.given(_JSON)
+    def test_any_document_is_borne(self, document: object) -> None:
+        found = targets.read_target("i-1", document)
+        self.assertIsInstance(found, str)
+
+
+class StoreTest(unittest.TestCase):
+    def _ask(self, answer: message.Response) -> object:
+        """Returns what one call makes of an answer."""
+
+        async def run() -> object:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            address = environment.Address("store", 1)
+            far = virtual_process.VirtualProcess("store", "h")
+
+            async def handle(
+                incoming: message.IncomingRequest,
+            ) -> message.Response:
+                return answer
+
+            outside = network.make_environment(far, 1)
+            handler = store_server(handle)
+            await far.start(lambda: outside.serve(handler, address))
+            near = virtual_process.VirtualProcess("vm", "h")
+            source = store.make_source(
+                network.make_environment(near, 1), address, 500.0
+            )
+            return await near.start(lambda: source.read_changes(5, 0.0))
+
+        return virtual_process.run(run)
+
+    def test_lost_history_is_told(self) -> None:
+        answer = message.make_json_response(410, {})
+        self.assertIsInstance(self._ask(answer), published.HistoryLost)
+
+    def test_nonsense_is_no_answer(self) -> None:
+        for answer in (
+            message.make_json_response(200, []),
+            message.make_json_response(200, {"events": [], "at": "5"}),
+            message.make_json_response(503, {}),
+            message.Response(200, {}, b"{"),
+        ):
+            self.assertIsInstance(self._ask(answer), published.Unavailable)
+
+    def test_last_change_of_a_key_stands(self) -> None:
+        value = {"service": "s", "address": "1.2.3.4:5", "state": "ready"}
+        text = base64.b64encode(orjson.dumps(value)).decode()
+        events = [
+            {"key": "servers/a", "value": text, "revision": 6},
+            {"key": "servers/a", "revision": 7, "gone": True},
+            {"key": "servers/b", "revision": 8, "gone": True},
+            {"key": "servers/b", "value": text, "revision": 9},
+            {"key": "servers/c", "value": "%", "revision": 10},
+            {"key": "other", "value": text, "revision": 11},
+        ]
+        found = self._ask(
+            message.make_json_response(200, {"events": events, "at": 11})
+        )
+        self.assertEqual(found.gone, ("a",))
+        self.assertEqual([each.target_id for each in found.targets], ["b"])
+        self.assertEqual(len(found.problems), 1)
+
+
+def store_server(handle):  # noqa: ANN201
+    """Returns a stream handler for one HTTP handler."""
+    return server.make_stream_handler(handle, server.Limits())
