--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -216,6 +216,19 @@
             node.process.start(replica.engine.run)
         node.process.start(lambda: self._keep_listed(node, replica))
 
+    async def serve_stranger(self, node: Node) -> None:
+        """Has a replica that is not listed take over a replica's address."""
+        node.starts += 1
+        node.process = _make_process(node.name, node.hall)
+        outside = self.network.make_environment(node.process, node.starts)
+        stranger = platform_replica.PlatformReplica(
+            f"stranger-{node.name}", outside, None, self._engines
+        )
+        self.all_replicas.append(stranger)
+        address = environment.Address(node.name, _REPLICA_PORT)
+        handler = stranger.make_handler()
+        await node.process.start(lambda: outside.serve(handler, address))
+
     async def _keep_listed(
         self, node: Node, replica: platform_replica.PlatformReplica
     ) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -377,8 +377,11 @@
             node = scene.cluster.targets["service-0"]
             scene.cluster.list_target(node, node.replica, "draining")
             await asyncio.sleep(1.0)
-            # Its own late entries say again that it is ready.
-            await asyncio.sleep(1.5)
+            # It goes off the list, and a late entry says that it is ready.
+            scene.cluster.unlist_target(node)
+            await asyncio.sleep(1.0)
+            scene.cluster.list_target(node, node.replica, "ready")
+            await asyncio.sleep(1.0)
             for _ in range(8):
                 await scene.call("unsafe")
             self.assertEqual(node.replica.runs, [])
@@ -402,6 +405,18 @@
 
         play(scene)
 
+    def test_stranger_at_a_known_address_runs_nothing(self) -> None:
+        async def scene(scene: Scene) -> None:
+            for number in range(3):
+                node = scene.cluster.targets[f"service-{number}"]
+                scene.cluster.kill(node)
+                await scene.cluster.serve_stranger(node)
+            for route in ("unsafe", "safe"):
+                got = await scene.call(route)
+                self.assertEqual((got.status, scene.runs(got)), (503, []))
+
+        play(scene)
+
     def test_lapsed_entries_do_not_empty_the_fleet(self) -> None:
         async def scene(scene: Scene) -> None:
             store = scene.cluster.store
