--- a/src/ruddergate/cli/ctl.py
+++ b/src/ruddergate/cli/ctl.py
@@ -13,6 +13,7 @@
 from ruddergate.experiments import plots
 from ruddergate.experiments import trace
 from ruddergate.settings import kind as kinds
+from ruddergate.telemetry import story
 
 _PROGRAM = "ruddergatectl"
 APP = _private.make_app(
@@ -78,6 +79,28 @@
     print("\n".join(lines))
 
 
+@APP.command(name="trace")
+def trace_request(request_id: str, logs: list[pathlib.Path]) -> None:
+    """Prints one request's way in order, from the logs of several VMs.
+
+    Args:
+        request_id: The request, as its caller named it.
+        logs: Files of JSON log lines.
+    """
+    sources = []
+    for path in logs:
+        try:
+            text = path.read_text(errors="replace")
+        except OSError as error:
+            _private.fail(_PROGRAM, f"{path}: {error}")
+        sources.append((path.name, text.splitlines()))
+    lines = story.tell(request_id, sources)
+    if not lines:
+        _private.fail(_PROGRAM, f"no log names request {request_id}")
+    for line in lines:
+        print(line)
+
+
 @APP.command
 def replay(
     trace_file: pathlib.Path,
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -19,6 +19,7 @@
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import source_sync
+from ruddergate.entry import status
 from ruddergate.entry import tools as tool_types
 from ruddergate.entry import view as views
 from ruddergate.http import message
@@ -195,7 +196,13 @@
     async def _answer_metrics(
         self, incoming: message.IncomingRequest
     ) -> message.Response:
-        return metric_types.render(self.tools.metrics.registry)
+        if incoming.path == "/status":
+            return status.make_status(self.tools, False, self._is_stopping)
+        status.set_gauges(self.tools)
+        metrics = self.tools.metrics
+        metrics.reservations.set({}, len(self._keeper))
+        metrics.log_lines_left_out.set({}, logs.count_left_out())
+        return metric_types.render(metrics.registry)
 
     async def _stop(self, callers: asyncio.Server) -> None:
         config = self._gateway_config
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -115,6 +115,10 @@
         pauses: "_Pauses | None" = None,
     ) -> None:
         self._tools.metrics.note_outcome(reason, ran.value)
+        if pauses is not None:
+            self._tools.metrics.note_pause(
+                request.prompt_tokens, pauses.longest_ms
+            )
         took_ms = self._tools.outside.now_ms() - request.arrived_ms
         self._log.info(
             "Request ended: {} ({}). {}",
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -273,6 +273,7 @@
 ) -> None:
     now_ms = tools.outside.now_ms()
     seat = placed.seats[0]
+    tools.metrics.note_wait(request.prompt_tokens, now_ms - request.arrived_ms)
     logs.make_logger("attempt").info(
         "Attempt begins at {}.",
         seat.target.target_id,
--- a/src/ruddergate/entry/status.py
+++ b/src/ruddergate/entry/status.py
@@ -8,6 +8,9 @@
 from ruddergate.http import message
 from ruddergate.telemetry import metrics
 
+# Ages beyond this mean that nothing was ever learned.
+_NEVER_MS = 1e12
+
 Handle = Callable[[message.IncomingRequest], Awaitable[message.Response]]
 
 
@@ -25,7 +28,7 @@
             case "/readyz":
                 return _make_ready(feed, tools)
             case "/metrics":
-                _set_gauges(tools)
+                set_gauges(tools)
                 return metrics.render(tools.metrics.registry)
             case "/status":
                 return _make_status(feed, tools)
@@ -40,17 +43,29 @@
     return message.make_json_response(200 if ready else 503, {"ready": ready})
 
 
-def _set_gauges(tools: tool_types.Tools) -> None:
+def set_gauges(tools: tool_types.Tools) -> None:
+    """Brings the gauges up to date before they are read."""
     now_ms = tools.outside.now_ms()
     age_ms = tools.view.age_ms(now_ms)
     tools.metrics.view_age_ms.set({}, min(age_ms, 1e12))
-    revision = tools.view.in_force.manifest.revision
+    view = tools.view
+    revision = max(view.in_force.manifest.revision, view.catalog.revision)
     tools.metrics.revision.set({}, revision)
+    settings_age_ms = view.settings_age_ms(now_ms)
+    tools.metrics.settings_age_ms.set({}, min(settings_age_ms, 1e12))
+    tools.metrics.retries_left.set({}, tools.budget.tokens)
     for name, cost_ms in tools.scheduler.waiting_by_class().items():
         tools.metrics.waiting_cost_ms.set({"class": name}, cost_ms)
 
 
 def _make_status(feed: feeds.Feed, tools: tool_types.Tools) -> message.Response:
+    return make_status(tools, feed.is_connected, feed.is_stopping)
+
+
+def make_status(
+    tools: tool_types.Tools, agent_connected: bool, stopping: bool
+) -> message.Response:
+    """Returns what this VM goes by and how old that is."""
     now_ms = tools.outside.now_ms()
     view = tools.view
     age_ms = view.age_ms(now_ms)
@@ -71,15 +86,22 @@
         "hall": tools.config.hall,
         "incarnation": tools.incarnation,
         "policy": tools.config.policy,
-        "agent_connected": feed.is_connected,
-        "stopping": feed.is_stopping,
-        "revision": view.in_force.manifest.revision,
+        "agent_connected": agent_connected,
+        "stopping": stopping,
+        "revision": max(view.in_force.manifest.revision, view.catalog.revision),
+        "settings_age_ms": _round_age(view.settings_age_ms(now_ms)),
+        "retries_left": round(tools.budget.tokens, 2),
         "refused_revision": view.in_force.refused_revision,
         "problems": [str(each) for each in view.in_force.problems],
         "listing_version": view.listing.version,
-        "view_age_ms": round(age_ms) if age_ms < 1e12 else None,
+        "view_age_ms": _round_age(age_ms),
         "peers": list(view.listed_vms()),
         "waiting_cost_ms": tools.scheduler.waiting_by_class(),
         "targets": targets,
     }
     return message.make_json_response(200, document)
+
+
+def _round_age(age_ms: float) -> int | None:
+    """Returns an age in whole milliseconds, or None for what never was."""
+    return round(age_ms) if age_ms < _NEVER_MS else None
--- a/src/ruddergate/telemetry/logs.py
+++ b/src/ruddergate/telemetry/logs.py
@@ -21,6 +21,15 @@
 )
 
 
+# Writers of this process; one a call of `configure`.
+_WRITERS: list[line_writer.LineWriter] = []
+
+
+def count_left_out() -> int:
+    """Returns how many log lines were not written."""
+    return sum(writer.left_out for writer in _WRITERS)
+
+
 def configure(level: str, as_json: bool, sink: TextIO | None = None) -> None:
     """Sends logs to a sink, as text or as JSON lines.
 
@@ -31,6 +40,7 @@
     """
     chosen = sink if sink is not None else sys.stderr
     writer = line_writer.LineWriter(chosen)
+    _WRITERS.append(writer)
     atexit.register(writer.flush)
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": "main", "request_id": ""})
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -61,6 +61,31 @@
         self.view_age_ms = self._gauge(
             "ruddergate_view_age_ms", "Age of the view of the fleet."
         )
+        self.settings_age_ms = self._gauge(
+            "ruddergate_settings_age_ms",
+            "Time since the settings were certainly the newest.",
+        )
+        self.retries_left = self._gauge(
+            "ruddergate_retries_left", "Second sends that may be made now."
+        )
+        self.reservations = self._gauge(
+            "ruddergate_reservations", "Reservations held on engines."
+        )
+        self.log_lines_left_out = self._gauge(
+            "ruddergate_log_lines_left_out", "Log lines not written, in all."
+        )
+        self.pause_s = aioprometheus.Histogram(
+            "ruddergate_longest_pause_seconds",
+            "Longest pause of each stream by length of prompt.",
+            registry=self.registry,
+            buckets=_TTFT_BUCKETS_S,
+        )
+        self.wait_s = aioprometheus.Histogram(
+            "ruddergate_place_wait_seconds",
+            "Time until a call was given a place, by length of prompt.",
+            registry=self.registry,
+            buckets=_TTFT_BUCKETS_S,
+        )
         self.revision = self._gauge(
             "ruddergate_settings_revision", "Revision of settings in force."
         )
@@ -74,6 +99,16 @@
         labels = {"length": length_bucket(prompt_tokens)}
         self.first_token_s.observe(labels, took_ms / 1000.0)
 
+    def note_pause(self, prompt_tokens: int, pause_ms: float) -> None:
+        """Counts the longest pause of a stream."""
+        labels = {"length": length_bucket(prompt_tokens)}
+        self.pause_s.observe(labels, pause_ms / 1000.0)
+
+    def note_wait(self, prompt_tokens: int, waited_ms: float) -> None:
+        """Counts the time until a call was given a place."""
+        labels = {"length": length_bucket(prompt_tokens)}
+        self.wait_s.observe(labels, waited_ms / 1000.0)
+
     def _counter(self, name: str, meaning: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, meaning, registry=self.registry)
 
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,61 @@
+"""A request's way through the logs of several VMs."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from ruddergate.telemetry import story
+
+
+def _line(at: str, request_id: str, event: str, **inputs: object) -> str:
+    document = {
+        "at": at,
+        "level": "INFO",
+        "event": event,
+        "part": "entry",
+        "request_id": request_id,
+        **inputs,
+    }
+    return json.dumps(document)
+
+
+class StoryTest(unittest.TestCase):
+    def test_lines_of_several_vms_in_order(self) -> None:
+        one = [
+            _line("2026-01-01T00:00:03", "r1", "Request ended.", took_ms=9),
+            _line("2026-01-01T00:00:01", "r1", "Attempt begins.", target="t"),
+            _line("2026-01-01T00:00:02", "r11", "Attempt begins."),
+        ]
+        two = [
+            "  12.5 vm-2 " + _line("2026-01-01T00:00:02", "r1", "Refused."),
+            "no log line at all, though it names r1 {",
+        ]
+        lines = story.tell("r1", [("vm-1", one), ("vm-2", two)])
+        self.assertEqual(
+            [each.event for each in lines],
+            ["Attempt begins.", "Refused.", "Request ended."],
+        )
+        self.assertIn("target=t", str(lines[0]))
+
+    def test_command_prints_the_way(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "vm-1.log"
+            path.write_text(_line("1", "r1", "Request ended.") + "\n")
+            command = [
+                sys.executable,
+                "-c",
+                "from ruddergate.cli import ctl; ctl.run()",
+                "trace",
+            ]
+            found = subprocess.run(
+                [*command, "r1", str(path)], capture_output=True, text=True
+            )
+            self.assertIn("Request ended.", found.stdout)
+            missing = subprocess.run(
+                [*command, "r2", str(path)], capture_output=True, text=True
+            )
+            self.assertEqual(missing.returncode, 2)
+            self.assertIn("no log names request r2", missing.stderr)
