Gather digests that come together; idle VMs say less

Cause: each of some 80 digests a second was added up and handed to the scheduler by itself. Change: digests within 3 ms are added up at once, unchanged ones not at all, and a VM without work sends every fifth round only.

--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -44,23 +44,28 @@
     def __len__(self) -> int:
         return len(self._peers)
 
-    def take(self, digest: load_digest.LoadDigest, now_ms: float) -> None:
-        """Takes in a digest, unless a later one of the peer is known."""
+    def take(self, digest: load_digest.LoadDigest, now_ms: float) -> bool:
+        """Takes in a digest, unless a later one of the peer is known.
+
+        Returns whether it changes the sums.
+        """
         if digest.sender == self._own:
-            return
+            return False
         peer = self._peers.setdefault(digest.sender, _Peer(now_ms))
         if peer.incarnation == digest.incarnation and (
             digest.number <= peer.number
         ):
-            return
+            return False
         peer.heard_ms = now_ms
         peer.is_heard = True
         peer.incarnation = digest.incarnation
         peer.number = digest.number
+        is_change = peer.rows != digest.rows
         peer.rows = digest.rows
         for name in digest.peers[:NAMED_MAX]:
             if name != self._own:
                 self._peers.setdefault(name, _Peer(now_ms))
+        return is_change
 
     def forget_silent(self, now_ms: float) -> None:
         """Forgets peers that were not heard for long."""
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -20,6 +20,11 @@
 # A short prompt's first token takes about 100 ms: digests as often show where
 # others have just sent theirs.
 ROUND_MS = 100.0
+# A VM without work on targets says so only in every so many rounds, well within
+# the time for which a digest counts.
+_IDLE_ROUNDS = 5
+# Digests that come this close together are added up at once.
+_GATHER_MS = 3.0
 # Seeds that are not known as peers are written to in every so many rounds.
 _SEED_ROUNDS = 10
 
@@ -55,6 +60,8 @@
         self._loads = peer_loads.PeerLoads(self._own)
         self._round = 0
         self._soon = asyncio.Event()
+        self._is_posting = False
+        self._had_rows = False
         self._known = 0
         self._log = logs.make_logger("peers")
 
@@ -83,8 +90,8 @@
     def _take(self, data: bytes) -> None:
         message = codec.decode(data)
         if isinstance(message, load_digest.LoadDigest) and _is_sound(message):
-            self._loads.take(message, self._outside.now_ms())
-            self._post_sums()
+            if self._loads.take(message, self._outside.now_ms()):
+                self._post_soon()
             return
         self._log.warning("Datagram dropped, it is no digest.")
 
@@ -93,12 +100,24 @@
         self._loads.forget_silent(now_ms)
         self._note_peers()
         self._post_sums()
-        data = codec.encode(self._make_digest(now_ms))
+        self._round += 1
+        digest = self._make_digest(now_ms)
+        is_idle = not (digest.rows or self._had_rows)
+        self._had_rows = bool(digest.rows)
+        if is_idle and self._round % _IDLE_ROUNDS:
+            return
+        data = codec.encode(digest)
         for receiver in self._choose_receivers():
             port.send(data, receiver)
-        self._round += 1
+
+    def _post_soon(self) -> None:
+        if not self._is_posting:
+            self._is_posting = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(_GATHER_MS / 1000.0, self._post_sums)
 
     def _post_sums(self) -> None:
+        self._is_posting = False
         rows = self._loads.sum_up(self._outside.now_ms())
         if rows:
             self._scheduler.post(loads.Loads((), rows, ()))
