--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -117,11 +117,14 @@
         self._event_number = -1
 
     def is_usable(self, now_ms: float) -> bool:
-        """Returns whether new work may be sent to it."""
+        """Returns whether new work may be sent to it and had better be."""
+        return self.may_take_work() and now_ms >= self.open_until_ms
+
+    def may_take_work(self) -> bool:
+        """Returns whether new work may be sent to it, however it fares."""
         return (
             not self.draining
             and self.target.condition is condition.Condition.LIVE
-            and now_ms >= self.open_until_ms
         )
 
     def begin(self, attempt_id: str, work: OwnWork) -> None:
--- a/src/ruddergate/entry/config.py
+++ b/src/ruddergate/entry/config.py
@@ -22,6 +22,7 @@
         peer_key: Key shared by the system's own processes; empty without any.
         policy: Name of the routing policy.
         service_policy: Name of the routing policy for plain services.
+        tries_all: Whether targets that look bad are used when all do.
         stop_lag_ms: Time for the balancer to see that the entry stops.
         wake_gap_ms: A gap in time that counts as having been paused.
         wake_refresh_ms: Longest wait for a fresh view after a pause.
@@ -38,6 +39,7 @@
     peer_key: bytes = b""
     policy: str = by_name.DEFAULT
     service_policy: str = "least_requests"
+    tries_all: bool = False
     stop_lag_ms: float = 5_000.0
     wake_gap_ms: float = 2_000.0
     wake_refresh_ms: float = 3_000.0
--- a/src/ruddergate/entry/placement.py
+++ b/src/ruddergate/entry/placement.py
@@ -82,10 +82,12 @@
     Attributes:
         seat: Its place.
         failed: Whether the target is to blame.
+        unreachable: Whether not even a connection came up.
     """
 
     seat: Seat
     failed: bool
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -0,0 +1,225 @@
+"""One attempt to have a call that is passed on answered by one target."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+from ruddergate import outcomes
+from ruddergate import request as requests
+from ruddergate.decisions import length_band
+from ruddergate.entry import placement
+from ruddergate.entry import relay_progress
+from ruddergate.entry import reservation_keeper
+from ruddergate.entry import tools as tool_types
+from ruddergate.relay import answer as answers
+from ruddergate.relay import errand as errands
+from ruddergate.relay import orders
+from ruddergate.telemetry import logs
+
+# A connection to a target in reach is up in a few milliseconds; packets lost
+# on the way are sent again after a second, which is too late to wait for.
+CONNECT_TIMEOUT_MS = 250.0
+# Silence that a target is allowed before another one takes over, where the
+# route lets another one take over: times the aim, and at least so long.
+SILENCE_AIMS = 3.0
+SILENCE_LEAST_MS = 900.0
+# Where memory was refused, some may be free again after this time.
+_NO_MEMORY_RETRY_MS = 500.0
+# Urgency of the shortest prompts; plain calls and others follow behind.
+_URGENCY_FIRST = 3
+_NOT_THE_TARGETS_FAULT = (
+    outcomes.Reason.TIME_LIMIT,
+    outcomes.Reason.NO_MEMORY,
+)
+
+
+class RelayAttempt:
+    """One attempt; `run` yields its answer once.
+
+    Args:
+        request: The call.
+        placed: The target, and those that help it.
+        progress: Is brought up to date as the answer comes.
+        send: Sends the call.
+        keeper: Holds memory on the helpers.
+        tools: What the stages share.
+    """
+
+    def __init__(
+        self,
+        request: requests.Request,
+        placed: placement.Placed,
+        progress: relay_progress.Progress,
+        send: errands.Send,
+        keeper: reservation_keeper.ReservationKeeper,
+        tools: tool_types.Tools,
+    ) -> None:
+        self._request = request
+        self._seats = placed.seats
+        self._progress = progress
+        self._send = send
+        self._keeper = keeper
+        self._tools = tools
+        self._at_fault: set[str] = set()
+        self._is_unreachable = False
+        self._has_first = False
+
+    async def run(self) -> AsyncIterator[answers.Event]:
+        """Yields what the caller is to get, and at last how it ended."""
+        reservations = self._make_reservations()
+        _log_start(self._request, self._seats, self._progress, self._tools)
+        try:
+            missing = await self._keeper.take(
+                tuple(reservations.values()), self._request.request_id
+            )
+            if missing is not None:
+                yield self._give_up_memory(missing)
+                return
+            errand = self._make_errand(reservations)
+            traceparent = self._request.traceparent
+            with self._tools.tracer.span("attempt", traceparent):
+                async with contextlib.aclosing(self._send(errand)) as events:
+                    async for event in events:
+                        if self._note(event):
+                            yield event
+        finally:
+            self._keeper.give_back(tuple(reservations.values()))
+            self._post_ends()
+
+    def _give_up_memory(
+        self, missing: orders.Reservation
+    ) -> outcomes.NotServed:
+        """Returns the outcome; a reservation runs nothing, whatever happens."""
+        target_id = missing.target.target_id
+        self._progress.excluded |= {target_id}
+        return outcomes.refuse(
+            outcomes.Reason.NO_MEMORY,
+            f"{target_id} has no memory to set aside",
+            _NO_MEMORY_RETRY_MS,
+        )
+
+    def _note(self, event: answers.Event) -> bool:
+        """Takes an event in; returns whether it is to be handed on."""
+        match event:
+            case answers.LoadTold():
+                self._tools.scheduler.post(placement.Reported(event.report))
+                return False
+            case answers.FaultTold():
+                self._at_fault.add(event.target_id)
+                self._progress.excluded |= {event.target_id}
+                return False
+            case answers.StreamHead():
+                is_new = not self._progress.is_begun
+                self._progress.is_begun = True
+                return is_new
+            case answers.StreamEvents():
+                self._note_first()
+                self._progress.last_id = event.last_id
+            case outcomes.NotServed():
+                self._note_failure(event)
+        return True
+
+    def _note_failure(self, ended: outcomes.NotServed) -> None:
+        if ended.reason in _NOT_THE_TARGETS_FAULT or self._at_fault:
+            return
+        self._at_fault.add(self._seats[0].target.target_id)
+        self._is_unreachable = (
+            ended.reason is outcomes.Reason.TARGET_UNREACHABLE
+        )
+
+    def _note_first(self) -> None:
+        if self._has_first:
+            return
+        self._has_first = True
+        request = self._request
+        took_ms = self._tools.outside.now_ms() - request.arrived_ms
+        self._tools.metrics.note_first_token(request.prompt_tokens, took_ms)
+        for seat in self._seats:
+            self._tools.scheduler.post(placement.FirstToken(seat, "", 0))
+
+    def _post_ends(self) -> None:
+        for seat in self._seats:
+            failed = seat.target.target_id in self._at_fault
+            self._tools.scheduler.post(
+                placement.Ended(seat, failed, failed and self._is_unreachable)
+            )
+
+    def _make_reservations(self) -> dict[str, orders.Reservation]:
+        """Returns the memory to set aside on helpers, by target."""
+        owner = f"{self._tools.config.vm_id}.{self._tools.incarnation}"
+        return {
+            seat.target.target_id: orders.Reservation(
+                seat.target, f"{owner}.{seat.attempt_id}", seat.held_tokens
+            )
+            for seat in self._seats[1:]
+            if seat.held_tokens
+        }
+
+    def _make_errand(
+        self, reservations: dict[str, orders.Reservation]
+    ) -> errands.Errand:
+        request = self._request
+        return errands.Errand(
+            payload=request.payload,
+            target=self._seats[0].target,
+            workspace=request.workload.workspace,
+            deadline_ms=request.deadline_ms,
+            urgency=_find_urgency(request),
+            resume_after=self._progress.last_id,
+            helpers=tuple(
+                _make_helper(seat, reservations) for seat in self._seats[1:]
+            ),
+            patience=self._find_patience(),
+        )
+
+    def _find_patience(self) -> errands.Patience:
+        """Returns how long silence is borne; to the end for what runs once."""
+        request = self._request
+        route = request.payload.route
+        left_ms = request.remaining_ms(self._tools.outside.now_ms())
+        if not route.repeatable:
+            return errands.Patience(CONNECT_TIMEOUT_MS, left_ms, left_ms)
+        return errands.Patience(
+            CONNECT_TIMEOUT_MS,
+            max(SILENCE_LEAST_MS, SILENCE_AIMS * route.aim_ms),
+            max(SILENCE_LEAST_MS, SILENCE_AIMS * route.gap_aim_ms),
+        )
+
+
+def _make_helper(
+    seat: placement.Seat, reservations: dict[str, orders.Reservation]
+) -> errands.Helper:
+    held = reservations.get(seat.target.target_id)
+    return errands.Helper(seat.target.address, held.name if held else "")
+
+
+def _find_urgency(request: requests.Request) -> int:
+    """Lets shorter prompts in before longer ones."""
+    return _URGENCY_FIRST + length_band.find_band(request.prompt_tokens)
+
+
+def _log_start(
+    request: requests.Request,
+    seats: tuple[placement.Seat, ...],
+    progress: relay_progress.Progress,
+    tools: tool_types.Tools,
+) -> None:
+    now_ms = tools.outside.now_ms()
+    seat = seats[0]
+    tools.metrics.note_wait(request.prompt_tokens, now_ms - request.arrived_ms)
+    logs.make_logger("attempt").info(
+        "Attempt begins at {}.",
+        seat.target.target_id,
+        request_id=request.request_id,
+        route=request.payload.route.name,
+        pool=seat.target.pool,
+        hall=seat.target.hall,
+        prompt_tokens=request.prompt_tokens,
+        helpers=[each.target.target_id for each in seats[1:]],
+        believed=seat.believed,
+        resume_after=progress.last_id,
+        sent=progress.sent,
+        waited_ms=round(now_ms - request.arrived_ms),
+        left_ms=round(request.remaining_ms(now_ms)),
+        revision=request.workload.revision,
+        view_age_ms=round(tools.view.age_ms(now_ms)),
+    )
--- /dev/null
+++ b/src/ruddergate/entry/relay_progress.py
@@ -0,0 +1,29 @@
+"""How far a call that is passed on has come, over all its attempts."""
+
+import dataclasses
+
+from ruddergate import outcomes
+from ruddergate.relay import answer as answers
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What the attempts of one call leave behind.
+
+    Attributes:
+        last_id: Id of the last event that the caller has, or empty.
+        ran: What all attempts together say about having run.
+        sent: Targets that were sent the call.
+        unreachable: Tries that ended before anything was sent.
+        is_begun: Whether the caller has the answer's head.
+        excluded: Targets that are not to be tried again.
+        answer: A target's own failure, handed on if nothing better comes.
+    """
+
+    last_id: str
+    ran: outcomes.Ran = outcomes.Ran.NOT_RUN
+    sent: int = 0
+    unreachable: int = 0
+    is_begun: bool = False
+    excluded: frozenset[str] = frozenset()
+    answer: answers.WholeAnswer | None = None
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -15,30 +15,20 @@
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.entry import model_run
 from ruddergate.entry import placement
+from ruddergate.entry import relay_attempt
+from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import tools as tool_types
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
-from ruddergate.relay import orders
 from ruddergate.telemetry import logs
 
-# A connection to a target in reach is up in a few milliseconds; packets lost
-# on the way are sent again after a second, which is too late to wait for.
-CONNECT_TIMEOUT_MS = 500.0
 # Targets tried for a connection, besides those that were sent the call.
-UNREACHABLE_MAX = 4
-_NOT_THE_TARGETS_FAULT = (
-    outcomes.Reason.TIME_LIMIT,
-    outcomes.Reason.NO_MEMORY,
-)
+UNREACHABLE_MAX = 8
 _NOTHING_SENT = (
     outcomes.Reason.TARGET_UNREACHABLE,
     outcomes.Reason.NO_MEMORY,
 )
-# Silence that a target is allowed before another one takes over, where the
-# route lets another one take over: times the aim, and at least so long.
-SILENCE_AIMS = 3.0
-SILENCE_LEAST_MS = 900.0
 # What a target that fails with its own 5xx says is the answer; from here on a
 # repeatable call is worth another try.
 _SERVER_ERROR = 500
@@ -48,19 +38,6 @@
 _NO_TARGET_RETRY_MS = 500.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far a call has come, over all its attempts."""
-
-    last_id: str
-    ran: outcomes.Ran = outcomes.Ran.NOT_RUN
-    sent: int = 0
-    unreachable: int = 0
-    is_begun: bool = False
-    excluded: frozenset[str] = frozenset()
-    answer: answers.WholeAnswer | None = None
-
-
 async def run(
     request: requests.Request,
     send: errands.Send,
@@ -68,7 +45,7 @@
     tools: tool_types.Tools,
 ) -> AsyncIterator[answers.Event]:
     """Yields the answer in order, each event once; the last tells the end."""
-    progress = _Progress(request.payload.last_event)
+    progress = relay_progress.Progress(request.payload.last_event)
     tools.budget.note_first_attempt()
     while True:
         placed = await _place(request, progress, tools)
@@ -76,8 +53,10 @@
             yield _conclude(placed, progress)
             return
         ended: answers.Event | None = None
-        attempt = _attempt(request, placed, progress, send, keeper, tools)
-        async with contextlib.aclosing(attempt) as events:
+        attempt = relay_attempt.RelayAttempt(
+            request, placed, progress, send, keeper, tools
+        )
+        async with contextlib.aclosing(attempt.run()) as events:
             async for event in events:
                 if isinstance(event, answers.StreamHead | answers.StreamEvents):
                     yield event
@@ -92,133 +71,11 @@
             return
 
 
-async def _attempt(
-    request: requests.Request,
-    placed: placement.Placed,
-    progress: _Progress,
-    send: errands.Send,
-    keeper: reservation_keeper.ReservationKeeper,
-    tools: tool_types.Tools,
-) -> AsyncIterator[answers.Event]:
-    """Sends the call to one target and follows its answer."""
-    reservations = _make_reservations(placed, tools)
-    _log_start(request, placed, progress, tools)
-    failed = False
-    is_first = True
-    try:
-        missing = await keeper.take(
-            tuple(reservations.values()), request.request_id
-        )
-        if missing is not None:
-            progress.excluded |= {missing.target.target_id}
-            # A reservation runs nothing, whatever became of it.
-            yield outcomes.refuse(
-                outcomes.Reason.NO_MEMORY,
-                f"{missing.target.target_id} has no memory to set aside",
-                _NO_TARGET_RETRY_MS,
-            )
-            return
-        errand = _make_errand(request, placed, reservations, progress, tools)
-        with tools.tracer.span("attempt", request.traceparent):
-            async with contextlib.aclosing(send(errand)) as events:
-                async for event in events:
-                    if isinstance(event, answers.LoadTold):
-                        tools.scheduler.post(placement.Reported(event.report))
-                        continue
-                    if is_first and isinstance(event, answers.StreamEvents):
-                        is_first = False
-                        _note_first(request, placed, tools)
-                    if isinstance(event, answers.StreamEvents):
-                        progress.last_id = event.last_id
-                    if isinstance(event, answers.StreamHead):
-                        if progress.is_begun:
-                            continue
-                        progress.is_begun = True
-                    failed = _is_targets_fault(event)
-                    yield event
-    finally:
-        keeper.give_back(tuple(reservations.values()))
-        for index, seat in enumerate(placed.seats):
-            is_main = index == 0
-            tools.scheduler.post(placement.Ended(seat, failed and is_main))
-
-
-def _is_targets_fault(event: answers.Event) -> bool:
-    return isinstance(event, outcomes.NotServed) and (
-        event.reason not in _NOT_THE_TARGETS_FAULT
-    )
-
-
-def _make_reservations(
-    placed: placement.Placed, tools: tool_types.Tools
-) -> dict[str, orders.Reservation]:
-    """Returns the memory to set aside on helpers, by target."""
-    return {
-        seat.target.target_id: orders.Reservation(
-            seat.target,
-            f"{tools.config.vm_id}.{tools.incarnation}.{seat.attempt_id}",
-            seat.held_tokens,
-        )
-        for seat in placed.seats[1:]
-        if seat.held_tokens
-    }
-
-
-def _make_helper(
-    seat: placement.Seat, reservations: dict[str, orders.Reservation]
-) -> errands.Helper:
-    held = reservations.get(seat.target.target_id)
-    return errands.Helper(seat.target.address, held.name if held else "")
-
-
-def _make_errand(
-    request: requests.Request,
-    placed: placement.Placed,
-    reservations: dict[str, orders.Reservation],
-    progress: _Progress,
-    tools: tool_types.Tools,
-) -> errands.Errand:
-    route = request.payload.route
-    left_ms = request.remaining_ms(tools.outside.now_ms())
-    first_ms = gap_ms = left_ms
-    if route.repeatable:
-        first_ms = max(SILENCE_LEAST_MS, SILENCE_AIMS * route.aim_ms)
-        gap_ms = max(SILENCE_LEAST_MS, SILENCE_AIMS * route.gap_aim_ms)
-    return errands.Errand(
-        payload=request.payload,
-        target=placed.seats[0].target,
-        workspace=request.workload.workspace,
-        deadline_ms=request.deadline_ms,
-        urgency=_find_urgency(request),
-        resume_after=progress.last_id,
-        helpers=tuple(
-            _make_helper(seat, reservations) for seat in placed.seats[1:]
-        ),
-        patience=errands.Patience(CONNECT_TIMEOUT_MS, first_ms, gap_ms),
-    )
-
-
-def _find_urgency(request: requests.Request) -> int:
-    """Lets shorter prompts in before longer ones."""
-    return 3 + length_band.find_band(request.prompt_tokens)
-
-
-def _note_first(
-    request: requests.Request,
-    placed: placement.Placed,
-    tools: tool_types.Tools,
-) -> None:
-    took_ms = tools.outside.now_ms() - request.arrived_ms
-    tools.metrics.note_first_token(request.prompt_tokens, took_ms)
-    for seat in placed.seats:
-        tools.scheduler.post(placement.FirstToken(seat, "", 0))
-
-
 async def _decide(
     request: requests.Request,
     placed: placement.Placed,
     ended: answers.Event | None,
-    progress: _Progress,
+    progress: relay_progress.Progress,
     tools: tool_types.Tools,
 ) -> answers.Event | None:
     """Returns the final event, or None after the pause for a retry."""
@@ -265,39 +122,11 @@
     return None
 
 
-def _log_start(
-    request: requests.Request,
-    placed: placement.Placed,
-    progress: _Progress,
-    tools: tool_types.Tools,
-) -> None:
-    now_ms = tools.outside.now_ms()
-    seat = placed.seats[0]
-    tools.metrics.note_wait(request.prompt_tokens, now_ms - request.arrived_ms)
-    logs.make_logger("attempt").info(
-        "Attempt begins at {}.",
-        seat.target.target_id,
-        request_id=request.request_id,
-        route=request.payload.route.name,
-        pool=seat.target.pool,
-        hall=seat.target.hall,
-        prompt_tokens=request.prompt_tokens,
-        helpers=[each.target.target_id for each in placed.seats[1:]],
-        believed=seat.believed,
-        resume_after=progress.last_id,
-        sent=progress.sent,
-        waited_ms=round(now_ms - request.arrived_ms),
-        left_ms=round(request.remaining_ms(now_ms)),
-        revision=request.workload.revision,
-        view_age_ms=round(tools.view.age_ms(now_ms)),
-    )
-
-
 def _log_attempt(
     request: requests.Request,
     seat: placement.Seat,
     ended: outcomes.NotServed,
-    progress: _Progress,
+    progress: relay_progress.Progress,
     tools: tool_types.Tools,
 ) -> None:
     logs.make_logger("attempt").info(
@@ -315,7 +144,7 @@
 
 
 def _conclude(
-    ended: outcomes.NotServed, progress: _Progress
+    ended: outcomes.NotServed, progress: relay_progress.Progress
 ) -> answers.WholeAnswer | outcomes.NotServed:
     """Tells of all attempts, or hands on what a target itself answered."""
     if progress.answer is not None and not progress.is_begun:
@@ -326,7 +155,7 @@
 
 async def _place(
     request: requests.Request,
-    progress: _Progress,
+    progress: relay_progress.Progress,
     tools: tool_types.Tools,
 ) -> placement.Placed | outcomes.NotServed:
     now_ms = tools.outside.now_ms()
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -16,13 +16,16 @@
 from ruddergate.decisions import length_band
 from ruddergate.decisions import pause_class
 from ruddergate.decisions import queueing
+from ruddergate.decisions import reachability
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
 from ruddergate.entry import placement
 from ruddergate.entry import view as views
 from ruddergate.fleet import dispatched
 from ruddergate.fleet import load_report
+from ruddergate.fleet import target as targets
 from ruddergate.messages import loads as load_messages
+from ruddergate.telemetry import logs
 
 # With requests waiting, targets are looked at this often.
 _TICK_MS = 20.0
@@ -81,6 +84,8 @@
         self._by_pool: dict[str, list[estimates.Estimate]] = {}
         self._ticked_ms = outside.now_ms()
         self._held_until_ms = 0.0
+        self._reachability = reachability.Reachability()
+        self._log = logs.make_logger("scheduler")
         self._lane_rests_until_ms: dict[queueing.Lane, float] = {}
 
     def post(self, message: Message) -> None:
@@ -212,8 +217,19 @@
             return
         if estimate.end(message.seat.attempt_id):
             self._note_long()
+        target = message.seat.target
+        if message.unreachable:
+            self._note_missed(target, now_ms)
         if message.failed:
             estimate.note_fault(now_ms)
+        else:
+            self._reachability.note_reached(target.hall)
+
+    def _note_missed(self, target: targets.Target, now_ms: float) -> None:
+        if self._reachability.note_missed(
+            target.hall, target.target_id, now_ms
+        ):
+            self._log.warning("Hall {} is out of reach.", target.hall)
 
     def _take_report(
         self, report: load_report.LoadReport, now_ms: float
@@ -297,11 +313,7 @@
             for lane, until_ms in self._lane_rests_until_ms.items()
             if now_ms < until_ms
         }
-        usable = [
-            each
-            for each in self._by_pool.get(pool, [])
-            if each.is_usable(now_ms)
-        ]
+        usable = self._find_usable(pool, now_ms)
         while usable and (job := queue.take(now_ms, closed)) is not None:
             asked = self._asked[job.job_id]
             seats = self._seat(asked, usable, now_ms)
@@ -319,6 +331,27 @@
             else:
                 asked.reply.set_result(placed)
 
+    def _find_usable(
+        self, pool: str, now_ms: float
+    ) -> list[estimates.Estimate]:
+        """Returns the targets to choose from.
+
+        When all look bad, this VM is more likely at fault than all of them, and
+        any that may take work is better than none.
+        """
+        known = [
+            each for each in self._by_pool.get(pool, []) if each.may_take_work()
+        ]
+        good = [
+            each
+            for each in known
+            if each.is_usable(now_ms)
+            and not self._reachability.is_suspect(each.target.hall, now_ms)
+        ]
+        if good or not self._config.tries_all:
+            return good
+        return known
+
     def _seat(
         self,
         asked: placement.Place,
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
 from typing import TypeVar
 
 from ruddergate import environment
@@ -19,6 +21,13 @@
 _REDIRECTION = 300
 _OK = 200
 
+# When a target had no room, another or the same one soon has.
+_RETRY_MS = 200.0
+# A timer this late means that the process did not run meanwhile.
+_STOPPED_MS = 150.0
+# Time for what has arrived meanwhile to be read.
+_LOOK_AGAIN_MS = 100.0
+
 T = TypeVar("T")
 
 
@@ -84,13 +93,16 @@
     until_ms = min(
         errand.deadline_ms, outside.now_ms() + errand.patience.first_ms
     )
-    fault = await _wait(exchange.read_head(), outside, until_ms, errand)
+    fault = await _wait(exchange.read_head, outside, until_ms, errand)
     if fault is not None:
         yield _make_lost(fault) if isinstance(fault, client.Fault) else fault
         return
     told = _read_load(errand, exchange)
     if told is not None:
         yield told
+    at_fault = exchange.headers.get(headers.AT_FAULT, "")
+    if at_fault and at_fault != errand.target.target_id:
+        yield answers.FaultTold(at_fault)
     wrong = _check_head(errand, exchange)
     if wrong is not None:
         yield wrong
@@ -103,25 +115,56 @@
 
 
 async def _wait(
-    awaited: Awaitable[T],
+    read: Callable[[], Awaitable[T]],
     outside: environment.Environment,
     until_ms: float,
     errand: errands.Errand,
 ) -> T | outcomes.NotServed:
-    """Waits until a time; tells a deadline from a target's silence."""
+    """Waits until a time; tells a deadline from a target's silence.
+
+    A process that was stopped meanwhile wakes after that time with the answer
+    perhaps already there, so it looks once more before it blames the target.
+    """
+    found = await _read_until(read, outside, until_ms)
+    late_ms = outside.now_ms() - until_ms
+    if isinstance(found, _Nothing) and late_ms > _STOPPED_MS:
+        again_ms = outside.now_ms() + _LOOK_AGAIN_MS
+        found = await _read_until(read, outside, again_ms)
+    if not isinstance(found, _Nothing):
+        return found
+    if outside.now_ms() >= errand.deadline_ms:
+        return _make_time_limit()
+    return outcomes.NotServed(
+        outcomes.Reason.TARGET_LOST,
+        outcomes.Ran.UNKNOWN,
+        "the target was silent for too long",
+    )
+
+
+def _make_time_limit() -> outcomes.NotServed:
+    return outcomes.NotServed(
+        outcomes.Reason.TIME_LIMIT,
+        outcomes.Ran.UNKNOWN,
+        "time was up before the answer was whole",
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Nothing:
+    """Nothing came in time."""
+
+
+async def _read_until(
+    read: Callable[[], Awaitable[T]],
+    outside: environment.Environment,
+    until_ms: float,
+) -> T | _Nothing:
     left_ms = max(0.0, until_ms - outside.now_ms())
     try:
         async with asyncio.timeout(left_ms / 1000.0):
-            return await awaited
+            return await read()
     except TimeoutError:
-        pass
-    if outside.now_ms() >= errand.deadline_ms:
-        reason = outcomes.Reason.TIME_LIMIT
-        detail = "time was up before the answer was whole"
-    else:
-        reason = outcomes.Reason.TARGET_LOST
-        detail = "the target was silent for too long"
-    return outcomes.NotServed(reason, outcomes.Ran.UNKNOWN, detail)
+        return _Nothing()
 
 
 def _make_lost(fault: client.Fault) -> outcomes.NotServed:
@@ -184,11 +227,13 @@
     errand: errands.Errand,
     exchange: client.Exchange,
 ) -> answers.Event:
-    body = await _wait(exchange.read_all(), outside, errand.deadline_ms, errand)
+    # What was read of a body is gone when reading is given up, so this looks
+    # only once.
+    body = await _read_until(exchange.read_all, outside, errand.deadline_ms)
+    if isinstance(body, _Nothing):
+        return _make_time_limit()
     if isinstance(body, client.Fault):
         return _make_lost(body)
-    if isinstance(body, outcomes.NotServed):
-        return body
     fields = headers.select_for_caller(exchange.fields)
     return answers.WholeAnswer(exchange.status, fields, body)
 
@@ -202,7 +247,7 @@
     splitter = event_splitter.EventSplitter()
     is_begun = False
     while True:
-        part = await _wait(exchange.read_part(), outside, until_ms, errand)
+        part = await _wait(exchange.read_part, outside, until_ms, errand)
         if isinstance(part, client.Fault):
             yield _make_lost(part)
             return
@@ -235,7 +280,3 @@
         outcomes.Ran.UNKNOWN,
         "the stream ended within an event",
     )
-
-
-# When a target had no room, another or the same one soon has.
-_RETRY_MS = 200.0
--- a/src/ruddergate/relay/answer.py
+++ b/src/ruddergate/relay/answer.py
@@ -60,12 +60,24 @@
     report: load_report.LoadReport
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultTold:
+    """A target told that another one was at fault, which helped it.
+
+    Attributes:
+        target_id: The one at fault.
+    """
+
+    target_id: str
+
+
 Event = (
     WholeAnswer
     | StreamHead
     | StreamEvents
     | StreamEnd
     | LoadTold
+    | FaultTold
     | outcomes.NotServed
 )
 """The last event is a WholeAnswer, a StreamEnd or a NotServed."""
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -152,6 +152,7 @@
             listen=environment.Address(node.name, FRONT_PORT),
             policy="by_region",
             service_policy="least_recent",
+            tries_all=True,
         )
         gateway = gateways.Gateway(
             outside,
