Soak real gateways behind proxies that misbehave

Cause: tests in virtual time can't show what the operating system does to connections, signals and a process's end. Change: python -m standins.soak starts gateways as processes; the store, the replicas and callers that keep their connections stand behind proxies that delay, reset, cut one way and silence; gateways are paused, stopped, killed and started in series that overlap.

--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -23,6 +23,8 @@
 # A VM without work on targets says so only in every so many rounds, well within
 # the time for which a digest counts.
 _IDLE_ROUNDS = 5
+# A port that another process holds is tried again after this time.
+_BIND_AGAIN_MS = 2_000.0
 # Digests that come this close together are added up at once.
 _GATHER_MS = 3.0
 # Seeds that are not known as peers are written to in every so many rounds.
@@ -67,7 +69,7 @@
 
     async def run(self) -> None:
         """Sends a digest in each round until cancelled."""
-        port = await self._outside.bind(self._take, self._config.listen)
+        port = await self._bind()
         try:
             while True:
                 self._soon.clear()
@@ -76,6 +78,15 @@
         finally:
             port.close()
 
+    async def _bind(self) -> environment.DatagramPort:
+        """Takes the port, whenever it is free; callers are served meanwhile."""
+        while True:
+            try:
+                return await self._outside.bind(self._take, self._config.listen)
+            except OSError as error:
+                self._log.error("No port for peers' datagrams. {}", error)
+            await asyncio.sleep(_BIND_AGAIN_MS / 1000.0)
+
     def hurry(self) -> None:
         """Has the next digest sent at once."""
         self._soon.set()
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import os
 import random
@@ -115,7 +116,10 @@
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             _notice_dead_peers(writer)
-            await handler(reader, writer)
+            # When the process ends, open connections end with it; asyncio
+            # would report each of them as a fault.
+            with contextlib.suppress(asyncio.CancelledError):
+                await handler(reader, writer)
 
         return await asyncio.start_server(
             accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -102,7 +102,7 @@
     ) -> None:
         address = environment.Address(call.vm, gateway_cluster.FRONT_PORT)
         exchange = await client.start(
-            self._outside, address, _make_request(call), 1_000.0
+            self._outside, address, make_request(call), 1_000.0
         )
         if isinstance(exchange, client.Fault):
             return
@@ -127,7 +127,8 @@
             exchange.close()
 
 
-def _make_request(call: Call) -> message.OutgoingRequest:
+def make_request(call: Call) -> message.OutgoingRequest:
+    """Returns a call as HTTP."""
     headers = {
         "x-attempt-id": call.request_id,
         "x-deadline-ms": str(int(call.time_limit_ms)),
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -139,7 +139,8 @@
     def publish(self, **changes: object) -> None:
         """Publishes the next revision of the configuration."""
         self.revision += 1
-        self.store.put("op/config", make_configuration(self, **changes))
+        document = make_configuration(self.keys, self.revision)
+        self.store.put("op/config", {**document, **changes})
 
     def start_vm(self, node: Node) -> None:
         """Starts a gateway's process, for the first time or again."""
@@ -279,13 +280,13 @@
 
 
 def make_configuration(
-    cluster: GatewayCluster, **changes: object
+    keys: dict[str, list[str]], revision: int
 ) -> dict[str, object]:
-    """Returns the configuration of a cluster, with changes to its top."""
+    """Returns a configuration with keys by workspace."""
     stream = {"route-type": "streaming", "resumable": True, "max-attempts": 2}
     figures = pass_engine.Figures()
-    document = {
-        "config-version": cluster.revision,
+    return {
+        "config-version": revision,
         "routes": [
             _make_route("short", "engines", 300, 10_000, 200, **stream),
             _make_route("long", "engines", 3_000, 15_000, 800, **stream),
@@ -323,11 +324,10 @@
             {"name": "notices"},
         ],
         "tenants": [
-            {"name": name, "api-keys": keys, "priority": 1}
-            for name, keys in cluster.keys.items()
+            {"name": name, "api-keys": own, "priority": 1}
+            for name, own in keys.items()
         ],
     }
-    return {**document, **changes}
 
 
 def _make_route(
--- a/standins/gateway_promises.py
+++ b/standins/gateway_promises.py
@@ -1,6 +1,8 @@
 """Checks the promises to callers against what replicas ran."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from standins import gateway_caller
 from standins import gateway_cluster
@@ -18,9 +20,28 @@
     cluster: gateway_cluster.GatewayCluster,
     all_got: Iterable[gateway_caller.Got],
 ) -> list[str]:
-    """Returns a sentence for each promise that was broken."""
+    """Returns a sentence for each promise that was broken in a cluster."""
+    return find_broken_by(
+        cluster.all_replicas,
+        all_got,
+        lambda got: _was_disturbed(got, cluster),
+    )
+
+
+def find_broken_by(
+    replicas: Sequence[platform_replica.PlatformReplica],
+    all_got: Iterable[gateway_caller.Got],
+    was_disturbed: Callable[[gateway_caller.Got], bool],
+) -> list[str]:
+    """Returns a sentence for each promise that was broken.
+
+    Args:
+        replicas: Every incarnation that ran.
+        all_got: What callers got.
+        was_disturbed: Whether the VM of a call could not answer meanwhile.
+    """
     runs: dict[str, list[platform_replica.Run]] = {}
-    for replica in cluster.all_replicas:
+    for replica in replicas:
         for run in replica.runs:
             runs.setdefault(run.request_id, []).append(run)
     broken = []
@@ -28,9 +49,9 @@
         found = runs.get(got.call.request_id, [])
         broken += [
             f"{got.call.request_id} ({got.call.route}): {each}"
-            for each in _check(got, found, cluster)
+            for each in _check(got, found, was_disturbed)
         ]
-    for replica in cluster.all_replicas:
+    for replica in replicas:
         if replica.held_tokens():
             broken.append(f"{replica.name} still holds memory")
     return broken
@@ -39,7 +60,7 @@
 def _check(
     got: gateway_caller.Got,
     runs: list[platform_replica.Run],
-    cluster: gateway_cluster.GatewayCluster,
+    was_disturbed: Callable[[gateway_caller.Got], bool],
 ) -> Iterable[str]:
     if got.call.route not in _REPEATABLE and len(runs) > 1:
         yield f"ran {len(runs)} times"
@@ -52,7 +73,7 @@
         yield from _check_body(got)
     limit_ms = min(got.call.time_limit_ms, 15_000.0)
     is_late = got.status and got.took_ms > limit_ms + _LATE_MS
-    if is_late and not _was_disturbed(got, cluster):
+    if is_late and not was_disturbed(got):
         yield f"ended after {got.took_ms:.0f} ms"
 
 
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,365 @@
+"""A randomized soak: real gateways as processes, faults from outside them.
+
+`python -m standins.soak --first 1 --count 50` plays many seeds and prints those
+whose promises were broken. The store, the replicas and the callers run in this
+process; everything between them goes through proxies on loopback. Only the
+gateways that it started are stopped, paused and killed, by their ids.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import cyclopts
+import loguru
+
+from ruddergate import environment
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import gateway_promises
+from standins import pass_engine
+from standins import platform_replica
+from standins import platform_store
+from standins import soak_caller
+from standins import soak_proxy
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_START_S = 2.0
+_PLAY_S = 6.0
+# The last calls end, and what was set aside lapses by itself.
+_SETTLE_S = 4.0
+_GRACE_S = 3.0
+_ROUTES = ("short", "short", "long", "once", "unsafe", "safe")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sizes:
+    """How much runs in one seed."""
+
+    gateways: int = 2
+    engines: int = 4
+    services: int = 3
+    callers: int = 8
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed: int, sizes: Sizes, folder: pathlib.Path) -> None:
+        self._chance = random.Random(seed)
+        self._sizes = sizes
+        self._folder = folder
+        self._outside = environment.make_system_environment()
+        self._store = platform_store.PlatformStore()
+        self._proxies: list[soak_proxy.Proxy] = []
+        self._replicas: list[platform_replica.PlatformReplica] = []
+        self._gateways: list[asyncio.subprocess.Process] = []
+        self._commands: list[list[str]] = []
+        self._fronts: list[int] = []
+        self._ending: set[int] = set()
+        self._got: list[gateway_caller.Got] = []
+        self._revision = 0
+
+    async def play(self) -> tuple[list[str], dict[int, int]]:
+        """Returns broken promises and counts of statuses."""
+        await self._start()
+        until_s = time.monotonic() + _PLAY_S
+        calls = [
+            asyncio.ensure_future(self._call_on(number, until_s))
+            for number in range(self._sizes.callers)
+        ]
+        faults = [
+            asyncio.ensure_future(self._disturb_on(until_s)) for _ in range(2)
+        ]
+        await asyncio.gather(*calls, *faults)
+        for proxy in self._proxies:
+            proxy.mode = soak_proxy.Mode.PASS
+        await asyncio.sleep(_SETTLE_S)
+        await self._end()
+        counts: dict[int, int] = {}
+        for got in self._got:
+            counts[got.status] = counts.get(got.status, 0) + 1
+        broken = gateway_promises.find_broken_by(
+            self._replicas, self._got, self._was_disturbed
+        )
+        return broken, counts
+
+    def _was_disturbed(self, got: gateway_caller.Got) -> bool:
+        # Everything goes through proxies, any of which may hold bytes back, so
+        # lateness tells nothing here; schedules in virtual time check it.
+        return True
+
+    async def _start(self) -> None:
+        store_port = await self._serve(self._store.make_handler())
+        store = await self._add_proxy(store_port)
+        self._publish()
+        engines: dict[str, platform_replica.PlatformReplica] = {}
+        for number in range(self._sizes.engines + self._sizes.services):
+            is_engine = number < self._sizes.engines
+            await self._add_replica(number, is_engine, engines)
+        ports = _find_free_ports(self._sizes.gateways * 4)
+        for number in range(self._sizes.gateways):
+            own = ports[number * 4 : number * 4 + 4]
+            self._fronts.append((await self._add_proxy(own[0])).port)
+            self._commands.append(_make_command(number, own, ports, store.port))
+            self._gateways.append(await self._run_gateway(number))
+        await asyncio.sleep(_START_S)
+
+    async def _serve(self, handler: environment.StreamHandler) -> int:
+        server = await asyncio.start_server(handler, "127.0.0.1")
+        return server.sockets[0].getsockname()[1]
+
+    async def _add_proxy(self, port: int) -> soak_proxy.Proxy:
+        proxy = soak_proxy.Proxy(port)
+        await proxy.start()
+        self._proxies.append(proxy)
+        return proxy
+
+    async def _add_replica(
+        self,
+        number: int,
+        is_engine: bool,
+        engines: dict[str, platform_replica.PlatformReplica],
+    ) -> None:
+        figures = pass_engine.Figures() if is_engine else None
+        replica = platform_replica.PlatformReplica(
+            f"replica-{number}", self._outside, figures, engines
+        )
+        self._replicas.append(replica)
+        port = await self._serve(replica.make_handler())
+        proxy = await self._add_proxy(port)
+        engines[f"127.0.0.1:{proxy.port}"] = replica
+        if replica.engine is not None:
+            asyncio.ensure_future(replica.engine.run())
+        self._store.put(
+            f"servers/{replica.name}",
+            {
+                "service": "engines" if is_engine else "notices",
+                "address": f"127.0.0.1:{proxy.port}",
+                "zone": f"hall-{number % 2}",
+                "slots": 8,
+                "state": "ready",
+            },
+        )
+
+    def _publish(self) -> None:
+        self._revision += 1
+        document = gateway_cluster.make_configuration(
+            {"w1": [gateway_cluster.KEY]}, self._revision
+        )
+        self._store.put("op/config", document)
+
+    async def _run_gateway(self, number: int) -> asyncio.subprocess.Process:
+        log = open(self._folder / f"gateway-{number}.log", "ab")  # noqa: SIM115
+        return await asyncio.create_subprocess_exec(
+            *self._commands[number], stdout=log, stderr=log, cwd=_ROOT
+        )
+
+    async def _call_on(self, caller: int, until_s: float) -> None:
+        kept = soak_caller.KeptCaller(self._fronts[caller % len(self._fronts)])
+        number = 0
+        while time.monotonic() < until_s:
+            number += 1
+            call = self._make_call(f"c{caller}.{number}")
+            self._got.append(await kept.send(call))
+            await asyncio.sleep(self._chance.uniform(0.0, 0.15))
+        kept.close()
+
+    def _make_call(self, request_id: str) -> gateway_caller.Call:
+        route = self._chance.choice(_ROUTES)
+        prompt = {"short": 5_000, "once": 3_000}.get(route, 0)
+        if route == "long":
+            prompt = self._chance.choice((45_000, 120_000, 600_000))
+        return gateway_caller.Call(
+            request_id,
+            route,
+            "",
+            prompt_tokens=prompt,
+            output_tokens=self._chance.randrange(50, 600) if prompt else 0,
+            time_limit_ms=4_000.0,
+            leaves_after_ms=self._chance.choice((None,) * 6 + (300.0,)),
+        )
+
+    async def _disturb_on(self, until_s: float) -> None:
+        """Plays faults in series; two of these overlap."""
+        faults = (
+            self._trouble_proxy,
+            self._trouble_proxy,
+            self._spoil_replica,
+            self._pause_gateway,
+            self._kill_gateway,
+            self._stop_gateway,
+            self._change_settings,
+        )
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self._chance.uniform(0.1, 0.8))
+            await self._chance.choice(faults)()
+
+    async def _trouble_proxy(self) -> None:
+        proxy = self._chance.choice(self._proxies)
+        if self._chance.random() < 0.4:
+            proxy.reset_all()
+            return
+        proxy.mode = self._chance.choice(list(soak_proxy.Mode))
+        await asyncio.sleep(self._chance.uniform(0.2, 1.5))
+        proxy.mode = soak_proxy.Mode.PASS
+
+    async def _spoil_replica(self) -> None:
+        wrong = self._chance.choice(self._replicas).wrong
+        name = self._chance.choice(
+            ("refuse", "fail", "lose", "break_off", "unsigned", "foreign")
+        )
+        setattr(wrong, name, self._chance.uniform(0.3, 1.0))
+        await asyncio.sleep(self._chance.uniform(0.3, 1.5))
+        setattr(wrong, name, 0.0)
+
+    async def _pause_gateway(self) -> None:
+        process = self._chance.choice(self._gateways)
+        if _signal(process, signal.SIGSTOP):
+            await asyncio.sleep(self._chance.uniform(0.2, 2.0))
+            _signal(process, signal.SIGCONT)
+
+    async def _kill_gateway(self) -> None:
+        number = self._chance.randrange(len(self._gateways))
+        await self._end_gateway(number, signal.SIGKILL)
+
+    async def _stop_gateway(self) -> None:
+        number = self._chance.randrange(len(self._gateways))
+        _signal(self._gateways[number], signal.SIGHUP)
+        await self._end_gateway(number, signal.SIGTERM)
+
+    async def _end_gateway(self, number: int, how: signal.Signals) -> None:
+        if number in self._ending:
+            # It is on its way out: another signal, but one new start.
+            _signal(self._gateways[number], how)
+            return
+        self._ending.add(number)
+        process = self._gateways[number]
+        _signal(process, how)
+        try:
+            await asyncio.wait_for(process.wait(), _GRACE_S)
+        except TimeoutError:
+            _signal(process, signal.SIGKILL)
+            await process.wait()
+        self._gateways[number] = await self._run_gateway(number)
+        self._ending.discard(number)
+
+    async def _change_settings(self) -> None:
+        self._publish()
+        if self._chance.random() < 0.5:
+            self._store.forget_history()
+        self._store.trouble = self._chance.choice(("", "busy", "reset"))
+        await asyncio.sleep(self._chance.uniform(0.1, 1.0))
+        self._store.trouble = ""
+
+    async def _end(self) -> None:
+        for process in self._gateways:
+            _signal(process, signal.SIGCONT)
+            _signal(process, signal.SIGKILL)
+            await process.wait()
+        for proxy in self._proxies:
+            await proxy.stop()
+
+
+def _signal(process: asyncio.subprocess.Process, how: signal.Signals) -> bool:
+    """Sends a signal to a process of ours that still runs."""
+    if process.returncode is not None:
+        return False
+    try:
+        process.send_signal(how)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def _find_free_ports(count: int) -> list[int]:
+    held = [socket.socket() for _ in range(count)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+def _make_command(
+    number: int, own: list[int], ports: list[int], store_port: int
+) -> list[str]:
+    flags = {
+        "--vm-id": f"vm-{number}",
+        "--hall": f"hall-{number % 2}",
+        "--listen": f"127.0.0.1:{own[0]}",
+        "--ready-listen": f"127.0.0.1:{own[1]}",
+        "--metrics-listen": f"127.0.0.1:{own[2]}",
+        "--peer-listen": f"127.0.0.1:{own[3]}",
+        "--store-address": f"127.0.0.1:{store_port}",
+        "--grace-s": str(_GRACE_S),
+    }
+    words = [word for pair in flags.items() for word in pair]
+    return [sys.executable, str(_ROOT / "deploy" / "gateway.py"), *words]
+
+
+def play(
+    seed: int, sizes: Sizes = Sizes(), keep: pathlib.Path | None = None
+) -> tuple[list[str], dict[int, int]]:
+    """Plays one seed; logs are kept in a folder if one is given."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = keep if keep is not None else pathlib.Path(folder)
+        path.mkdir(parents=True, exist_ok=True)
+        broken, counts = asyncio.run(Soak(seed, sizes, path).play())
+        broken += _find_tracebacks(path)
+    return broken, counts
+
+
+def _find_tracebacks(folder: pathlib.Path) -> list[str]:
+    return [
+        f"{path.name} holds a traceback"
+        for path in sorted(folder.glob("*.log"))
+        if "Traceback" in path.read_text(errors="replace")
+    ]
+
+
+def main(
+    *,
+    first: int = 1,
+    count: int = 5,
+    gateways: int = 2,
+    engines: int = 4,
+    callers: int = 8,
+    keep: pathlib.Path | None = None,
+) -> int:
+    """Plays many seeds.
+
+    Args:
+        first: First seed.
+        count: Number of seeds.
+        gateways: Gateway processes in each.
+        engines: Engines in each.
+        callers: Callers in each.
+        keep: Folder for the logs of gateways; without it they are dropped.
+    """
+    loguru.logger.remove()
+    sizes = Sizes(gateways=gateways, engines=engines, callers=callers)
+    failed = 0
+    total: dict[int, int] = {}
+    for seed in range(first, first + count):
+        folder = keep / f"seed-{seed}" if keep is not None else None
+        broken, counts = play(seed, sizes, folder)
+        failed += bool(broken)
+        for status, number in counts.items():
+            total[status] = total.get(status, 0) + number
+        for each in broken:
+            print(f"seed {seed}: {each}", flush=True)
+    print(f"{count} seeds, statuses: {dict(sorted(total.items()))}")
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(cyclopts.run(main))
--- /dev/null
+++ b/standins/soak_proxy.py
@@ -0,0 +1,95 @@
+"""A proxy on loopback that misbehaves as the network does."""
+
+import asyncio
+import contextlib
+import enum
+
+
+class Mode(enum.Enum):
+    """What the proxy does with its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENCE = "silence"
+    CUT_FORTH = "cut_forth"
+    CUT_BACK = "cut_back"
+
+
+_DELAY_S = 0.15
+_READ_BYTES = 1 << 16
+_POLL_S = 0.02
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    Attributes:
+        mode: What it does with bytes on their way.
+        port: Where it listens.
+    """
+
+    def __init__(self, port_beyond: int) -> None:
+        self.mode = Mode.PASS
+        self.port = 0
+        self._beyond = port_beyond
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begins to listen at a free port."""
+        self._server = await asyncio.start_server(self._pass_on, "127.0.0.1")
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def set_beyond(self, port: int) -> None:
+        """Has new connections go to another port."""
+        self._beyond = port
+
+    def reset_all(self) -> None:
+        """Resets every open connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Stops listening and resets what is open."""
+        self._server.close()
+        self.reset_all()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self._beyond
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(
+                self._copy(reader, far_writer, Mode.CUT_FORTH),
+                self._copy(far_reader, writer, Mode.CUT_BACK),
+            )
+        finally:
+            self._writers -= {writer, far_writer}
+            writer.close()
+            far_writer.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        cut: Mode,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(_READ_BYTES):
+                while self.mode in (Mode.SILENCE, cut):
+                    await asyncio.sleep(_POLL_S)
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(_DELAY_S)
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
+            return
+        # One side was reset; the other must see more than a proper end.
+        writer.transport.abort()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -369,7 +369,7 @@
         async def scene(scene: Scene) -> None:
             scene.cluster.publish()
             await asyncio.sleep(1.0)
-            old = gateway_cluster.make_configuration(scene.cluster)
+            old = gateway_cluster.make_configuration(scene.cluster.keys, 2)
             scene.cluster.store.put("op/config", {**old, "config-version": 1})
             await asyncio.sleep(1.0)
             view = scene.cluster.vms["vm-0"].gateway.tools.view
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,22 @@
+"""Real gateways under faults from outside; a short share of the soak."""
+
+import unittest
+
+import loguru
+
+from standins import soak
+
+# Seeds that once failed, with the cause.
+#   1: connections open at a planned stop's end were reported as faults, and a
+#      gateway without a free port for datagrams did not start.
+_REGRESSIONS = (1,)
+
+
+class SoakTest(unittest.TestCase):
+    def test_promises_hold(self) -> None:
+        loguru.logger.remove()
+        for seed in _REGRESSIONS:
+            with self.subTest(seed=seed):
+                broken, counts = soak.play(seed)
+                self.assertEqual(broken, [])
+                self.assertGreater(counts.get(200, 0), 10)
