--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,11 +1,14 @@
 """The scheduler: places that nobody waits for any more are given back."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from ruddergate import environment
+from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import queueing
 from ruddergate.decisions.routing import job as jobs
+from ruddergate.decisions.routing import policy as policies
 from ruddergate.entry import config as configs
 from ruddergate.entry import placement
 from ruddergate.entry import scheduler as schedulers
@@ -102,3 +105,62 @@
 
     def test_place_for_nobody_is_given_back(self) -> None:
         self.assertEqual(self.play(gives_up=True), ())
+
+
+class ChoiceTest(unittest.TestCase):
+    """Both choices of a policy go by the same job."""
+
+    def test_helpers_are_chosen_by_the_time_waited(self) -> None:
+        seen: list[float] = []
+
+        def choose(job, candidates, now_ms, chance):  # noqa: ANN001, ANN202
+            seen.append(job.waited_ms)
+            return candidates[0]
+
+        def choose_helpers(job, chosen, candidates, now_ms, chance):  # noqa: ANN001, ANN202
+            seen.append(job.waited_ms)
+            return ()
+
+        async def run() -> None:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            process = virtual_process.VirtualProcess("vm-1", "h")
+            outside = network.make_environment(process, 1)
+            view = _make_view()
+            scheduler = schedulers.Scheduler(
+                outside, configs.EntryConfig("vm-1", "h", _WHERE), view
+            )
+            scheduler._policy = policies.Policy(
+                choose, choose_helpers=choose_helpers
+            )
+            running = asyncio.ensure_future(scheduler.run())
+            scheduler.post(schedulers.ViewChanged())
+            asked = _ask(view)
+            route = dataclasses.replace(asked.route, waited_ms=outside.now_ms())
+            asked = dataclasses.replace(asked, route=route)
+            await scheduler.place(asked)
+            running.cancel()
+
+        virtual_process.run(run)
+        self.assertEqual(len(seen), 2)
+        self.assertEqual(seen[0], seen[1])
+        self.assertLess(seen[1], 100.0)
+
+
+class HelpingWorkTest(unittest.TestCase):
+    """A target that only reads part of a prompt writes no answer."""
+
+    def test_reading_counts_as_reading_only(self) -> None:
+        pool = _make_view().index.find_pool("engines")
+        estimate = estimates.Estimate(_TARGET, pool)
+        work = estimates.OwnWork(
+            1_000, 0, 0.0, 0, prefill_ms=300.0, is_long=True, is_writing=False
+        )
+        estimate.begin("a", work)
+        self.assertEqual(estimate.recent_streams(1.0), 0.0)
+        self.assertEqual(sum(estimate.streams_by_pause(1.0)), 0)
+        self.assertEqual(estimate.summarize(1.0).streams, 0)
+        self.assertGreater(estimate.prefilling_ms(1.0), 200.0)
+        self.assertTrue(estimate.first_token("a", 300.0))
+        self.assertEqual(estimate.prefilling_ms(301.0), 0.0)
