Tell changes at once to all peers, and ask the store as seldom as it allows

Change: a digest after each change, to at most 80 peers, at least 25 ms apart; without a change twice a second. The store is asked every 0.65 of the shorter of the two bounds (1.3 s in place of 0.7 s). A target that left and came back within one answer of the store stays leaving: found by a test that had passed with the shorter interval only.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -32,6 +32,9 @@
 # Answers to orders come in a few milliseconds; renewals come every
 # 800 ms.
 _ORDER_TIMEOUT_MS = 500.0
+# Calls of the store are paid for, so they are as far apart as what they tell
+# must be known; the rest is for the call itself and a request on its way.
+_STORE_PART = 0.65
 # The balancer takes a VM out after two questions, a second apart.
 _STOP_LAG_MS = 2_600.0
 # What is left of the time for a stop when it is given up.
@@ -53,7 +56,8 @@
     grace_s: Annotated[float, _private.number(0.1, 600)] = 8.0,
     retry_share: Annotated[float, _private.number(0, 1)] = 0.15,
     retry_most: Annotated[float, _private.number(0, 1_000)] = 4.0,
-    store_every_ms: Annotated[float, _private.number(10, 60_000)] = 700.0,
+    apply_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
+    leave_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     store_timeout_ms: Annotated[float, _private.number(10, 60_000)] = 1_500.0,
     body_bytes_max: Annotated[int, _private.number(1, 64_000_000)] = 8_000_000,
     connections_max: Annotated[int, _private.number(1, 100_000)] = 3_000,
@@ -77,7 +81,8 @@
         grace_s: Time for a planned stop (s).
         retry_share: Second sends allowed for each first one.
         retry_most: Second sends that may be saved up.
-        store_every_ms: Time between two calls of the store (ms).
+        apply_ms: Time within which new settings must be in force (ms).
+        leave_ms: Time within which a leaving target gets no more work (ms).
         store_timeout_ms: Longest wait for an answer of the store (ms).
         body_bytes_max: Longest body (bytes).
         connections_max: Connections of callers open at once.
@@ -105,7 +110,7 @@
         ready_age_max_ms=revoke_ms * _READY_PART,
         stop_lag_ms=_STOP_LAG_MS,
         stop_limit_ms=grace_s * 1_000.0 - _STOP_MARGIN_MS,
-        pace=source_sync.Pace(every_ms=store_every_ms),
+        pace=source_sync.Pace(every_ms=min(apply_ms, leave_ms) * _STORE_PART),
         retry_share=retry_share,
         retry_most=retry_most,
         peers=peer_exchange.PeerConfig(
--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -19,8 +19,6 @@
 FAULT_PENALTY_MS = 5_000.0
 # Without digests for this long, what peers have on a target is not known.
 PEER_LOADS_MS = 2_000.0
-# Digests come about this often; older ones have lost some of their prefills.
-PEER_ROUND_MS = 200.0
 # Part of a planned prefill that still counts until its first token is seen.
 PREFILL_REST_LEAST = 0.5
 # What a target told of other VMs' requests fades over this time: most answers
@@ -132,25 +130,23 @@
         self._own[attempt_id] = work
         self._count(work, work.fresh_tokens, work.held_tokens, 1)
 
-    def first_token(self, attempt_id: str, now_ms: float) -> bool:
-        """Notes that a prefill has ended; returns whether it was a long one."""
+    def first_token(self, attempt_id: str, now_ms: float) -> None:
+        """Notes that an attempt's prefill has ended."""
         work = self._own.get(attempt_id)
         if work is None or work.has_first_token:
-            return False
+            return
         work.has_first_token = True
         self._count(work, -work.fresh_tokens, 0, 0)
         self.note_response(now_ms - work.sent_ms, now_ms)
         self.faults = 0
-        return work.is_long
 
-    def end(self, attempt_id: str) -> bool:
-        """Notes an attempt's end; returns whether a long prefill ended so."""
+    def end(self, attempt_id: str) -> None:
+        """Notes that an attempt has ended."""
         work = self._own.pop(attempt_id, None)
         if work is None:
-            return False
+            return
         open_tokens = 0 if work.has_first_token else work.fresh_tokens
         self._count(work, -open_tokens, -work.held_tokens, -1)
-        return work.is_long and not work.has_first_token
 
     def _count(
         self, work: OwnWork, open_tokens: int, held_tokens: int, streams: int
@@ -304,8 +300,7 @@
         age_ms = now_ms - self._peer_ms
         if age_ms >= PEER_LOADS_MS:
             return own_ms
-        late_ms = max(0.0, age_ms - PEER_ROUND_MS)
-        return own_ms + max(0.0, self._peer.prefill_ms - late_ms)
+        return own_ms + self._peer.prefill_ms
 
     def _own_prefill_ms(self, now_ms: float) -> float:
         waiting = [w for w in self._own.values() if not w.has_first_token]
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -8,14 +8,17 @@
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_digest
 
-# Digests that a peer sends in each round go to at most so many others, so that
-# the cost of a VM does not grow with the fleet.
-FAN_OUT = 12
+# A digest that tells a change goes to at most so many peers; beyond that the
+# cost of a VM does not grow with the fleet.
+FAN_OUT = 80
+# A digest that tells nothing new keeps peers known to each other; a few a round
+# are enough for that.
+FAN_OUT_IDLE = 12
 # Peers named in a digest, enough for a new VM to find all within a few rounds.
 NAMED_MAX = 8
-# A peer's digest counts for so long. Rounds come ten times a second and a
-# fleet of 100 VMs hears from each peer about once a second.
-NEWS_MS = 1_500.0
+# A peer's digest counts for so long. A VM with work says so at least once a
+# second; two such digests may get lost.
+NEWS_MS = 3_000.0
 # A peer that was not heard for so long is forgotten.
 FORGET_MS = 5_000.0
 
@@ -73,12 +76,12 @@
             if now_ms - peer.heard_ms > FORGET_MS:
                 del self._peers[name]
 
-    def choose_receivers(self, chance: random.Random) -> list[str]:
-        """Returns the peers that the next digest goes to."""
+    def choose_receivers(self, most: int, chance: random.Random) -> list[str]:
+        """Returns at most so many peers, any of them."""
         names = list(self._peers)
-        if len(names) <= FAN_OUT:
+        if len(names) <= most:
             return names
-        return chance.sample(names, FAN_OUT)
+        return chance.sample(names, most)
 
     def name_some(self, now_ms: float, chance: random.Random) -> list[str]:
         """Returns some peers that were lately heard from directly."""
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -103,7 +103,7 @@
         self._open = open_calls.OpenCalls(platform.door.write_failure)
         view = views.View()
         scheduler = schedulers.Scheduler(
-            outside, config, view, lambda: self._peers.hurry()
+            outside, config, view, lambda: self._peers.note_change()
         )
         self.tools = tool_types.Tools(
             outside=outside,
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -17,18 +17,18 @@
 from ruddergate.telemetry import logs
 from ruddergate.wire import codec
 
-# A short prompt's first token takes about 100 ms: digests as often show where
-# others have just sent theirs.
-ROUND_MS = 100.0
-# A VM without work on targets says so only in every so many rounds, well within
-# the time for which a digest counts.
-_IDLE_ROUNDS = 5
+# Changes are told at once, but for those that follow within this time: several
+# requests often begin together.
+CHANGE_GAP_MS = 25.0
+# Without a change, a VM with work tells it again in this time, in case that a
+# datagram was lost, and one without work keeps itself known.
+ROUND_MS = 500.0
+# Peers are named, and seeds written to, once in this time.
+_NAMING_MS = 1_000.0
 # A port that another process holds is tried again after this time.
 _BIND_AGAIN_MS = 2_000.0
 # Digests that come this close together are added up at once.
 _GATHER_MS = 3.0
-# Seeds that are not known as peers are written to in every so many rounds.
-_SEED_ROUNDS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,24 +60,28 @@
         self._scheduler = scheduler
         self._own = str(config.listen)
         self._loads = peer_loads.PeerLoads(self._own)
-        self._round = 0
-        self._soon = asyncio.Event()
+        self._number = 0
+        self._named_ms = float("-inf")
+        self._changed = asyncio.Event()
         self._is_posting = False
-        self._had_rows = False
         self._known = 0
         self._log = logs.make_logger("peers")
 
     async def run(self) -> None:
-        """Sends a digest in each round until cancelled."""
+        """Sends a digest after each change and in each round."""
         port = await self._bind()
         try:
             while True:
-                self._soon.clear()
-                self._play_round(port)
-                await self._wait()
+                is_change = await self._wait()
+                self._send(port, is_change)
+                await asyncio.sleep(CHANGE_GAP_MS / 1000.0)
         finally:
             port.close()
 
+    def note_change(self) -> None:
+        """Has peers told soon that this VM's work has changed."""
+        self._changed.set()
+
     async def _bind(self) -> environment.DatagramPort:
         """Takes the port, whenever it is free; callers are served meanwhile."""
         while True:
@@ -87,16 +91,15 @@
                 self._log.error("No port for peers' datagrams. {}", error)
             await asyncio.sleep(_BIND_AGAIN_MS / 1000.0)
 
-    def hurry(self) -> None:
-        """Has the next digest sent at once."""
-        self._soon.set()
-
-    async def _wait(self) -> None:
+    async def _wait(self) -> bool:
+        """Returns after a change, or else after a round; tells which."""
         try:
             async with asyncio.timeout(ROUND_MS / 1000.0):
-                await self._soon.wait()
+                await self._changed.wait()
         except TimeoutError:
-            pass
+            return False
+        self._changed.clear()
+        return True
 
     def _take(self, data: bytes) -> None:
         message = codec.decode(data)
@@ -106,20 +109,20 @@
             return
         self._log.warning("Datagram dropped, it is no digest.")
 
-    def _play_round(self, port: environment.DatagramPort) -> None:
+    def _send(self, port: environment.DatagramPort, is_change: bool) -> None:
         now_ms = self._outside.now_ms()
         self._loads.forget_silent(now_ms)
         self._note_peers()
         self._post_sums()
-        self._round += 1
-        digest = self._make_digest(now_ms)
-        is_idle = not (digest.rows or self._had_rows)
-        self._had_rows = bool(digest.rows)
-        if is_idle and self._round % _IDLE_ROUNDS:
-            return
+        is_naming = now_ms - self._named_ms >= _NAMING_MS
+        if is_naming:
+            self._named_ms = now_ms
+        digest = self._make_digest(now_ms, is_naming)
+        has_news = is_change or bool(digest.rows)
         data = codec.encode(digest)
-        for receiver in self._choose_receivers():
+        for receiver in self._choose_receivers(has_news, is_naming):
             port.send(data, receiver)
+        self._number += 1
 
     def _post_soon(self) -> None:
         if not self._is_posting:
@@ -133,20 +136,27 @@
         if rows:
             self._scheduler.post(loads.Loads((), rows, ()))
 
-    def _make_digest(self, now_ms: float) -> load_digest.LoadDigest:
-        chance = self._outside.random
+    def _make_digest(
+        self, now_ms: float, is_naming: bool
+    ) -> load_digest.LoadDigest:
+        named: list[str] = []
+        if is_naming:
+            named = self._loads.name_some(now_ms, self._outside.random)
         return load_digest.LoadDigest(
             sender=self._own,
             incarnation=self._incarnation,
-            number=self._round,
-            peers=tuple(self._loads.name_some(now_ms, chance)),
+            number=self._number,
+            peers=tuple(named),
             rows=self._scheduler.summarize(),
         )
 
-    def _choose_receivers(self) -> Sequence[environment.Address]:
-        names = self._loads.choose_receivers(self._outside.random)
+    def _choose_receivers(
+        self, has_news: bool, is_naming: bool
+    ) -> Sequence[environment.Address]:
+        most = peer_loads.FAN_OUT if has_news else peer_loads.FAN_OUT_IDLE
+        names = self._loads.choose_receivers(most, self._outside.random)
         chosen = set(map(environment.parse_address, names))
-        if self._round % _SEED_ROUNDS == 0:
+        if is_naming:
             chosen.update(self._config.seeds)
         chosen.discard(self._config.listen)
         return sorted(chosen, key=str)
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -60,7 +60,7 @@
         outside: environment.Environment,
         config: configs.EntryConfig,
         view: views.View,
-        note_long: Callable[[], None] = lambda: None,
+        note_change: Callable[[], None] = lambda: None,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -68,10 +68,10 @@
             outside: Clock and chance.
             config: Settings of the process.
             view: What it goes by.
-            note_long: Called when a long prefill begins or ends here, which
-                peers had better hear of at once.
+            note_change: Called when this VM's work on a target changes, which
+                peers had better hear of.
         """
-        self._note_long = note_long
+        self._note_change = note_change
         self._outside = outside
         self._config = config
         self._view = view
@@ -206,8 +206,8 @@
         estimate = self._estimates.get(message.seat.target.target_id)
         if estimate is None:
             return
-        if estimate.first_token(message.seat.attempt_id, now_ms):
-            self._note_long()
+        estimate.first_token(message.seat.attempt_id, now_ms)
+        self._note_change()
         if message.prefix:
             estimate.note_prefix(message.prefix, message.prefix_tokens)
 
@@ -215,8 +215,8 @@
         estimate = self._estimates.get(message.seat.target.target_id)
         if estimate is None:
             return
-        if estimate.end(message.seat.attempt_id):
-            self._note_long()
+        estimate.end(message.seat.attempt_id)
+        self._note_change()
         target = message.seat.target
         if message.unreachable:
             self._note_missed(target, now_ms)
@@ -467,8 +467,7 @@
         )
         believed = chosen.describe(now_ms)
         chosen.begin(attempt_id, work)
-        if is_long:
-            self._note_long()
+        self._note_change()
         return placement.Seat(
             chosen.target, attempt_id, cached_tokens, believed, held_tokens
         )
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -31,7 +31,7 @@
         outage_ms: Time without an answer that counts as out of reach.
     """
 
-    every_ms: float = 700.0
+    every_ms: float = 1_300.0
     wait_ms: float = 0.0
     retry_ms: float = 150.0
     lapse_grace_ms: float = 1_500.0
@@ -131,8 +131,15 @@
             self._view.confirm_settings(asked_ms)
 
     def _take_targets(self, changes: published.Changes, now_ms: float) -> None:
-        listed = {each.target_id: each for each in changes.targets}
+        for target in changes.targets:
+            if target.condition is condition.Condition.LEAVING:
+                self._leaving.add(target.target_id)
         gone = set(changes.gone)
+        listed = {
+            each.target_id: each
+            for each in changes.targets
+            if each.target_id not in gone
+        }
         if self._position is None:
             gone |= self._targets.keys() - listed.keys()
         for target_id in gone:
@@ -152,8 +159,6 @@
 
         A target that starts again has a new name.
         """
-        if target.condition is condition.Condition.LEAVING:
-            self._leaving.add(target.target_id)
         if target.target_id not in self._leaving:
             return target
         return dataclasses.replace(
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -112,7 +112,7 @@
 def _read_items(items: Iterable[object], at: int) -> published.Changes:
     """Reads items in order of revision; the last of a key stands."""
     catalog: catalogs.Catalog | None = None
-    listed: dict[str, targets.Target] = {}
+    listed: list[targets.Target] = []
     gone: dict[str, None] = {}
     problems: list[str] = []
     for item in items:
@@ -126,20 +126,19 @@
         elif key.startswith(target_entries.PREFIX):
             _read_target_item(item, key, listed, gone, problems)
     return published.Changes(
-        at, catalog, tuple(listed.values()), tuple(gone), tuple(problems)
+        at, catalog, tuple(listed), tuple(gone), tuple(problems)
     )
 
 
 def _read_target_item(
     item: object,
     key: str,
-    listed: dict[str, targets.Target],
+    listed: list[targets.Target],
     gone: dict[str, None],
     problems: list[str],
 ) -> None:
     target_id = key.removeprefix(target_entries.PREFIX)
     if _private.get(item, "gone", bool, False):
-        listed.pop(target_id, None)
         gone[target_id] = None
         return
     read = _read_value(
@@ -149,7 +148,7 @@
         problems.append(read)
         return
     gone.pop(target_id, None)
-    listed[target_id] = read
+    listed.append(read)
 
 
 def _read_value(item: object, read: object) -> object:
--- a/src/ruddergate/relay/published.py
+++ b/src/ruddergate/relay/published.py
@@ -15,7 +15,8 @@
     Attributes:
         position: The store's revision up to which this is told.
         catalog: The newest settings, or None if they are not in this.
-        targets: Targets that are listed, or were listed anew or changed.
+        targets: Every entry of a target in order, also those that others of
+            the same target have replaced since.
         gone: Names of targets that are not listed any more.
         problems: What could not be read, a sentence each.
     """
