Serve long prompts on pools of any size; seating in a module of its own

Change: a plan on all engines where the region gives none; an aim of 1 ms at least; the head of an empty stream is handed on; entry/seating.py.

--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -21,6 +21,8 @@
 # it is late: predictions err by up to a factor of two, mostly to the late side.
 SAFE_AIMS = 0.25
 LATE_AIMS = 0.95
+# A route without an aim is taken to have this one.
+AIM_LEAST_MS = 1.0
 # From a piece's end to the first token at the caller: the last pass and the
 # engines' start at different moments.
 START_MS = 150.0
@@ -128,7 +130,7 @@
     first_ms = rest_ms + piece_ms + START_MS
     cost = harm + parts * ENGINE_COST
     worth = find_worth(prompt_tokens)
-    aims = (waited_ms + first_ms) / aim_ms
+    aims = (waited_ms + first_ms) / max(AIM_LEAST_MS, aim_ms)
     cost += _find_late_risk(aims) * LATE_LOSS * worth
     if aims > GIVE_UP_AIMS:
         cost += (1.0 - LATE_LOSS) * worth
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -102,20 +102,29 @@
 def _plan(
     job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
 ) -> reading_plan.Plan | None:
-    pool = candidates[0].pool
+    """Returns the best plan in the long region, or else on all engines.
+
+    A small pool has no region of its own for long prompts, and a great prompt
+    may need the memory of more engines than the region has.
+    """
     long_ids = _find_long_region(candidates, now_ms)
+    region = [each for each in candidates if each.target.target_id in long_ids]
+    return _plan_on(job, region, now_ms) or _plan_on(job, candidates, now_ms)
+
+
+def _plan_on(
+    job: jobs.Job, engines: Sequence[estimates.Estimate], now_ms: float
+) -> reading_plan.Plan | None:
+    if not engines:
+        return None
+    pool = engines[0].pool
     shares = gangs.split_memory(job.held_tokens, pool.memory_tokens)
-    engines = [
-        _describe(each, shares[0], now_ms)
-        for each in candidates
-        if each.target.target_id in long_ids
-    ]
     return reading_plan.make_plan(
         costs.predict_prefill_ms(pool, job.prompt_tokens),
         job.prompt_tokens,
         job.aim_ms,
         job.waited_ms,
-        engines,
+        [_describe(each, shares[0], now_ms) for each in engines],
         len(shares),
         pool.gang_engines_max,
     )
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -10,16 +10,13 @@
 
 from ruddergate import environment
 from ruddergate import outcomes
-from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
-from ruddergate.decisions import gangs
-from ruddergate.decisions import length_band
-from ruddergate.decisions import pause_class
 from ruddergate.decisions import queueing
 from ruddergate.decisions import reachability
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
 from ruddergate.entry import placement
+from ruddergate.entry import seating as seatings
 from ruddergate.entry import view as views
 from ruddergate.fleet import dispatched
 from ruddergate.fleet import load_report
@@ -75,8 +72,12 @@
         self._outside = outside
         self._config = config
         self._view = view
-        self._policy = by_name.make_policy(config.policy)
-        self._service_policy = by_name.make_policy(config.service_policy)
+        self._seating = seatings.Seating(
+            outside.random,
+            by_name.make_policy(config.policy),
+            by_name.make_policy(config.service_policy),
+            note_change,
+        )
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._queues: dict[str, queueing.Queue] = {}
         self._asked: dict[str, placement.Place] = {}
@@ -94,7 +95,7 @@
 
     def shorter_first(self) -> bool:
         """Returns whether engines are to prefill shorter prompts first."""
-        return self._policy.shorter_first
+        return self._seating.shorter_first
 
     async def place(
         self, asked: placement.Place
@@ -316,7 +317,7 @@
         usable = self._find_usable(pool, now_ms)
         while usable and (job := queue.take(now_ms, closed)) is not None:
             asked = self._asked[job.job_id]
-            seats = self._seat(asked, usable, now_ms)
+            seats = self._seating.seat(asked, usable, now_ms)
             if not seats:
                 queue.put_back(job, now_ms)
                 closed.add(job.lane)
@@ -352,126 +353,6 @@
             return good
         return known
 
-    def _seat(
-        self,
-        asked: placement.Place,
-        usable: list[estimates.Estimate],
-        now_ms: float,
-    ) -> tuple[placement.Seat, ...]:
-        candidates = [
-            each
-            for each in usable
-            if each.target.target_id not in asked.excluded
-        ] or usable
-        if asked.pool.pool_kind == "service":
-            return self._seat_service(asked, candidates, now_ms)
-        if asked.segments:
-            return self._seat_gang(asked, candidates, now_ms)
-        waited_ms = now_ms - asked.route.waited_ms
-        route = dataclasses.replace(asked.route, waited_ms=waited_ms)
-        chosen = self._policy.choose(
-            route, candidates, now_ms, self._outside.random
-        )
-        if chosen is None:
-            return ()
-        cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
-        fresh = route.prompt_tokens - cached
-        shares = gangs.split_memory(route.held_tokens, asked.pool.memory_tokens)
-        helpers = self._policy.choose_helpers(
-            route, chosen, candidates, now_ms, self._outside.random
-        )
-        parts = 1 + len(helpers)
-        if self._policy.splits_memory and len(shares) > parts:
-            return ()
-        if not self._policy.splits_memory:
-            shares = (route.held_tokens,)
-        return tuple(
-            self._sit(
-                asked,
-                each,
-                fresh // parts,
-                shares[index] if index < len(shares) else 0,
-                cached if index == 0 else 0,
-                now_ms,
-                parts,
-                is_writing=index == 0,
-            )
-            for index, each in enumerate((chosen, *helpers))
-        )
-
-    def _seat_service(
-        self,
-        asked: placement.Place,
-        candidates: list[estimates.Estimate],
-        now_ms: float,
-    ) -> tuple[placement.Seat, ...]:
-        most = asked.pool.service_concurrency
-        free = [each for each in candidates if each.streams(now_ms) < most]
-        if not free:
-            return ()
-        chosen = self._service_policy.choose(
-            asked.route, free, now_ms, self._outside.random
-        )
-        return (self._sit(asked, chosen, 0, 0, 0, now_ms),)
-
-    def _seat_gang(
-        self,
-        asked: placement.Place,
-        candidates: list[estimates.Estimate],
-        now_ms: float,
-    ) -> tuple[placement.Seat, ...]:
-        needed = max(segment.held_tokens for segment in asked.segments)
-        room = [
-            each
-            for each in candidates
-            if each.pool.memory_tokens - each.held_tokens(now_ms) >= needed
-            and not each.long_tokens(now_ms)
-        ]
-        if len(room) < len(asked.segments):
-            return ()
-        room.sort(key=lambda each: each.waiting_tokens(now_ms))
-        chosen = room[: len(asked.segments)]
-        # One global order, so that two gangs never wait for each other.
-        chosen.sort(key=lambda each: each.target.target_id)
-        return tuple(
-            self._sit(
-                asked, each, segment.tokens, segment.held_tokens, 0, now_ms
-            )
-            for each, segment in zip(chosen, asked.segments, strict=True)
-        )
-
-    def _sit(
-        self,
-        asked: placement.Place,
-        chosen: estimates.Estimate,
-        fresh_tokens: int,
-        held_tokens: int,
-        cached_tokens: int,
-        now_ms: float,
-        parts: int = 1,
-        is_writing: bool = True,
-    ) -> placement.Seat:
-        attempt_id = environment.make_token(self._outside.random)
-        band = length_band.find_band(asked.route.prompt_tokens)
-        is_long = costs.is_long(chosen.pool, fresh_tokens * parts)
-        prefill_ms = costs.predict_prefill_ms(chosen.pool, fresh_tokens * parts)
-        work = estimates.OwnWork(
-            fresh_tokens,
-            held_tokens,
-            now_ms,
-            band,
-            prefill_ms / parts,
-            is_long,
-            pause_class.find_class(asked.route.pause_aim_ms),
-            is_writing,
-        )
-        believed = chosen.describe(now_ms)
-        chosen.begin(attempt_id, work)
-        self._note_change()
-        return placement.Seat(
-            chosen.target, attempt_id, cached_tokens, believed, held_tokens
-        )
-
 
 def _answer(
     asked: placement.Place, answer: placement.Placed | outcomes.NotServed
--- /dev/null
+++ b/src/ruddergate/entry/seating.py
@@ -0,0 +1,169 @@
+"""Gives requests their places on targets, by the policies of the process."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from ruddergate import environment
+from ruddergate.decisions import cost as costs
+from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import gangs
+from ruddergate.decisions import length_band
+from ruddergate.decisions import pause_class
+from ruddergate.decisions.routing import policy as policies
+from ruddergate.entry import placement
+
+
+class Seating:
+    """Chooses targets and notes on them what they are given.
+
+    Owned by the scheduler task, like the estimates that it changes.
+
+    Args:
+        chance: For policies and for names of attempts.
+        policy: Where prompts run.
+        service_policy: Where calls of plain services run.
+        note_change: Called when a target was given work.
+    """
+
+    def __init__(
+        self,
+        chance: random.Random,
+        policy: policies.Policy,
+        service_policy: policies.Policy,
+        note_change: Callable[[], None],
+    ) -> None:
+        self._chance = chance
+        self._policy = policy
+        self._service_policy = service_policy
+        self._note_change = note_change
+
+    @property
+    def shorter_first(self) -> bool:
+        """Whether engines are to prefill shorter prompts first."""
+        return self._policy.shorter_first
+
+    def seat(
+        self,
+        asked: placement.Place,
+        usable: list[estimates.Estimate],
+        now_ms: float,
+    ) -> tuple[placement.Seat, ...]:
+        """Returns the seats of a request, or none if it is better kept waiting.
+
+        Args:
+            asked: The request; targets that failed it come last.
+            usable: Targets to choose from; never empty.
+            now_ms: Monotonic time.
+        """
+        candidates = [
+            each
+            for each in usable
+            if each.target.target_id not in asked.excluded
+        ] or usable
+        if asked.pool.pool_kind == "service":
+            return self._seat_service(asked, candidates, now_ms)
+        if asked.segments:
+            return self._seat_gang(asked, candidates, now_ms)
+        waited_ms = now_ms - asked.route.waited_ms
+        route = dataclasses.replace(asked.route, waited_ms=waited_ms)
+        chosen = self._policy.choose(route, candidates, now_ms, self._chance)
+        if chosen is None:
+            return ()
+        cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
+        fresh = route.prompt_tokens - cached
+        shares = gangs.split_memory(route.held_tokens, asked.pool.memory_tokens)
+        helpers = self._policy.choose_helpers(
+            route, chosen, candidates, now_ms, self._chance
+        )
+        parts = 1 + len(helpers)
+        if self._policy.splits_memory and len(shares) > parts:
+            return ()
+        if not self._policy.splits_memory:
+            shares = (route.held_tokens,)
+        return tuple(
+            self._sit(
+                asked,
+                each,
+                fresh // parts,
+                shares[index] if index < len(shares) else 0,
+                cached if index == 0 else 0,
+                now_ms,
+                parts,
+                is_writing=index == 0,
+            )
+            for index, each in enumerate((chosen, *helpers))
+        )
+
+    def _seat_service(
+        self,
+        asked: placement.Place,
+        candidates: list[estimates.Estimate],
+        now_ms: float,
+    ) -> tuple[placement.Seat, ...]:
+        most = asked.pool.service_concurrency
+        free = [each for each in candidates if each.streams(now_ms) < most]
+        if not free:
+            return ()
+        chosen = self._service_policy.choose(
+            asked.route, free, now_ms, self._chance
+        )
+        return (self._sit(asked, chosen, 0, 0, 0, now_ms),)
+
+    def _seat_gang(
+        self,
+        asked: placement.Place,
+        candidates: list[estimates.Estimate],
+        now_ms: float,
+    ) -> tuple[placement.Seat, ...]:
+        needed = max(segment.held_tokens for segment in asked.segments)
+        room = [
+            each
+            for each in candidates
+            if each.pool.memory_tokens - each.held_tokens(now_ms) >= needed
+            and not each.long_tokens(now_ms)
+        ]
+        if len(room) < len(asked.segments):
+            return ()
+        room.sort(key=lambda each: each.waiting_tokens(now_ms))
+        chosen = room[: len(asked.segments)]
+        # One global order, so that two gangs never wait for each other.
+        chosen.sort(key=lambda each: each.target.target_id)
+        return tuple(
+            self._sit(
+                asked, each, segment.tokens, segment.held_tokens, 0, now_ms
+            )
+            for each, segment in zip(chosen, asked.segments, strict=True)
+        )
+
+    def _sit(
+        self,
+        asked: placement.Place,
+        chosen: estimates.Estimate,
+        fresh_tokens: int,
+        held_tokens: int,
+        cached_tokens: int,
+        now_ms: float,
+        parts: int = 1,
+        is_writing: bool = True,
+    ) -> placement.Seat:
+        attempt_id = environment.make_token(self._chance)
+        band = length_band.find_band(asked.route.prompt_tokens)
+        is_long = costs.is_long(chosen.pool, fresh_tokens * parts)
+        prefill_ms = costs.predict_prefill_ms(chosen.pool, fresh_tokens * parts)
+        work = estimates.OwnWork(
+            fresh_tokens,
+            held_tokens,
+            now_ms,
+            band,
+            prefill_ms / parts,
+            is_long,
+            pause_class.find_class(asked.route.pause_aim_ms),
+            is_writing,
+        )
+        believed = chosen.describe(now_ms)
+        chosen.begin(attempt_id, work)
+        self._note_change()
+        return placement.Seat(
+            chosen.target, attempt_id, cached_tokens, believed, held_tokens
+        )
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -254,16 +254,16 @@
         if isinstance(part, outcomes.NotServed):
             yield part
             return
-        if not part:
-            yield _end_stream(splitter)
-            return
-        events = splitter.feed(part)
-        if events is None:
+        events = splitter.feed(part) if part else None
+        if part and events is None:
             continue
         if not is_begun:
             is_begun = True
             fields = headers.select_for_caller(exchange.fields)
             yield answers.StreamHead(exchange.status, fields)
+        if events is None:
+            yield _end_stream(splitter)
+            return
         yield events
         until_ms = min(
             errand.deadline_ms, outside.now_ms() + errand.patience.gap_ms
--- /dev/null
+++ b/tests/test_by_region.py
@@ -0,0 +1,106 @@
+"""Short and long prompts keep to engines of their own, on pools of any size."""
+
+import dataclasses
+import random
+import unittest
+
+from ruddergate import environment
+from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions.routing import by_region
+from ruddergate.decisions.routing import job as jobs
+from ruddergate.fleet import condition
+from ruddergate.fleet import dispatched
+from ruddergate.fleet import target as targets
+from ruddergate.platform import configuration
+
+_POOL = configuration.read_catalog(
+    {
+        "config-version": 1,
+        "services": [
+            {
+                "name": "engines",
+                "engine": {
+                    "kv-capacity": 450_000,
+                    "read_per_s": 256_000.0,
+                    "pairs_per_m": 0.0917,
+                    "hop_ms": 0.1,
+                },
+            }
+        ],
+    }
+).find_pool("engines")
+_SHORT = jobs.Job(5_000, 6_500, "", 0, False, 0.0, 300.0, 200.0)
+_LONG = jobs.Job(210_000, 211_000, "", 0, True, 0.0, 3_000.0, 800.0)
+_GREAT = jobs.Job(900_000, 901_000, "", 0, True, 0.0, 3_000.0, 800.0)
+
+
+def _make_engines(count: int) -> list[estimates.Estimate]:
+    return [
+        estimates.Estimate(
+            targets.Target(
+                f"engine-{number}",
+                "engines",
+                "h",
+                environment.Address("1.1.1.1", number + 1),
+                condition.Condition.LIVE,
+                8,
+            ),
+            _POOL,
+        )
+        for number in range(count)
+    ]
+
+
+def _choose(
+    job: jobs.Job, engines: list[estimates.Estimate]
+) -> list[estimates.Estimate]:
+    policy = by_region.make_by_region()
+    chance = random.Random(1)
+    chosen = policy.choose(job, engines, 0.0, chance)
+    if chosen is None:
+        return []
+    helpers = policy.choose_helpers(job, chosen, engines, 0.0, chance)
+    return [chosen, *helpers]
+
+
+class ByRegionTest(unittest.TestCase):
+    def test_pools_of_any_size_take_every_prompt(self) -> None:
+        for count in (1, 2, 3, 4, 7, 18):
+            engines = _make_engines(count)
+            self.assertEqual(len(_choose(_SHORT, engines)), 1, count)
+            self.assertTrue(_choose(_LONG, engines), count)
+            if count >= 4:
+                self.assertGreaterEqual(len(_choose(_GREAT, engines)), 4)
+
+    def test_short_and_long_prompts_do_not_meet(self) -> None:
+        engines = _make_engines(18)
+        long_ = {each.target.target_id for each in _choose(_LONG, engines)}
+        for _ in range(20):
+            (short,) = _choose(_SHORT, engines)
+            self.assertNotIn(short.target.target_id, long_)
+
+    def test_boundary_follows_short_answers(self) -> None:
+        engines = _make_engines(18)
+        before = len(by_region._find_long_region(engines, 0.0))
+        for each in engines:
+            row = dispatched.Dispatched(
+                each.target.target_id, (), 0, 4, (4, 0, 0), 0.0
+            )
+            each.take_peers(row, 0.0)
+        after = len(by_region._find_long_region(engines, 0.0))
+        self.assertGreater(before, after)
+        self.assertEqual(after, by_region.REGION_LEAST)
+
+    def test_long_answers_leave_the_boundary(self) -> None:
+        engines = _make_engines(18)
+        before = by_region._find_long_region(engines, 0.0)
+        for each in engines:
+            row = dispatched.Dispatched(
+                each.target.target_id, (), 0, 4, (0, 2, 2), 0.0
+            )
+            each.take_peers(row, 0.0)
+        self.assertEqual(by_region._find_long_region(engines, 0.0), before)
+
+    def test_route_without_an_aim_is_served(self) -> None:
+        job = dataclasses.replace(_LONG, aim_ms=0.0)
+        self.assertTrue(_choose(job, _make_engines(18)))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -131,7 +131,7 @@
             scheduler = schedulers.Scheduler(
                 outside, configs.EntryConfig("vm-1", "h", _WHERE), view
             )
-            scheduler._policy = policies.Policy(
+            scheduler._seating._policy = policies.Policy(
                 choose, choose_helpers=choose_helpers
             )
             running = asyncio.ensure_future(scheduler.run())
