Keep to the limits on callers that operators publish

Cause: header, body and idle limits of the configuration were read by nobody. Change: they hold for each connection from its beginning; the process's own limits hold where none is published. The published time for headers is not taken: ours is for a whole request, whose body may be long.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -154,13 +154,7 @@
             ),
         ]
         callers = await self._outside.serve(
-            http_server.make_stream_handler(
-                self._open.guard(self._handler.handle),
-                self._config.limits,
-                self._must_close,
-                self._connections,
-            ),
-            self._config.listen,
+            self._serve_caller, self._config.listen
         )
         self._log.info("Serving callers at {}.", self._config.listen)
         try:
@@ -179,6 +173,28 @@
         handler = http_server.make_stream_handler(handle, self._config.limits)
         return await self._outside.serve(handler, address)
 
+    async def _serve_caller(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection, by the limits in force when it comes up."""
+        handler = http_server.make_stream_handler(
+            self._open.guard(self._handler.handle),
+            self._find_limits(),
+            self._must_close,
+            self._connections,
+        )
+        await handler(reader, writer)
+
+    def _find_limits(self) -> http_server.Limits:
+        own = self._config.limits
+        given = self.tools.view.catalog.limits
+        return dataclasses.replace(
+            own,
+            header_bytes_max=given.header_bytes_max or own.header_bytes_max,
+            body_bytes_max=given.body_bytes_max or own.body_bytes_max,
+            idle_timeout_ms=given.idle_timeout_ms or own.idle_timeout_ms,
+        )
+
     def _must_close(self) -> bool:
         """Returns whether callers are to go to another VM."""
         return self._is_stopping or not self._is_fresh()
--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from ruddergate.adapters import _private
+from ruddergate.settings import caller_limits
 from ruddergate.settings import catalog as catalogs
 from ruddergate.settings import effective
 from ruddergate.settings import route as routes
@@ -38,7 +39,16 @@
     pools = {pool.name: pool for pool in map(_read_pool, services)}
     tenants = _private.get(document, "tenants", list, [])
     workspaces = dict(_read_keys(tenants))
-    return catalogs.Catalog(revision, found, workspaces, pools)
+    limits = _read_limits(_private.get(document, "limits", dict, {}))
+    return catalogs.Catalog(revision, found, workspaces, pools, limits)
+
+
+def _read_limits(document: object) -> caller_limits.CallerLimits:
+    return caller_limits.CallerLimits(
+        _private.get(document, "max-header-bytes", int, None),
+        _private.get(document, "max-body-bytes", int, None),
+        _private.get(document, "idle-timeout-ms", float, None),
+    )
 
 
 def _read_route(document: object) -> routes.Route | str:
--- a/src/ruddergate/settings/catalog.py
+++ b/src/ruddergate/settings/catalog.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+from ruddergate.settings import caller_limits
 from ruddergate.settings import effective
 from ruddergate.settings import route as routes
 
@@ -29,6 +30,7 @@
         revision: Its number; later ones are higher.
         workspaces: Workspaces by key; empty where callers have none.
         pools: Effective settings of pools by name.
+        limits: What one caller may send.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         routes_: Iterable[routes.Route],
         workspaces: Mapping[str, Workspace],
         pools: Mapping[str, effective.Pool],
+        limits: caller_limits.CallerLimits = caller_limits.CallerLimits(),
     ) -> None:
         self.revision = revision
         self.workspaces = workspaces
         self.pools = pools
+        self.limits = limits
         self._routes = {(each.host, each.path_prefix): each for each in routes_}
 
     def find_route(self, host: str, path: str) -> routes.Route | None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -101,6 +101,15 @@
 
         play(scene)
 
+    def test_published_limits_hold(self) -> None:
+        async def scene(scene: Scene) -> None:
+            scene.cluster.publish(limits={"max-body-bytes": 3})
+            await asyncio.sleep(2.0)
+            got = await scene.call("unsafe")
+            self.assertEqual((got.status, scene.runs(got)), (413, []))
+
+        play(scene)
+
     def test_without_settings_nothing_is_denied(self) -> None:
         async def scene(scene: Scene) -> None:
             scene.cluster.store.trouble = "silent"
