--- a/src/ruddergate/settings/caller_limits.py
+++ b/src/ruddergate/settings/caller_limits.py
@@ -16,3 +16,6 @@
     header_bytes_max: int | None = None
     body_bytes_max: int | None = None
     idle_timeout_ms: float | None = None
+
+
+NONE = CallerLimits()
--- a/src/ruddergate/settings/catalog.py
+++ b/src/ruddergate/settings/catalog.py
@@ -39,7 +39,7 @@
         routes_: Iterable[routes.Route],
         workspaces: Mapping[str, Workspace],
         pools: Mapping[str, effective.Pool],
-        limits: caller_limits.CallerLimits = caller_limits.CallerLimits(),
+        limits: caller_limits.CallerLimits = caller_limits.NONE,
     ) -> None:
         self.revision = revision
         self.workspaces = workspaces
