--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -19,7 +19,6 @@
             aim is known.
         pause_aim_ms: Longest pause between two events of its answer within
             which it is in time; infinite when no pause matters.
-        hall: Hall of this VM, or empty when it does not matter.
     """
 
     prompt_tokens: int
@@ -30,4 +29,3 @@
     waited_ms: float
     aim_ms: float = 0.0
     pause_aim_ms: float = math.inf
-    hall: str = ""
--- a/src/ruddergate/fleet/target.py
+++ b/src/ruddergate/fleet/target.py
@@ -1,4 +1,4 @@
-"""A back end as published by the platform."""
+"""A target as published by the platform."""
 
 import dataclasses
 
--- /dev/null
+++ b/tests/gateway_scene.py
@@ -0,0 +1,63 @@
+"""Small clusters of gateways for tests of promises."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import platform_replica
+from standins import virtual_process
+
+_SHORT = {"prompt_tokens": 5_000, "output_tokens": 460}
+
+
+class Scene:
+    """A cluster that has started, and a caller outside of it."""
+
+    def __init__(self, cluster: gateway_cluster.GatewayCluster) -> None:
+        self.cluster = cluster
+        self.caller = gateway_caller.Caller(cluster)
+        self._count = 0
+
+    async def call(
+        self, route: str, vm: str = "vm-0", **fields: object
+    ) -> gateway_caller.Got:
+        """Sends one call."""
+        self._count += 1
+        if route in ("short", "once"):
+            fields = {**_SHORT, **fields}
+        call = gateway_caller.Call(f"r{self._count}", route, vm, **fields)
+        return await self.caller.send(call)
+
+    def runs(self, got: gateway_caller.Got) -> list[platform_replica.Run]:
+        """Returns what ran of a call."""
+        return [
+            run
+            for replica in self.cluster.all_replicas
+            for run in replica.runs
+            if run.request_id == got.call.request_id
+        ]
+
+    def spoil(self, prefix: str, count: int | None = None, **wrong) -> None:
+        """Has the replicas of a name misbehave."""
+        names = sorted(self.cluster.targets)
+        chosen = [name for name in names if name.startswith(prefix)][:count]
+        for name in chosen:
+            for field, value in wrong.items():
+                setattr(self.cluster.targets[name].replica.wrong, field, value)
+
+
+def play(
+    scene: Callable[[Scene], Awaitable[None]], **sizes: int
+) -> gateway_cluster.GatewayCluster:
+    """Plays a scene in virtual time."""
+
+    async def run() -> gateway_cluster.GatewayCluster:
+        cluster = gateway_cluster.GatewayCluster(
+            gateway_cluster.Layout(**sizes)
+        )
+        await cluster.start()
+        await scene(Scene(cluster))
+        return cluster
+
+    return virtual_process.run(run)
--- /dev/null
+++ b/tests/test_gateway_store.py
@@ -0,0 +1,155 @@
+"""What a gateway makes of the store: keys, settings, targets, outages."""
+
+import asyncio
+import unittest
+
+import loguru
+
+from standins import gateway_cluster
+from tests import gateway_scene
+
+
+class StoreTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_removed_key_is_refused_everywhere_in_time(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            # One VM can't reach the store when the key is taken away.
+            cut = gateway_cluster.virtual_network.Cut("vm-1", "store")
+            scene.cluster.network.cuts.append(cut)
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            await asyncio.sleep(gateway_cluster.REVOKE_MS / 1000.0)
+            for vm in ("vm-0", "vm-1", "vm-2"):
+                got = await scene.call("unsafe", vm)
+                self.assertIn(got.status, (401, 503))
+                self.assertEqual(scene.runs(got), [])
+
+        gateway_scene.play(scene)
+
+    def test_key_is_refused_after_a_freeze(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            node = scene.cluster.vms["vm-0"]
+            waiting = []
+            node.process.freeze()
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            await asyncio.sleep(5.5)
+            waiting.append(asyncio.ensure_future(scene.call("unsafe")))
+            await asyncio.sleep(0.1)
+            node.process.wake()
+            got = await waiting[0]
+            self.assertEqual(scene.runs(got), [])
+
+        gateway_scene.play(scene)
+
+    def test_outage_of_the_store(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.store.trouble = "silent"
+            await asyncio.sleep(2.0)
+            self.assertEqual((await scene.call("unsafe")).status, 200)
+            await asyncio.sleep(3.0)
+            got = await scene.call("unsafe")
+            self.assertEqual(got.status, 503)
+            self.assertIn("retry-after", got.headers)
+            self.assertEqual(got.headers.get("connection"), "close")
+            # Without a key nothing depends on the store's freshness.
+            self.assertEqual((await scene.call("open")).status, 200)
+            scene.cluster.store.trouble = ""
+            await asyncio.sleep(2.0)
+            self.assertEqual((await scene.call("unsafe")).status, 200)
+
+        gateway_scene.play(scene)
+
+    def test_change_is_in_force_within_two_seconds(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.keys = {"w1": [gateway_cluster.KEY], "w2": ["new"]}
+            scene.cluster.publish()
+            scene.cluster.store.forget_history()
+            await asyncio.sleep(1.9)
+            for vm in scene.cluster.vms:
+                got = await scene.call("unsafe", vm, key="new")
+                self.assertEqual(got.status, 200)
+
+        gateway_scene.play(scene)
+
+    def test_settings_never_go_back(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.publish()
+            await asyncio.sleep(1.0)
+            old = gateway_cluster.make_configuration(scene.cluster.keys, 2)
+            scene.cluster.store.put("op/config", {**old, "config-version": 1})
+            await asyncio.sleep(1.0)
+            view = scene.cluster.vms["vm-0"].gateway.tools.view
+            self.assertEqual(view.catalog.revision, 2)
+
+        gateway_scene.play(scene)
+
+    def test_unreadable_settings_leave_the_last_ones(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for broken in (b"{", b"[]", b'{"config-version":9,"routes":[{}]}'):
+                scene.cluster.store.put_bytes("op/config", broken)
+                await asyncio.sleep(1.0)
+                self.assertEqual((await scene.call("open")).status, 200)
+
+        gateway_scene.play(scene)
+
+    def test_leaving_target_gets_no_new_work(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            node = scene.cluster.targets["service-0"]
+            scene.cluster.list_target(node, node.replica, "draining")
+            await asyncio.sleep(1.0)
+            # It goes off the list, and a late entry says that it is ready.
+            scene.cluster.unlist_target(node)
+            await asyncio.sleep(1.0)
+            scene.cluster.list_target(node, node.replica, "ready")
+            await asyncio.sleep(1.0)
+            for _ in range(8):
+                await scene.call("unsafe")
+            self.assertEqual(node.replica.runs, [])
+
+        gateway_scene.play(scene)
+
+    def test_unlisted_target_gets_no_new_work(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            node = scene.cluster.targets["service-0"]
+            scene.cluster.kill(node)
+            scene.cluster.unlist_target(node)
+            # Another replica now serves at the address.
+            scene.cluster.targets["service-9"] = other = gateway_cluster.Node(
+                "service-0", node.hall, node.process
+            )
+            scene.cluster.start_target(other)
+            await asyncio.sleep(1.0)
+            for _ in range(8):
+                self.assertEqual((await scene.call("unsafe")).status, 200)
+            self.assertEqual(node.replica.runs, [])
+
+        gateway_scene.play(scene)
+
+    def test_stranger_at_a_known_address_runs_nothing(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for number in range(3):
+                node = scene.cluster.targets[f"service-{number}"]
+                scene.cluster.kill(node)
+                await scene.cluster.serve_stranger(node)
+            for route in ("unsafe", "safe"):
+                got = await scene.call(route)
+                self.assertEqual((got.status, scene.runs(got)), (503, []))
+
+        gateway_scene.play(scene)
+
+    def test_lapsed_entries_do_not_empty_the_fleet(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            store = scene.cluster.store
+            store.trouble = "silent"
+            await asyncio.sleep(3.2)
+            for node in scene.cluster.targets.values():
+                scene.cluster.unlist_target(node)
+            store.trouble = ""
+            await asyncio.sleep(0.9)
+            self.assertEqual((await scene.call("open")).status, 200)
+
+        gateway_scene.play(scene)
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,153 @@
+"""Streams, silence, and memory for great prompts."""
+
+import asyncio
+from collections.abc import Awaitable
+import unittest
+
+import loguru
+
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import gateway_promises
+from tests import gateway_scene
+
+
+class StreamTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_broken_stream_goes_on_elsewhere(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("engine", break_off=1.0)
+            call = scene.call("short", output_tokens=2_000)
+            running = asyncio.ensure_future(call)
+            await asyncio.sleep(0.1)
+            # Whoever takes it up does not break off.
+            started = {
+                run.replica
+                for replica in scene.cluster.all_replicas
+                for run in replica.runs
+            }
+            for node in scene.cluster.targets.values():
+                if node.replica.name not in started:
+                    node.replica.wrong.break_off = 0.0
+            got = await running
+            runs = sorted(scene.runs(got), key=lambda each: each.resumed_after)
+            self.assertEqual(len(runs), 2)
+            self.assertGreater(runs[1].resumed_after, 0)
+            self.assertTrue(got.is_whole)
+            self.assertEqual(
+                gateway_promises.find_broken(scene.cluster, [got]), []
+            )
+            signature = got.headers["x-replica-signature"]
+            self.assertTrue(signature.startswith(runs[0].replica))
+
+        gateway_scene.play(scene, seed=3)
+
+    def test_stream_that_can_not_be_resumed_breaks(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("engine", break_off=1.0)
+            got = await scene.call("once")
+            self.assertEqual(len(scene.runs(got)), 1)
+            self.assertFalse(got.is_whole)
+
+        gateway_scene.play(scene, seed=3)
+
+    def test_spoilt_answers_are_not_handed_on(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for wrong in ("unsigned", "foreign"):
+                scene.spoil("", **{wrong: 1.0})
+                for route in ("unsafe", "once"):
+                    got = await scene.call(route)
+                    self.assertEqual(got.status, 502, wrong)
+                scene.spoil("", **{wrong: 0.0})
+                await asyncio.sleep(10.0)
+
+        gateway_scene.play(scene)
+
+    def test_silent_target_is_left_where_that_is_allowed(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for node in list(scene.cluster.targets.values())[:1]:
+                node.replica.wrong.mute = True
+            for _ in range(4):
+                got = await scene.call("short")
+                self.assertEqual((got.status, got.is_whole), (200, True))
+
+        gateway_scene.play(scene)
+
+    def test_hall_out_of_reach_is_passed_over(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cut = gateway_cluster.virtual_network.Cut("hall-1", "hall-0")
+            scene.cluster.network.cuts.append(cut)
+            slow = 0
+            for _ in range(40):
+                got = await scene.call("unsafe")
+                self.assertEqual(got.status, 200)
+                # A connection that does not come up costs 250 ms.
+                slow += got.took_ms > 300.0
+            self.assertLessEqual(slow, 4)
+
+        gateway_scene.play(scene, services=15)
+
+    def test_silent_target_of_a_once_only_call_is_waited_for(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("service", mute=True)
+            got = await scene.call("unsafe", time_limit_ms=1_500.0)
+            self.assertEqual(got.status, 504)
+            self.assertAlmostEqual(got.took_ms, 1_500.0, delta=60.0)
+
+        gateway_scene.play(scene)
+
+    def test_work_stops_when_the_caller_leaves(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            await scene.call("short", leaves_after_ms=150.0)
+            await asyncio.sleep(0.5)
+            writing = [
+                len(node.replica.engine.writers)
+                for node in scene.cluster.targets.values()
+                if node.replica.engine
+            ]
+            self.assertEqual(sum(writing), 0)
+
+        gateway_scene.play(scene)
+
+
+class MemoryTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def _call(
+        self, scene: gateway_scene.Scene
+    ) -> Awaitable[gateway_caller.Got]:
+        return scene.call(
+            "long",
+            prompt_tokens=800_000,
+            output_tokens=460,
+            time_limit_ms=15_000.0,
+        )
+
+    def test_prompt_over_one_engines_memory_is_served(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            got = await self._call(scene)
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            await asyncio.sleep(0.5)
+            held = [r.held_tokens() for r in scene.cluster.all_replicas]
+            self.assertEqual(sum(held), 0)
+
+        gateway_scene.play(scene, engines=8)
+
+    def test_memory_lapses_when_its_vm_dies(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            running = asyncio.ensure_future(self._call(scene))
+            await asyncio.sleep(1.0)
+            held = [r.held_tokens() for r in scene.cluster.all_replicas]
+            self.assertGreater(sum(held), 0)
+            scene.cluster.kill(scene.cluster.vms["vm-0"])
+            await asyncio.sleep(3.0)
+            held = [r.held_tokens() for r in scene.cluster.all_replicas]
+            self.assertEqual(sum(held), 0)
+            running.cancel()
+
+        gateway_scene.play(scene, engines=8)
