--- a/standins/soak.py
+++ b/standins/soak.py
@@ -68,6 +68,20 @@
 
     async def play(self) -> tuple[list[str], dict[int, int]]:
         """Returns broken promises and counts of statuses."""
+        try:
+            await self._play()
+        finally:
+            # Also when the soak itself fails: nothing of it may stay behind.
+            await self._end()
+        counts: dict[int, int] = {}
+        for got in self._got:
+            counts[got.status] = counts.get(got.status, 0) + 1
+        broken = gateway_promises.find_broken_by(
+            self._replicas, self._got, self._was_disturbed
+        )
+        return broken, counts
+
+    async def _play(self) -> None:
         await self._start()
         until_s = time.monotonic() + _PLAY_S
         calls = [
@@ -81,14 +95,6 @@
         for proxy in self._proxies:
             proxy.mode = soak_proxy.Mode.PASS
         await asyncio.sleep(_SETTLE_S)
-        await self._end()
-        counts: dict[int, int] = {}
-        for got in self._got:
-            counts[got.status] = counts.get(got.status, 0) + 1
-        broken = gateway_promises.find_broken_by(
-            self._replicas, self._got, self._was_disturbed
-        )
-        return broken, counts
 
     def _was_disturbed(self, got: gateway_caller.Got) -> bool:
         # Everything goes through proxies, any of which may hold bytes back, so
