Let an ended virtual process leave its successor's datagram port alone

Cause: a test of a fleet that restarts failed once. The clean-up of a killed process runs when its tasks are collected, and closed the port that the process started after it had taken at the same address. Change: a port is closed only for the process that holds it. Measured: the new test fails before and passes after. Conclusion: a fault of the stand-in; the product was not touched.

--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -191,7 +191,7 @@
             self._datagram_ports[address] = (process, take)
             return environment.DatagramPort(
                 lambda data, to: self._send_datagram(process, data, to),
-                lambda: self._datagram_ports.pop(address, None),
+                lambda: self._unbind(process, address),
             )
 
         return environment.Environment(
@@ -233,6 +233,13 @@
         delay_s = self.latency_s(source, sink)
         loop.call_later(delay_s, arrive, context=self.neutral)
 
+    def _unbind(
+        self, process: processes.VirtualProcess, address: environment.Address
+    ) -> None:
+        owner, _ = self._datagram_ports.get(address, (None, None))
+        if owner is process:
+            del self._datagram_ports[address]
+
     def _unlisten(
         self, process: processes.VirtualProcess, address: environment.Address
     ) -> None:
--- /dev/null
+++ b/tests/test_virtual_network.py
@@ -0,0 +1,32 @@
+"""The stand-in's network: what an ended process does to its successor."""
+
+import asyncio
+import unittest
+
+from ruddergate import environment
+from standins import virtual_network
+from standins import virtual_process
+
+_ADDRESS = environment.Address("vm-0", 1)
+
+
+class DatagramTest(unittest.TestCase):
+    def test_closing_late_leaves_the_port_of_a_successor(self) -> None:
+        # A killed process's clean-up runs whenever its tasks are collected.
+        got: list[bytes] = []
+
+        async def run() -> None:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            ports = []
+            for number in (1, 2):
+                process = virtual_process.VirtualProcess("vm-0", "h")
+                outside = network.make_environment(process, number)
+                ports.append(await outside.bind(got.append, _ADDRESS))
+            ports[0].close()
+            ports[1].send(b"news", _ADDRESS)
+            await asyncio.sleep(0.1)
+
+        virtual_process.run(run)
+        self.assertEqual(got, [b"news"])
