Pass digests of load on by relays; decode messages by their fields' types

Also: scalars of another type were converted, '5' to 5, since the hook meant to refuse them was never reached. Change: VMs of a hall form groups of at most 32; a group's relay passes digests to the other relays and within its group. Up to 16 peers everybody still writes to everybody. Sums are kept by target and only changed ones are told. The codec finds the taker of each field once for each message type. Tests: changes known everywhere, relays killed, frozen, halls cut off, all restarted; the test of a fleet that is heard in part is gone with that design, and those of bounded receivers stand for relays now.

--- /dev/null
+++ b/src/ruddergate/decisions/peer_groups.py
@@ -0,0 +1,71 @@
+"""Which VMs pass digests of load on, so that no VM's messages grow too much.
+
+VMs of a hall form groups of bounded size. One VM of a group, its relay, takes
+the digests of the others, passes them to the relays of the other groups and
+passes on within its group what those send. All VMs work this out alike from
+the VMs that they know; where they differ for a moment, digests come twice or
+half a second late.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import zlib
+
+# A relay sends to so many VMs of its group and to one VM of each other group.
+# At 940 VMs both numbers are about 30.
+GROUP_MOST = 32
+# In a fleet up to this size every VM writes to every other one: a relay would
+# save nothing and cost a hop.
+DIRECT_MOST = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """VMs that share a relay.
+
+    Attributes:
+        hall: Their data hall.
+        members: Their names, in the order in which they are to be relay.
+    """
+
+    hall: str
+    members: tuple[str, ...]
+
+
+def divide(halls: Mapping[str, str]) -> tuple[Group, ...]:
+    """Returns the groups of a fleet.
+
+    Args:
+        halls: Data hall of each VM by the VM's name.
+    """
+    by_hall: dict[str, list[str]] = {}
+    for name in sorted(halls, key=_rank_of):
+        by_hall.setdefault(halls[name], []).append(name)
+    groups: list[Group] = []
+    for hall in sorted(by_hall):
+        groups += _divide_hall(hall, by_hall[hall])
+    return tuple(groups)
+
+
+def _divide_hall(hall: str, ranked: Sequence[str]) -> list[Group]:
+    """Divides by rank in turn, so that groups are of even size."""
+    count = -(-len(ranked) // GROUP_MOST)
+    return [Group(hall, tuple(ranked[index::count])) for index in range(count)]
+
+
+def find_group(groups: Sequence[Group], name: str) -> Group | None:
+    """Returns the group that a VM is in, if it is known."""
+    return next((each for each in groups if name in each.members), None)
+
+
+def choose_relay(
+    group: Group, may_be_relay: Callable[[str], bool]
+) -> str | None:
+    """Returns the first member that may be relay, or None."""
+    return next(filter(may_be_relay, group.members), None)
+
+
+def _rank_of(name: str) -> tuple[int, str]:
+    return (zlib.crc32(name.encode()), name)
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -1,35 +1,52 @@
 """What peers have running on targets, summed from their digests."""
 
-import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import random
 
+from ruddergate.decisions import length_band
+from ruddergate.decisions import pause_class
+from ruddergate.decisions import peer_groups
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_digest
 
-# A digest that tells a change goes to at most so many peers; beyond that the
-# cost of a VM does not grow with the fleet.
-FAN_OUT = 80
-# A digest that tells nothing new keeps peers known to each other; a few a round
-# are enough for that.
-FAN_OUT_IDLE = 12
-# Peers named in a digest, enough for a new VM to find all within a few rounds.
-NAMED_MAX = 8
-# A peer's digest counts for so long. A VM with work says so at least once a
-# second; two such digests may get lost.
+# A peer's digest counts for so long. A VM tells its load twice a second; some
+# such digests may get lost.
 NEWS_MS = 3_000.0
-# A peer that was not heard for so long is forgotten.
-FORGET_MS = 5_000.0
+# A peer that was not heard of for so long is forgotten. A data hall that was
+# cut off is found again without a seed for as long.
+FORGET_MS = 60_000.0
+# A peer that was not heard of for so long is no relay of another group: two
+# of its digests in a row are missing.
+SILENT_MS = 1_200.0
+# A relay of the own group that has said nothing for so long after it was
+# written to is passed over.
+RELAY_TIMEOUT_MS = 1_200.0
+# It is tried again after this time, as it may have been cut off.
+RELAY_PAUSE_MS = 5_000.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
+    """What is known of one peer.
+
+    Attributes:
+        hall: Its data hall.
+        heard_ms: When a newer digest of it came, on whichever way.
+        incarnation: Its run.
+        number: Number of its last digest.
+        rows: Its work by target.
+        awaited_since_ms: When it was first written to as relay since it last
+            wrote itself; None if nothing is awaited of it.
+    """
+
+    hall: str
     heard_ms: float
-    incarnation: str = ""
-    number: int = -1
-    is_heard: bool = False
-    rows: tuple[dispatched.Dispatched, ...] = ()
+    incarnation: str
+    number: int
+    rows: dict[str, dispatched.Dispatched]
+    awaited_since_ms: float | None = None
 
 
 class PeerLoads:
@@ -37,106 +54,190 @@
 
     Args:
         own: Where this VM takes datagrams; never counted as a peer.
+        hall: Data hall of this VM.
     """
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, hall: str) -> None:
         self._own = own
+        self._hall = hall
         self._peers: dict[str, _Peer] = {}
-        self._summed: set[str] = set()
+        self._by_target: dict[str, dict[str, dispatched.Dispatched]] = {}
+        self._changed: set[str] = set()
+        self._groups: tuple[peer_groups.Group, ...] | None = None
 
     def __len__(self) -> int:
         return len(self._peers)
 
+    def names(self) -> list[str]:
+        """Returns all peers."""
+        return list(self._peers)
+
     def take(self, digest: load_digest.LoadDigest, now_ms: float) -> bool:
-        """Takes in a digest, unless a later one of the peer is known.
+        """Takes in a digest; returns whether it was news.
 
-        Returns whether it changes the sums.
+        It is none if it is this VM's own, or if the same or a later one of the
+        peer is known.
         """
         if digest.sender == self._own:
             return False
-        peer = self._peers.setdefault(digest.sender, _Peer(now_ms))
-        if peer.incarnation == digest.incarnation and (
-            digest.number <= peer.number
-        ):
+        peer = self._peers.get(digest.sender)
+        if peer is None or peer.hall != digest.hall:
+            self._groups = None
+        if peer is None:
+            peer = _Peer(digest.hall, now_ms, "", -1, {})
+            self._peers[digest.sender] = peer
+        is_same_run = peer.incarnation == digest.incarnation
+        if is_same_run and digest.number <= peer.number:
             return False
+        peer.hall = digest.hall
         peer.heard_ms = now_ms
-        peer.is_heard = True
         peer.incarnation = digest.incarnation
         peer.number = digest.number
-        is_change = peer.rows != digest.rows
-        peer.rows = digest.rows
-        for name in digest.peers[:NAMED_MAX]:
-            if name != self._own:
-                self._peers.setdefault(name, _Peer(now_ms))
-        return is_change
+        self._replace_rows(digest.sender, peer, digest.rows)
+        return True
+
+    def note_written_by(self, name: str) -> None:
+        """Notes that a peer has itself written to this VM."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.awaited_since_ms = None
+
+    def note_written_to(self, name: str, now_ms: float) -> None:
+        """Notes that a peer was written to as relay, and is to write too."""
+        peer = self._peers.get(name)
+        if peer is None:
+            return
+        since_ms = peer.awaited_since_ms
+        limit_ms = RELAY_TIMEOUT_MS + RELAY_PAUSE_MS
+        if since_ms is None or now_ms - since_ms > limit_ms:
+            peer.awaited_since_ms = now_ms
 
     def forget_silent(self, now_ms: float) -> None:
-        """Forgets peers that were not heard for long."""
+        """Drops old rows, and peers that were not heard of for long."""
         for name, peer in list(self._peers.items()):
-            if now_ms - peer.heard_ms > FORGET_MS:
+            silent_ms = now_ms - peer.heard_ms
+            if silent_ms > NEWS_MS and peer.rows:
+                self._replace_rows(name, peer, ())
+            if silent_ms > FORGET_MS:
                 del self._peers[name]
-
-    def choose_receivers(self, most: int, chance: random.Random) -> list[str]:
-        """Returns at most so many peers, any of them."""
-        names = list(self._peers)
-        if len(names) <= most:
-            return names
-        return chance.sample(names, most)
-
-    def name_some(self, now_ms: float, chance: random.Random) -> list[str]:
-        """Returns some peers that were lately heard from directly."""
-        names = [
-            name
-            for name, peer in self._peers.items()
-            if peer.is_heard and now_ms - peer.heard_ms <= NEWS_MS
-        ]
-        return chance.sample(names, min(len(names), NAMED_MAX))
-
-    def sum_up(self, now_ms: float) -> tuple[dispatched.Dispatched, ...]:
-        """Returns the peers' work by target, scaled up to all known peers.
-
-        A target that peers had work on the last time but have none on now is
-        told with zeros.
+                self._groups = None
+
+    def find_relay(self, now_ms: float) -> str:
+        """Returns the relay of this VM's own group; it may be this VM."""
+        group = peer_groups.find_group(self._find_groups(), self._own)
+        if group is None:
+            return self._own
+        found = peer_groups.choose_relay(
+            group, lambda name: self._is_fit(name, now_ms)
+        )
+        return found or self._own
+
+    def find_members(self) -> list[str]:
+        """Returns the others of this VM's own group."""
+        group = peer_groups.find_group(self._find_groups(), self._own)
+        if group is None:
+            return []
+        return [name for name in group.members if name != self._own]
+
+    def find_other_relays(
+        self, now_ms: float, chance: random.Random
+    ) -> list[str]:
+        """Returns the relay of each other group.
+
+        Where none of a group was lately heard of, it is any member: the group
+        may be cut off, or its relay may have died, and then any other one
+        passes digests on as well.
+        """
+        relays: list[str] = []
+        for group in self._find_groups():
+            if self._own in group.members:
+                continue
+            found = peer_groups.choose_relay(
+                group,
+                lambda name: now_ms - self._peers[name].heard_ms <= SILENT_MS,
+            )
+            relays.append(found or chance.choice(group.members))
+        return relays
+
+    def collect_sums(self) -> tuple[dispatched.Dispatched, ...]:
+        """Returns the sums that have changed since the last call.
+
+        A target that peers have no work on any more is told with zeros.
         """
-        heard = [peer for peer in self._peers.values() if peer.is_heard]
-        fresh = [p for p in heard if now_ms - p.heard_ms <= NEWS_MS]
-        by_target: dict[str, list[dispatched.Dispatched]] = {}
-        for peer in fresh:
-            for row in peer.rows:
-                by_target.setdefault(row.target_id, []).append(row)
-        scale = 1.0
-        if len(self._peers) > FAN_OUT and fresh:
-            scale = len(heard) / len(fresh)
-        ended = self._summed - by_target.keys()
-        self._summed = set(by_target)
+        sums = tuple(
+            _add_up(name, self._by_target.get(name, {}).values())
+            for name in sorted(self._changed)
+        )
+        self._changed.clear()
+        return sums
+
+    def renew_sums(self) -> None:
+        """Has the next `collect_sums` return all targets with work."""
+        self._changed.update(self._by_target)
+
+    def _is_fit(self, name: str, now_ms: float) -> bool:
+        if name == self._own:
+            return True
+        peer = self._peers[name]
+        if now_ms - peer.heard_ms > NEWS_MS:
+            return False
+        since_ms = peer.awaited_since_ms
+        if since_ms is None:
+            return True
+        awaited_ms = now_ms - since_ms
         return (
-            *(_add_up(name, rows, scale) for name, rows in by_target.items()),
-            *(dispatched.Dispatched(name, (), 0, 0) for name in ended),
+            awaited_ms <= RELAY_TIMEOUT_MS
+            or awaited_ms > RELAY_TIMEOUT_MS + RELAY_PAUSE_MS
         )
 
+    def _find_groups(self) -> tuple[peer_groups.Group, ...]:
+        if self._groups is None:
+            halls = {name: peer.hall for name, peer in self._peers.items()}
+            halls[self._own] = self._hall
+            self._groups = peer_groups.divide(halls)
+        return self._groups
+
+    def _replace_rows(
+        self,
+        name: str,
+        peer: _Peer,
+        rows: Iterable[dispatched.Dispatched],
+    ) -> None:
+        new = {row.target_id: row for row in rows}
+        for target_id in peer.rows.keys() | new.keys():
+            if peer.rows.get(target_id) == new.get(target_id):
+                continue
+            self._changed.add(target_id)
+            by_peer = self._by_target.setdefault(target_id, {})
+            if target_id in new:
+                by_peer[name] = new[target_id]
+                continue
+            del by_peer[name]
+            if not by_peer:
+                del self._by_target[target_id]
+        peer.rows = new
+
 
 def _add_up(
-    target_id: str,
-    rows: Iterable[dispatched.Dispatched],
-    scale: float,
+    target_id: str, rows: Iterable[dispatched.Dispatched]
 ) -> dispatched.Dispatched:
     held = 0
     streams = 0
-    by_pause: collections.Counter[int] = collections.Counter()
     prefill_ms = 0.0
-    totals: dict[int, int] = {}
+    by_pause = [0] * pause_class.CLASSES
+    pending = [0] * length_band.BANDS
     for row in rows:
         held += row.held_tokens
         streams += row.streams
-        by_pause.update(dict(enumerate(row.streams_by_pause)))
         prefill_ms += row.prefill_ms
-        for band, tokens in enumerate(row.pending_tokens):
-            totals[band] = totals.get(band, 0) + tokens
+        _add_to(by_pause, row.streams_by_pause)
+        _add_to(pending, row.pending_tokens)
     return dispatched.Dispatched(
-        target_id,
-        tuple(round(totals[band] * scale) for band in sorted(totals)),
-        round(held * scale),
-        round(streams * scale),
-        tuple(round(by_pause[each] * scale) for each in sorted(by_pause)),
-        prefill_ms * scale,
+        target_id, tuple(pending), held, streams, tuple(by_pause), prefill_ms
     )
+
+
+def _add_to(totals: list[int], counts: Sequence[int]) -> None:
+    """Adds counts; a peer of another release may have more or fewer."""
+    for index, count in enumerate(counts[: len(totals)]):
+        totals[index] += count
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -132,7 +132,11 @@
             gateway_config.settings_age_max_ms,
         )
         self._peers = peer_exchange.PeerExchange(
-            outside, gateway_config.peers, self.tools.incarnation, scheduler
+            outside,
+            gateway_config.peers,
+            config.hall,
+            self.tools.incarnation,
+            scheduler,
         )
         self._sync = source_sync.SourceSync(
             outside, platform.source, view, scheduler, gateway_config.pace
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -2,16 +2,20 @@
 
 Digests are small datagrams: a lost one is made good by the next, and nothing
 waits for a peer. They carry load only; whatever a promise rests on each VM
-finds out for itself.
+finds out for itself. In a large fleet they go by relays, see
+decisions/peer_groups.py.
 """
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 
 from ruddergate import environment
+from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.messages import loads
 from ruddergate.telemetry import logs
@@ -20,15 +24,26 @@
 # Changes are told at once, but for those that follow within this time: several
 # requests often begin together.
 CHANGE_GAP_MS = 25.0
-# Without a change, a VM with work tells it again in this time, in case that a
-# datagram was lost, and one without work keeps itself known.
+# Without a change a VM tells its work again in this time, in case that a
+# datagram was lost, and keeps itself known.
 ROUND_MS = 500.0
-# Peers are named, and seeds written to, once in this time.
-_NAMING_MS = 1_000.0
+# Seeds are written to once in this time while no peer is known, so that a
+# fleet finds itself within a second or two of its start.
+SEEDS_FIRST_MS = 1_000.0
+# And so often later, for parts of a fleet that have lost each other for longer
+# than they remember.
+SEEDS_LATER_MS = 10_000.0
+# A relay passes digests on after this time, with others that come meanwhile.
+GATHER_MS = 3.0
+# And no sooner than so long after the last time: a receiver's cost goes by
+# datagrams more than by digests.
+PASS_GAP_MS = 20.0
+# Digests that go into one datagram; with two rows each they take about 2 KB.
+BUNDLE_MOST = 24
 # A port that another process holds is tried again after this time.
 _BIND_AGAIN_MS = 2_000.0
-# Digests that come this close together are added up at once.
-_GATHER_MS = 3.0
+# Digests that come this close together are handed to the scheduler at once.
+_POST_MS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,38 +60,61 @@
 
 
 class PeerExchange:
-    """Sends and takes digests; owns the port for datagrams."""
+    """Sends, takes and passes on digests; owns the port for datagrams.
+
+    Args:
+        outside: Clock, chance and datagrams.
+        config: Where peers are found.
+        hall: Data hall of this VM.
+        incarnation: Name of this run of the VM.
+        scheduler: Is told what peers have running, and asked for own work.
+
+    Attributes:
+        loads: What is known of peers.
+    """
 
     def __init__(
         self,
         outside: environment.Environment,
         config: PeerConfig,
+        hall: str,
         incarnation: str,
         scheduler: schedulers.Scheduler,
     ) -> None:
         self._outside = outside
         self._config = config
+        self._hall = hall
         self._incarnation = incarnation
         self._scheduler = scheduler
         self._own = str(config.listen)
-        self._loads = peer_loads.PeerLoads(self._own)
+        self.loads = peer_loads.PeerLoads(self._own, hall)
+        self._port: environment.DatagramPort | None = None
         self._number = 0
-        self._named_ms = float("-inf")
+        self._seeds_due_ms = float("-inf")
         self._changed = asyncio.Event()
         self._is_posting = False
+        self._is_passing = False
+        self._passed_ms = float("-inf")
+        # Digests to pass on, the newest of each sender: those that members of
+        # this group sent, and those that relays of other groups sent.
+        self._from_members: dict[str, load_digest.LoadDigest] = {}
+        self._from_relays: dict[str, load_digest.LoadDigest] = {}
         self._known = 0
         self._log = logs.make_logger("peers")
 
     async def run(self) -> None:
         """Sends a digest after each change and in each round."""
-        port = await self._bind()
+        self._port = await self._bind()
         try:
             while True:
-                is_change = await self._wait()
-                self._send(port, is_change)
+                is_round = not await self._wait()
+                if is_round:
+                    self._renew()
+                self._tell()
                 await asyncio.sleep(CHANGE_GAP_MS / 1000.0)
         finally:
-            port.close()
+            self._port.close()
+            self._port = None
 
     def note_change(self) -> None:
         """Has peers told soon that this VM's work has changed."""
@@ -101,77 +139,134 @@
         self._changed.clear()
         return True
 
+    def _renew(self) -> None:
+        """Drops what is old, and has the scheduler told the rest again."""
+        self.loads.forget_silent(self._outside.now_ms())
+        self.loads.renew_sums()
+        self._post_sums()
+        if len(self.loads) != self._known:
+            self._known = len(self.loads)
+            self._log.info("Peers known: {}.", self._known)
+
+    def _tell(self) -> None:
+        """Sends this VM's digest on its way."""
+        digest = load_digest.LoadDigest(
+            sender=self._own,
+            hall=self._hall,
+            incarnation=self._incarnation,
+            number=self._number,
+            rows=self._scheduler.summarize(),
+        )
+        self._number += 1
+        now_ms = self._outside.now_ms()
+        if now_ms >= self._seeds_due_ms:
+            pause_ms = SEEDS_LATER_MS if len(self.loads) else SEEDS_FIRST_MS
+            self._seeds_due_ms = now_ms + pause_ms
+            self._send(digest, map(str, self._config.seeds))
+        if len(self.loads) <= peer_groups.DIRECT_MOST:
+            bundle = load_bundle.LoadBundle(self._own, False, (digest,))
+            self._send(bundle, self.loads.names())
+            return
+        relay = self.loads.find_relay(now_ms)
+        if relay == self._own:
+            self._from_members[self._own] = digest
+            self._pass_on_soon()
+            return
+        self.loads.note_written_to(relay, now_ms)
+        self._send(digest, (relay,))
+
     def _take(self, data: bytes) -> None:
         message = codec.decode(data)
-        if isinstance(message, load_digest.LoadDigest) and _is_sound(message):
-            if self._loads.take(message, self._outside.now_ms()):
-                self._post_soon()
-            return
-        self._log.warning("Datagram dropped, it is no digest.")
+        match message:
+            case load_digest.LoadDigest():
+                self._take_digests((message,), self._from_members)
+                self.loads.note_written_by(message.sender)
+            case load_bundle.LoadBundle():
+                passed_on = self._from_relays if message.for_group else None
+                self._take_digests(message.digests, passed_on)
+                self.loads.note_written_by(message.sender)
+            case _:
+                self._log.warning("Datagram dropped, it is no digest.")
 
-    def _send(self, port: environment.DatagramPort, is_change: bool) -> None:
+    def _take_digests(
+        self,
+        digests: Sequence[load_digest.LoadDigest],
+        passed_on: dict[str, load_digest.LoadDigest] | None,
+    ) -> None:
+        """Takes digests in, and keeps those that are news to be passed on."""
         now_ms = self._outside.now_ms()
-        self._loads.forget_silent(now_ms)
-        self._note_peers()
-        self._post_sums()
-        is_naming = now_ms - self._named_ms >= _NAMING_MS
-        if is_naming:
-            self._named_ms = now_ms
-        digest = self._make_digest(now_ms, is_naming)
-        has_news = is_change or bool(digest.rows)
-        data = codec.encode(digest)
-        for receiver in self._choose_receivers(has_news, is_naming):
-            port.send(data, receiver)
-        self._number += 1
+        for digest in digests:
+            if not _is_sound(digest):
+                self._log.warning("Digest dropped, its sender is no address.")
+                continue
+            if not self.loads.take(digest, now_ms):
+                continue
+            self._post_soon()
+            if passed_on is not None:
+                passed_on[digest.sender] = digest
+                self._pass_on_soon()
+
+    def _pass_on_soon(self) -> None:
+        if not self._is_passing:
+            self._is_passing = True
+            now_ms = self._outside.now_ms()
+            due_ms = max(now_ms + GATHER_MS, self._passed_ms + PASS_GAP_MS)
+            loop = asyncio.get_running_loop()
+            loop.call_later((due_ms - now_ms) / 1000.0, self._pass_on)
+
+    def _pass_on(self) -> None:
+        """Sends gathered digests to the group, and its own to other groups."""
+        self._is_passing = False
+        now_ms = self._passed_ms = self._outside.now_ms()
+        own = tuple(self._from_members.values())
+        all_ = (*own, *self._from_relays.values())
+        self._from_members.clear()
+        self._from_relays.clear()
+        self._send_bundles(all_, False, self.loads.find_members())
+        if own:
+            relays = self.loads.find_other_relays(now_ms, self._outside.random)
+            self._send_bundles(own, True, relays)
+
+    def _send_bundles(
+        self,
+        digests: Sequence[load_digest.LoadDigest],
+        for_group: bool,
+        receivers: Iterable[str],
+    ) -> None:
+        for begin in range(0, len(digests), BUNDLE_MOST):
+            part = tuple(digests[begin : begin + BUNDLE_MOST])
+            bundle = load_bundle.LoadBundle(self._own, for_group, part)
+            self._send(bundle, receivers)
+
+    def _send(
+        self,
+        message: load_digest.LoadDigest | load_bundle.LoadBundle,
+        receivers: Iterable[str],
+    ) -> None:
+        if self._port is None:
+            return
+        data = codec.encode(message)
+        for name in receivers:
+            if name != self._own:
+                self._port.send(data, environment.parse_address(name))
 
     def _post_soon(self) -> None:
         if not self._is_posting:
             self._is_posting = True
             loop = asyncio.get_running_loop()
-            loop.call_later(_GATHER_MS / 1000.0, self._post_sums)
+            loop.call_later(_POST_MS / 1000.0, self._post_sums)
 
     def _post_sums(self) -> None:
         self._is_posting = False
-        rows = self._loads.sum_up(self._outside.now_ms())
+        rows = self.loads.collect_sums()
         if rows:
             self._scheduler.post(loads.Loads((), rows, ()))
 
-    def _make_digest(
-        self, now_ms: float, is_naming: bool
-    ) -> load_digest.LoadDigest:
-        named: list[str] = []
-        if is_naming:
-            named = self._loads.name_some(now_ms, self._outside.random)
-        return load_digest.LoadDigest(
-            sender=self._own,
-            incarnation=self._incarnation,
-            number=self._number,
-            peers=tuple(named),
-            rows=self._scheduler.summarize(),
-        )
-
-    def _choose_receivers(
-        self, has_news: bool, is_naming: bool
-    ) -> Sequence[environment.Address]:
-        most = peer_loads.FAN_OUT if has_news else peer_loads.FAN_OUT_IDLE
-        names = self._loads.choose_receivers(most, self._outside.random)
-        chosen = set(map(environment.parse_address, names))
-        if is_naming:
-            chosen.update(self._config.seeds)
-        chosen.discard(self._config.listen)
-        return sorted(chosen, key=str)
-
-    def _note_peers(self) -> None:
-        if len(self._loads) != self._known:
-            self._known = len(self._loads)
-            self._log.info("Peers known: {}.", self._known)
-
 
 def _is_sound(digest: load_digest.LoadDigest) -> bool:
-    """Returns whether every address in a digest can be read."""
+    """Returns whether a digest's sender can be written to."""
     try:
-        for name in (digest.sender, *digest.peers):
-            environment.parse_address(name)
+        environment.parse_address(digest.sender)
     except ValueError:
         return False
     return True
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -1,4 +1,4 @@
-"""A gateway's own work on targets, told to its peers in one datagram."""
+"""A gateway's own work on targets, as it tells its peers."""
 
 import dataclasses
 
@@ -7,18 +7,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadDigest:
-    """What one gateway has running, as it stood when this was sent.
+    """What one gateway has running, as it stood when this was made.
 
     Attributes:
-        sender: Where the sender takes datagrams (HOST:PORT).
-        incarnation: Name of this run of the sender.
+        sender: Where the gateway takes datagrams (HOST:PORT).
+        hall: Its data hall.
+        incarnation: Name of this run of the gateway.
         number: Rises with each digest of an incarnation.
-        peers: Some peers that the sender has lately heard (HOST:PORT).
         rows: Its work on targets; targets without any are left out.
     """
 
     sender: str
+    hall: str
     incarnation: str
     number: int
-    peers: tuple[str, ...]
     rows: tuple[dispatched.Dispatched, ...]
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -1,6 +1,8 @@
 """Messages to bytes and back: msgpack of a tag and the fields in order."""
 
+from collections.abc import Callable
 import dataclasses
+import typing
 from typing import TypeAlias
 
 import cattrs
@@ -13,6 +15,7 @@
 from ruddergate.messages import gossip
 from ruddergate.messages import lend
 from ruddergate.messages import listing_wanted
+from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.messages import loads
 from ruddergate.messages import shares
@@ -30,6 +33,7 @@
     | lend.LendWanted
     | lend.Lent
     | listing_wanted.ListingWanted
+    | load_bundle.LoadBundle
     | load_digest.LoadDigest
     | loads.Loads
     | shares.Shares
@@ -54,7 +58,9 @@
     12: tree_parts.TreeParts,
     13: tree_wanted.TreeWanted,
     14: listing_wanted.ListingWanted,
-    15: load_digest.LoadDigest,
+    # 15 was a digest that named peers.
+    16: load_digest.LoadDigest,
+    17: load_bundle.LoadBundle,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_OF = {type_: tag for tag, type_ in _TAGS.items()}
@@ -71,15 +77,74 @@
     converter = cattrs.Converter(
         unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
     )
-    # By identity: a hook for `str` would also catch enumerations of text.
-    converter.register_structure_hook_func(
-        lambda type_: type_ in _SCALARS, _take_scalar
+    # What cattrs does by itself looks every field's type up again for each
+    # value, which costs most of the time that a small message takes.
+    converter.register_structure_hook_factory(
+        dataclasses.is_dataclass, lambda type_: _make_taker(converter, type_)
+    )
+    converter.register_structure_hook_factory(
+        _is_series, lambda type_: _make_series_taker(converter, type_)
     )
     return converter
 
 
+def _make_taker(
+    converter: cattrs.Converter, type_: type
+) -> Callable[[object, type], object]:
+    """Returns a function that makes a data class of its fields in order."""
+    hints = typing.get_type_hints(type_)
+    takers = [
+        (_find_taker(converter, hints[field.name]), hints[field.name])
+        for field in dataclasses.fields(type_)
+    ]
+
+    def take(value: object, _: type) -> object:
+        if not isinstance(value, list):
+            raise TypeError(f"expected a list, found {value!r:.40}")
+        # A newer release may send more fields, an older one fewer.
+        pairs = zip(takers, value, strict=False)
+        return type_(*[taker(each, hint) for (taker, hint), each in pairs])
+
+    return take
+
+
+def _find_taker(
+    converter: cattrs.Converter, type_: type
+) -> Callable[[object, type], object]:
+    """Returns what takes a value of a type.
+
+    Scalars are told by identity: cattrs' own hooks for them go before any that
+    is registered for a set of types, and turn `"5"` into 5.
+    """
+    if type_ in _SCALARS:
+        return _take_scalar
+    return converter.get_structure_hook(type_)
+
+
+def _is_series(type_: object) -> bool:
+    """Returns whether a type is a tuple of any length."""
+    arguments = typing.get_args(type_)
+    is_tuple = typing.get_origin(type_) is tuple
+    return is_tuple and len(arguments) == 2 and arguments[1] is Ellipsis
+
+
+def _make_series_taker(
+    converter: cattrs.Converter, type_: object
+) -> Callable[[object, type], object]:
+    """Returns a function that makes a tuple of like values."""
+    hint = typing.get_args(type_)[0]
+    taker = _find_taker(converter, hint)
+
+    def take(value: object, _: type) -> object:
+        if not isinstance(value, list):
+            raise TypeError(f"expected a list, found {value!r:.40}")
+        return tuple([taker(each, hint) for each in value])
+
+    return take
+
+
 def _take_scalar(value: object, type_: type) -> object:
-    """Takes a scalar as it is; cattrs alone would turn `"5"` into 5."""
+    """Takes a scalar as it is, and a whole number for a float."""
     if type_ is float and type(value) is int:
         return float(value)
     if type(value) is not type_:
--- /dev/null
+++ b/standins/peer_fleet.py
@@ -0,0 +1,232 @@
+"""Many VMs' exchange of digests in virtual time, without anything else.
+
+`python -m standins.peer_fleet` measures how its cost grows with the fleet;
+docs/CAPACITY.md quotes what it prints.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import time
+import zlib
+
+import cyclopts
+
+from ruddergate import environment
+from ruddergate.entry import peer_exchange
+from ruddergate.fleet import dispatched
+from ruddergate.messages import loads
+from standins import virtual_network
+from standins import virtual_process
+
+_PORT = 83
+SIZES = (9, 30, 80, 160, 300, 940)
+_HALLS = 3
+_TARGETS = 60
+_SETTLE_S = 4.0
+_MEASURE_S = 4.0
+# Changes of a VM's work in a second: that of 0.8 requests, three each.
+_CHANGES_PER_S = 2.4
+
+
+class FakeScheduler:
+    """Stands for a VM's scheduler: work of its own, and what peers told.
+
+    Args:
+        target_id: The one target that this VM gives work to.
+
+    Attributes:
+        own: Streams there.
+    """
+
+    def __init__(self, target_id: str) -> None:
+        self.own = 0
+        self._target_id = target_id
+        self._told: dict[str, int] = {}
+
+    @property
+    def told(self) -> int:
+        """Streams that peers have, on all targets."""
+        return sum(self._told.values())
+
+    def summarize(self) -> tuple[dispatched.Dispatched, ...]:
+        """Returns this VM's work."""
+        if not self.own:
+            return ()
+        row = dispatched.Dispatched(
+            self._target_id, (0,) * 5, 0, self.own, (self.own, 0, 0)
+        )
+        return (row,)
+
+    def post(self, message: loads.Loads) -> None:
+        """Takes in what peers have."""
+        for row in message.peers:
+            self._told[row.target_id] = row.streams
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One VM.
+
+    Attributes:
+        process: Its process.
+        scheduler: Its work.
+        exchange: What is tried out.
+        sent: Datagrams it has sent.
+        sent_bytes: Their bytes.
+        now_ms: Its clock.
+        starts: How often it was started.
+    """
+
+    process: virtual_process.VirtualProcess
+    scheduler: FakeScheduler
+    exchange: peer_exchange.PeerExchange
+    now_ms: Callable[[], float]
+    sent: int = 0
+    sent_bytes: int = 0
+    starts: int = 1
+
+
+class PeerFleet:
+    """VMs that know each other by seeds only.
+
+    Attributes:
+        network: Their network.
+        members: The VMs by name.
+    """
+
+    def __init__(self, size: int, seeds: Sequence[str] = ()) -> None:
+        self.network = virtual_network.VirtualNetwork(
+            1, virtual_network.Latency()
+        )
+        self.members: dict[str, Member] = {}
+        self._seeds = tuple(
+            environment.Address(name, _PORT) for name in seeds or ("vm-0",)
+        )
+        for number in range(size):
+            self.start(f"vm-{number}", f"hall-{number % _HALLS}")
+
+    def start(self, name: str, hall: str) -> None:
+        """Starts a VM, for the first time or again."""
+        known = self.members.get(name)
+        starts = known.starts + 1 if known else 1
+        process = virtual_process.VirtualProcess(name, hall)
+        outside = self.network.make_environment(process, starts)
+        scheduler = FakeScheduler(
+            f"engine-{zlib.crc32(name.encode()) % _TARGETS}"
+        )
+        exchange = peer_exchange.PeerExchange(
+            self._count_sent(outside, name),
+            peer_exchange.PeerConfig(
+                environment.Address(name, _PORT), self._seeds
+            ),
+            hall,
+            f"{name}.{starts}",
+            scheduler,
+        )
+        self.members[name] = Member(
+            process, scheduler, exchange, outside.now_ms, starts=starts
+        )
+        process.start(exchange.run)
+
+    def kill(self, name: str) -> None:
+        """Ends a VM at once."""
+        self.members[name].process.kill()
+
+    def set_work(self, name: str, streams: int) -> None:
+        """Changes a VM's work, which it tells."""
+        member = self.members[name]
+        member.scheduler.own = streams
+        member.exchange.note_change()
+
+    def find_wrong(self) -> list[str]:
+        """Returns the living VMs that do not know all others' work."""
+        living = {
+            name: member
+            for name, member in self.members.items()
+            if not member.process.is_dead
+        }
+        total = sum(each.scheduler.own for each in living.values())
+        return [
+            name
+            for name, each in living.items()
+            if each.scheduler.told != total - each.scheduler.own
+        ]
+
+    def find_relays(self) -> set[str]:
+        """Returns the VMs that others take for their relay."""
+        found = {
+            each.exchange.loads.find_relay(each.now_ms())
+            for each in self.members.values()
+        }
+        return {name.partition(":")[0] for name in found}
+
+    def _count_sent(
+        self, outside: environment.Environment, name: str
+    ) -> environment.Environment:
+        async def bind(
+            take: environment.TakeDatagram, address: environment.Address
+        ) -> environment.DatagramPort:
+            port = await outside.bind(take, address)
+
+            def send(data: bytes, to: environment.Address) -> None:
+                self.members[name].sent += 1
+                self.members[name].sent_bytes += len(data)
+                port.send(data, to)
+
+            return environment.DatagramPort(send, port.close)
+
+        return dataclasses.replace(outside, bind=bind)
+
+
+async def _change_work(fleet: PeerFleet) -> None:
+    chance = fleet.network.make_environment(
+        virtual_process.VirtualProcess("", ""), 1
+    ).random
+    names = list(fleet.members)
+    pause_s = 1.0 / (_CHANGES_PER_S * len(names))
+    while True:
+        name = chance.choice(names)
+        fleet.set_work(name, chance.randrange(4))
+        await asyncio.sleep(pause_s)
+
+
+async def _measure(size: int) -> str:
+    fleet = PeerFleet(size, tuple(f"vm-{n}" for n in range(3)))
+    await asyncio.sleep(_SETTLE_S)
+    busy = asyncio.ensure_future(_change_work(fleet))
+    before = {
+        name: (each.sent, each.sent_bytes)
+        for name, each in fleet.members.items()
+    }
+    began = time.process_time()
+    await asyncio.sleep(_MEASURE_S)
+    used_ms = (time.process_time() - began) * 1000.0
+    busy.cancel()
+    sent = [
+        (each.sent - before[name][0], each.sent_bytes - before[name][1])
+        for name, each in fleet.members.items()
+    ]
+    await asyncio.sleep(1.0)
+    wrong = len(fleet.find_wrong())
+    mean = sum(count for count, _ in sent) / size / _MEASURE_S
+    mean_kb = sum(size_ for _, size_ in sent) / size / _MEASURE_S / 1000.0
+    most = max(count for count, _ in sent) / _MEASURE_S
+    most_kb = max(size_ for _, size_ in sent) / _MEASURE_S / 1000.0
+    cpu = used_ms / size / _MEASURE_S
+    return (
+        f"{size:5} VMs: datagrams/s mean {mean:.1f} most {most:.0f}; "
+        f"KB/s mean {mean_kb:.1f} most {most_kb:.0f}; "
+        f"CPU ms/s a VM {cpu:.1f}; wrong after 1 s {wrong}"
+    )
+
+
+def main(sizes: Sequence[int] = SIZES) -> None:
+    """Prints what a VM sends, at several sizes of the fleet."""
+    for size in sizes:
+        print(virtual_process.run(lambda size=size: _measure(size)), flush=True)
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,102 +1,246 @@
-"""Digests between gateways: sums, order, growth of their cost."""
+"""Digests between gateways: sums, order, relays, growth of their cost."""
 
-import random
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import unittest
 
 import hypothesis
 from hypothesis import strategies
+import msgpack
 
+from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
+from ruddergate.entry import peer_exchange
 from ruddergate.fleet import dispatched
+from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.wire import codec
+from standins import peer_fleet
+from standins import virtual_network
+from standins import virtual_process
+
+# A change passes two relays at most, each of which waits for its turn.
+_TOLD_MS = 2.0 * (peer_exchange.GATHER_MS + peer_exchange.PASS_GAP_MS) + 30.0
+
+
+def _row(streams: int = 1, target: str = "e") -> dispatched.Dispatched:
+    return dispatched.Dispatched(
+        target, (100, 0, 0, 0, 0), 500, streams, (streams, 0, 0), 20.0
+    )
 
 
 def _digest(
     sender: str,
     number: int = 1,
     streams: int = 1,
-    peers: tuple[str, ...] = (),
     incarnation: str = "a",
+    hall: str = "h",
 ) -> load_digest.LoadDigest:
-    row = dispatched.Dispatched(
-        "e", (100, 0, 0, 0, 0), 500, streams, (streams, 0, 0), 20.0
+    return load_digest.LoadDigest(
+        sender, hall, incarnation, number, (_row(streams),)
     )
-    return load_digest.LoadDigest(sender, incarnation, number, peers, (row,))
 
 
 class PeerLoadsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.loads = peer_loads.PeerLoads("1.1.1.1:1")
-        self.chance = random.Random(1)
+        self.loads = peer_loads.PeerLoads("1.1.1.1:1", "h")
 
     def test_sums_over_peers(self) -> None:
         self.loads.take(_digest("1.1.1.2:1"), 0.0)
         self.loads.take(_digest("1.1.1.3:1", streams=2), 0.0)
-        (row,) = self.loads.sum_up(100.0)
+        (row,) = self.loads.collect_sums()
         self.assertEqual(row.streams, 3)
         self.assertEqual(row.streams_by_pause, (3, 0, 0))
+        self.assertEqual(row.pending_tokens, (200, 0, 0, 0, 0))
         self.assertEqual(row.held_tokens, 1_000)
         self.assertEqual(row.prefill_ms, 40.0)
 
+    def test_only_what_changed_is_told(self) -> None:
+        self.loads.take(_digest("1.1.1.2:1"), 0.0)
+        self.loads.collect_sums()
+        self.loads.take(_digest("1.1.1.2:1", number=2), 1.0)
+        self.assertEqual(self.loads.collect_sums(), ())
+        self.loads.renew_sums()
+        self.assertEqual(len(self.loads.collect_sums()), 1)
+
     def test_older_digest_changes_nothing(self) -> None:
         self.loads.take(_digest("1.1.1.2:1", number=5, streams=1), 0.0)
-        self.loads.take(_digest("1.1.1.2:1", number=4, streams=9), 1.0)
-        self.assertEqual(self.loads.sum_up(2.0)[0].streams, 1)
+        older = _digest("1.1.1.2:1", number=4, streams=9)
+        self.assertFalse(self.loads.take(older, 1.0))
+        self.assertEqual(self.loads.collect_sums()[0].streams, 1)
 
     def test_restarted_peer_is_heard(self) -> None:
         self.loads.take(_digest("1.1.1.2:1", number=5), 0.0)
         restarted = _digest("1.1.1.2:1", number=0, streams=7, incarnation="b")
-        self.loads.take(restarted, 1.0)
-        self.assertEqual(self.loads.sum_up(2.0)[0].streams, 7)
+        self.assertTrue(self.loads.take(restarted, 1.0))
+        self.assertEqual(self.loads.collect_sums()[0].streams, 7)
 
     def test_silent_peers_work_ends(self) -> None:
         self.loads.take(_digest("1.1.1.2:1"), 0.0)
-        self.loads.sum_up(0.0)
-        (row,) = self.loads.sum_up(peer_loads.NEWS_MS + 1.0)
+        self.loads.collect_sums()
+        self.loads.forget_silent(peer_loads.NEWS_MS + 1.0)
+        (row,) = self.loads.collect_sums()
         self.assertEqual((row.target_id, row.streams), ("e", 0))
         self.loads.forget_silent(peer_loads.FORGET_MS + 1.0)
         self.assertEqual(len(self.loads), 0)
 
-    def test_named_peers_are_written_to_but_not_passed_on(self) -> None:
-        self.loads.take(_digest("1.1.1.2:1", peers=("1.1.1.9:1",)), 0.0)
-        receivers = self.loads.choose_receivers(9, self.chance)
-        self.assertEqual(sorted(receivers), ["1.1.1.2:1", "1.1.1.9:1"])
-        named = self.loads.name_some(1.0, self.chance)
-        self.assertEqual(named, ["1.1.1.2:1"])
-
-    def test_receivers_do_not_grow_with_the_fleet(self) -> None:
-        for number in range(300):
-            self.loads.take(_digest(f"1.1.{number // 250}.{number % 250}:1"), 0)
-        receivers = self.loads.choose_receivers(peer_loads.FAN_OUT, self.chance)
-        self.assertEqual(len(receivers), peer_loads.FAN_OUT)
-
-    def test_part_of_a_large_fleet_stands_for_all(self) -> None:
-        for number in range(100):
-            heard_ms = 5_000.0 if number % 2 else 0.0
-            self.loads.take(_digest(f"1.1.1.{number}:2"), heard_ms)
-        (row,) = self.loads.sum_up(5_000.0)
-        self.assertEqual(row.streams, 100)
-
     def test_own_digest_is_no_peers(self) -> None:
-        self.loads.take(_digest("1.1.1.1:1"), 0.0)
+        self.assertFalse(self.loads.take(_digest("1.1.1.1:1"), 0.0))
         self.assertEqual(len(self.loads), 0)
 
-
-class DigestCodecTest(unittest.TestCase):
+    def test_silent_relay_is_passed_over_and_tried_again(self) -> None:
+        for number in range(2, 20):
+            self.loads.take(_digest(f"1.1.1.{number}:1"), 0.0)
+        first = self.loads.find_relay(0.0)
+        self.assertNotEqual(first, "1.1.1.1:1")
+        self.loads.note_written_to(first, 0.0)
+        late_ms = peer_loads.RELAY_TIMEOUT_MS + 1.0
+        self.assertNotEqual(self.loads.find_relay(late_ms), first)
+        self.loads.note_written_by(first)
+        self.assertEqual(self.loads.find_relay(late_ms), first)
+
+
+class PeerGroupsTest(unittest.TestCase):
+    @hypothesis.given(strategies.integers(1, 400), strategies.integers(1, 12))
+    @hypothesis.settings(max_examples=30, deadline=None)
+    def test_every_vm_is_in_one_group_of_its_hall(
+        self, size: int, halls: int
+    ) -> None:
+        fleet = {f"1.1.1.{n}:1": f"h{n % halls}" for n in range(size)}
+        groups = peer_groups.divide(fleet)
+        members = [name for group in groups for name in group.members]
+        self.assertEqual(sorted(members), sorted(fleet))
+        for group in groups:
+            self.assertLessEqual(len(group.members), peer_groups.GROUP_MOST)
+            self.assertEqual({fleet[m] for m in group.members}, {group.hall})
+
+    def test_receivers_of_a_relay_at_940_vms(self) -> None:
+        fleet = {f"vm-{n}:1": f"h{n % 12}" for n in range(940)}
+        groups = peer_groups.divide(fleet)
+        self.assertLessEqual(len(groups) + peer_groups.GROUP_MOST, 80)
+
+
+class FleetTest(unittest.TestCase):
+    """Whole fleets in virtual time."""
+
+    def _play(
+        self,
+        scene: Callable[[peer_fleet.PeerFleet], Awaitable[None]],
+        size: int,
+        seeds: tuple[str, ...] = ("vm-0", "vm-1"),
+    ) -> None:
+        async def run() -> None:
+            fleet = peer_fleet.PeerFleet(size, seeds)
+            await asyncio.sleep(4.0)
+            await scene(fleet)
+
+        virtual_process.run(run)
+
+    async def _check_change(self, fleet: peer_fleet.PeerFleet) -> None:
+        fleet.set_work("vm-5", fleet.members["vm-5"].scheduler.own + 3)
+        await asyncio.sleep(_TOLD_MS / 1000.0)
+        self.assertEqual(fleet.find_wrong(), [])
+
+    def test_change_is_known_everywhere_at_once(self) -> None:
+        for size in (9, 17, 50):
+            with self.subTest(size=size):
+                self._play(self._check_change, size)
+
+    def test_dead_relays_are_replaced(self) -> None:
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            relays = fleet.find_relays() - {"vm-5"}
+            self.assertGreaterEqual(len(relays), 2)
+            for name in relays:
+                fleet.kill(name)
+            await asyncio.sleep(
+                (peer_loads.NEWS_MS + 4.0 * peer_exchange.ROUND_MS) / 1000.0
+            )
+            await self._check_change(fleet)
+
+        self._play(scene, 40, ("vm-0",))
+
+    def test_hall_that_was_cut_off_for_long_is_heard_again(self) -> None:
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            cut = virtual_network.Cut("hall-1", "")
+            fleet.network.cuts.append(cut)
+            fleet.set_work("vm-1", 4)
+            await asyncio.sleep(12.0)
+            # Those of the same hall go on hearing each other.
+            self.assertEqual(fleet.members["vm-4"].scheduler.told, 4)
+            self.assertEqual(fleet.members["vm-3"].scheduler.told, 0)
+            fleet.network.cuts.remove(cut)
+            await asyncio.sleep(4.0 * peer_exchange.ROUND_MS / 1000.0)
+            self.assertEqual(fleet.find_wrong(), [])
+
+        self._play(scene, 40, ("vm-0",))
+
+    def test_all_restart_at_once(self) -> None:
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            for name in list(fleet.members):
+                fleet.kill(name)
+                fleet.start(name, fleet.members[name].process.hall)
+            await asyncio.sleep(4.0)
+            await self._check_change(fleet)
+
+        self._play(scene, 30)
+
+    def test_frozen_relay(self) -> None:
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            relay = sorted(fleet.find_relays() - {"vm-5"})[0]
+            fleet.members[relay].process.freeze()
+            await asyncio.sleep(4.0)
+            fleet.members[relay].process.wake()
+            await asyncio.sleep(4.0 * peer_exchange.ROUND_MS / 1000.0)
+            await self._check_change(fleet)
+
+        self._play(scene, 40)
+
+    def test_datagrams_of_a_vm_are_bounded(self) -> None:
+        most = {}
+        for size in (40, 120):
+
+            async def scene(fleet: peer_fleet.PeerFleet) -> None:
+                before = {n: m.sent for n, m in fleet.members.items()}
+                await asyncio.sleep(2.0)
+                sent = [m.sent - before[n] for n, m in fleet.members.items()]
+                sent.sort()
+                # All but the relays send one a round.
+                self.assertLessEqual(sent[len(sent) // 2], 6)
+                most[len(sent)] = sent[-1]
+
+            self._play(scene, size)
+        # Of that, a group's members are the greatest part, and they are 13
+        # and 20: not all the others.
+        self.assertLess(most[120], 3.0 * most[40])
+
+
+class CodecTest(unittest.TestCase):
     def test_round_trip_and_size(self) -> None:
-        row = _digest("1.1.1.1:1").rows[0]
         digest = load_digest.LoadDigest(
             "10.100.200.30:7341",
+            "hall-bezigrad",
             "0123456789ab",
             100_000,
-            ("10.100.200.31:7341",) * peer_loads.NAMED_MAX,
-            (row,) * 30,
+            (_row(), _row(2, "i-7f3a91c2")),
+        )
+        bundle = load_bundle.LoadBundle(
+            "10.100.200.30:7341", True, (digest,) * peer_exchange.BUNDLE_MOST
         )
-        data = codec.encode(digest)
-        self.assertEqual(codec.decode(data), digest)
-        # One datagram in one packet.
-        self.assertLess(len(data), 1_400)
+        data = codec.encode(bundle)
+        self.assertEqual(codec.decode(data), bundle)
+        # Far from what one datagram may hold.
+        self.assertLess(len(data), 8_000)
+
+    def test_scalars_are_not_converted(self) -> None:
+        for wrong in (
+            ["1.1.1.1:1", "h", "a", "5", []],
+            ["1.1.1.1:1", "h", "a", 5.0, []],
+            ["1.1.1.1:1", "h", "a", True, []],
+            [1, "h", "a", 5, []],
+        ):
+            data = msgpack.packb((16, wrong))
+            self.assertIsInstance(codec.decode(data), codec.Malformed, wrong)
 
     @hypothesis.given(strategies.binary(max_size=80))
     def test_any_bytes_are_borne(self, data: bytes) -> None:
