Size the short prompts' region by the engines' own places

Cause: the region of short prompts took five answers an engine as a goal, which fits engines of eight places. The grown sites' engines have six: with one place left, VMs that did not yet know of each other overfilled them; in a burst 111 of 1,638 calls were rejected and 262 short prompts were late. Change: a part of the places, 0.625, as five of eight was.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -20,9 +20,11 @@
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.decisions.routing import policy as policies
 
-# Streams that an engine of the front region is to have: enough places are left
-# for chance, and a pass stays short.
-SHORT_STREAMS = 5.0
+# Part of an engine's places that the front region is to have taken: the rest is
+# left for what VMs do not know of each other yet, and a pass stays short.
+SHORT_FILL = 0.625
+# Places of an engine that does not tell them.
+PLACES_UNTOLD = 8
 # Engines that either region keeps, whatever the other one needs.
 REGION_LEAST = 3
 # A long prompt waits for engines to become free rather than cost others more
@@ -158,7 +160,9 @@
         (each.target.target_id for each in candidates), key=_rank_of
     )
     streams = sum(each.streams_by_pause(now_ms)[0] for each in candidates)
-    needed = math.ceil(streams / SHORT_STREAMS) + 1
+    places = [each.target.streams_max or PLACES_UNTOLD for each in candidates]
+    fill = SHORT_FILL * sum(places) / len(places)
+    needed = math.ceil(streams / fill) + 1
     least = min(REGION_LEAST, len(ranked) // 2)
     needed = max(least, min(len(ranked) - least, needed))
     return frozenset(ranked[needed:])
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -34,7 +34,7 @@
 _GREAT = jobs.Job(900_000, 901_000, "", 0, True, 0.0, 3_000.0, 800.0)
 
 
-def _make_engines(count: int) -> list[estimates.Estimate]:
+def _make_engines(count: int, places: int = 8) -> list[estimates.Estimate]:
     return [
         estimates.Estimate(
             targets.Target(
@@ -43,7 +43,7 @@
                 "h",
                 environment.Address("1.1.1.1", number + 1),
                 condition.Condition.LIVE,
-                8,
+                places,
             ),
             _POOL,
         )
@@ -91,6 +91,17 @@
         self.assertGreater(before, after)
         self.assertEqual(after, by_region.REGION_LEAST)
 
+    def test_boundary_leaves_places_free_on_engines_of_any_size(self) -> None:
+        for places in (4, 6, 8, 12):
+            engines = _make_engines(60, places)
+            for each in engines[:40]:
+                row = dispatched.Dispatched(
+                    each.target.target_id, (), 0, 3, (3, 0, 0), 0.0
+                )
+                each.take_peers(row, 0.0)
+            front = 60 - len(by_region._find_long_region(engines, 0.0))
+            self.assertLessEqual(120 / front, by_region.SHORT_FILL * places)
+
     def test_long_answers_leave_the_boundary(self) -> None:
         engines = _make_engines(18)
         before = by_region._find_long_region(engines, 0.0)
