--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -14,6 +14,7 @@
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import view as views
 from ruddergate.fleet import condition
+from ruddergate.fleet import dispatched
 from ruddergate.fleet import listing as listings
 from ruddergate.fleet import load_report
 from ruddergate.fleet import target as targets
@@ -72,6 +73,30 @@
     return placement.Reported(report)
 
 
+class PeersTest(unittest.TestCase):
+    def test_peers_are_asked_for_before_places_are_given(self) -> None:
+        told = [dispatched.Dispatched("engine-1", (), 0, 7, (7, 0, 0))]
+
+        async def run() -> str:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            process = virtual_process.VirtualProcess("vm", "h")
+            view = _make_view()
+            scheduler = schedulers.Scheduler(
+                network.make_environment(process, 1),
+                configs.EntryConfig("vm", "h", _WHERE),
+                view,
+                collect_peers=lambda: told,
+            )
+            process.start(scheduler.run)
+            scheduler.post(schedulers.ViewChanged())
+            placed = await scheduler.place(_ask(view))
+            return placed.seats[0].believed
+
+        self.assertIn("streams=7.0", virtual_process.run(run))
+
+
 class SchedulerTest(unittest.TestCase):
     def play(self, gives_up: bool) -> tuple:
         async def run() -> tuple:
