Have a group agree on its next relay at once; log which relay is used

Cause: while a relay was silent the whole group was, and after 3.5 s each VM took itself for the only one left: all of them passed digests on by themselves for a round (23 changes of relay logged in place of 12). The log did not tell which relay a VM used. Ruled out: a wrong order of candidates; all chose the same VM a round later. Change: members count as candidates for 6 s, longer than a time-out and two rounds; a change of the relay is a log line. Measured: the new test fails before (23) and passes after (12).

--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -25,6 +25,10 @@
 RELAY_TIMEOUT_MS = 2_200.0
 # It is tried again after this time, as it may have been cut off.
 RELAY_PAUSE_MS = 5_000.0
+# A member of the own group that was not heard of for so long is no relay. All
+# of them are silent while the relay is, so this is longer than a relay's
+# time-out and two rounds.
+MEMBER_SILENT_MS = 6_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -180,7 +184,7 @@
         if name == self._own:
             return True
         peer = self._peers[name]
-        if now_ms - peer.heard_ms > NEWS_MS:
+        if now_ms - peer.heard_ms > MEMBER_SILENT_MS:
             return False
         since_ms = peer.awaited_since_ms
         if since_ms is None:
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -105,6 +105,8 @@
         self._from_members: dict[str, load_digest.LoadDigest] = {}
         self._from_relays: dict[str, load_digest.LoadDigest] = {}
         self._known = 0
+        # The relay that was last written to, for logs.
+        self._relay = ""
         self._log = logs.make_logger("peers")
 
     async def run(self) -> None:
@@ -178,6 +180,9 @@
             self._send(bundle, self.loads.names())
             return
         relay = self.loads.find_relay(now_ms)
+        if relay != self._relay:
+            self._relay = relay
+            self._log.info("Digests go by {}.", relay, peers=self._known)
         if relay == self._own:
             self._from_members[self._own] = digest
             self._pass_on_soon()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import loguru
 import msgpack
 
 from ruddergate.decisions import peer_groups
@@ -201,6 +202,24 @@
 
         self._play(scene, 30)
 
+    def test_change_of_the_relay_is_logged(self) -> None:
+        lines: list[str] = []
+        sink = loguru.logger.add(
+            lambda line: lines.append(line.record["message"]), level="INFO"
+        )
+        self.addCleanup(loguru.logger.remove, sink)
+
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            relay = sorted(fleet.find_relays())[0]
+            lines.clear()
+            fleet.kill(relay)
+            await asyncio.sleep(2.0 * peer_loads.RELAY_TIMEOUT_MS / 1000.0)
+            told = [line for line in lines if line.startswith("Digests go by")]
+            # Once by each other VM of the group.
+            self.assertEqual(len(told), 40 // 3 - 1)
+
+        self._play(scene, 40)
+
     def test_frozen_relay(self) -> None:
         async def scene(fleet: peer_fleet.PeerFleet) -> None:
             relay = sorted(fleet.find_relays() - {"vm-5"})[0]
