Split the sending of a digest into steps

Cause: one function made, counted, logged and sent a digest. Measured: tests.test_peers passes (20 tests).

--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -158,10 +158,30 @@
 
     def _tell(self) -> None:
         """Sends this VM's digest on its way."""
+        self._note_peers()
+        digest = self._make_digest()
+        now_ms = self._outside.now_ms()
+        self._tell_seeds(digest, now_ms)
+        if len(self.loads) <= peer_groups.DIRECT_MOST:
+            bundle = load_bundle.LoadBundle(self._own, False, (digest,))
+            self._send(bundle, self.loads.names())
+            return
+        relay = self._find_relay(now_ms)
+        if relay == self._own:
+            self._from_members[self._own] = digest
+            self._pass_on_soon()
+            return
+        self.loads.note_written_to(relay, now_ms)
+        self._send(digest, (relay,))
+
+    def _note_peers(self) -> None:
         if len(self.loads) != self._known:
             self._known = len(self.loads)
             self._log.info("Peers known: {}.", self._known)
-        digest = load_digest.LoadDigest(
+
+    def _make_digest(self) -> load_digest.LoadDigest:
+        self._number += 1
+        return load_digest.LoadDigest(
             sender=self._own,
             hall=self._hall,
             link_mbps=self._config.link_mbps,
@@ -169,26 +189,23 @@
             number=self._number,
             rows=self._summarize(),
         )
-        self._number += 1
-        now_ms = self._outside.now_ms()
-        if now_ms >= self._seeds_due_ms:
-            pause_ms = SEEDS_LATER_MS if len(self.loads) else SEEDS_FIRST_MS
-            self._seeds_due_ms = now_ms + pause_ms
-            self._send(digest, map(str, self._config.seeds))
-        if len(self.loads) <= peer_groups.DIRECT_MOST:
-            bundle = load_bundle.LoadBundle(self._own, False, (digest,))
-            self._send(bundle, self.loads.names())
+
+    def _tell_seeds(
+        self, digest: load_digest.LoadDigest, now_ms: float
+    ) -> None:
+        """Makes this VM known to the seeds, which pass its digest on."""
+        if now_ms < self._seeds_due_ms:
             return
+        pause_ms = SEEDS_LATER_MS if len(self.loads) else SEEDS_FIRST_MS
+        self._seeds_due_ms = now_ms + pause_ms
+        self._send(digest, map(str, self._config.seeds))
+
+    def _find_relay(self, now_ms: float) -> str:
         relay = self.loads.find_relay(now_ms)
         if relay != self._relay:
             self._relay = relay
             self._log.info("Digests go by {}.", relay, peers=self._known)
-        if relay == self._own:
-            self._from_members[self._own] = digest
-            self._pass_on_soon()
-            return
-        self.loads.note_written_to(relay, now_ms)
-        self._send(digest, (relay,))
+        return relay
 
     def _take(self, data: bytes) -> None:
         message = codec.decode(data)
