Give memory back when the engine that it is held for falls silent

Ruled out: a VM that died (memory lapses by itself in 2.5 s); the end of the stream's gaps (2.4 s); the store's list (an entry lapses after 3.6 s, seen up to 1.3 s later, which is too late); shorter keep-alive probes (they would end connections that outlive a short cut). Change: while memory is held and no event has come, the writing engine is asked for its report every 0.8 s; two in a row without an answer end the attempt, and another engine takes over where the route allows.

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -1,5 +1,6 @@
 """One attempt to have a call that is passed on answered by one target."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -10,6 +11,7 @@
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import tools as tool_types
+from ruddergate.fleet import target as targets
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
@@ -77,7 +79,9 @@
             errand = self._make_errand(reservations)
             traceparent = self._request.traceparent
             with self._tools.tracer.span("attempt", traceparent):
-                async with contextlib.aclosing(self._send(errand)) as events:
+                async with contextlib.aclosing(
+                    self._read(errand, bool(reservations))
+                ) as events:
                     async for event in events:
                         if self._note(event):
                             yield event
@@ -85,6 +89,42 @@
             self._keeper.give_back(tuple(reservations.values()))
             self._post_ends()
 
+    async def _read(
+        self, errand: errands.Errand, is_watched: bool
+    ) -> AsyncIterator[answers.Event]:
+        """Yields the answer; a watched target must show that it lives.
+
+        It is watched until its first events; from then on their gaps tell.
+        """
+        async with contextlib.aclosing(self._send(errand)) as events:
+            if is_watched:
+                first = await self._await_first(events, errand.target)
+                yield first
+                if isinstance(first, outcomes.NotServed):
+                    return
+            async for event in events:
+                yield event
+
+    async def _await_first(
+        self, events: AsyncIterator[answers.Event], target: targets.Target
+    ) -> answers.Event:
+        reading = asyncio.ensure_future(anext(events))
+        watching = asyncio.ensure_future(self._keeper.wait_for_silence(target))
+        try:
+            await asyncio.wait(
+                {reading, watching}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done():
+                return reading.result()
+            return outcomes.NotServed(
+                outcomes.Reason.TARGET_LOST,
+                outcomes.Ran.UNKNOWN,
+                "the target gave no sign of life",
+            )
+        finally:
+            await _end(reading)
+            await _end(watching)
+
     def _give_up_memory(
         self, missing: orders.Reservation
     ) -> outcomes.NotServed:
@@ -185,6 +225,13 @@
         )
 
 
+async def _end(task: asyncio.Future) -> None:
+    """Cancels a task unless it has ended, and waits for its end."""
+    if not task.done():
+        task.cancel()
+        await asyncio.wait({task})
+
+
 def _make_helper(
     seat: placement.Seat, reservations: dict[str, orders.Reservation]
 ) -> errands.Helper:
--- a/src/ruddergate/entry/reservation_keeper.py
+++ b/src/ruddergate/entry/reservation_keeper.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from ruddergate import environment
+from ruddergate.fleet import target as targets
 from ruddergate.relay import orders
 from ruddergate.telemetry import logs
 
@@ -16,6 +17,10 @@
 HOLD_MS = 2_500.0
 # Two renewals may fail before the memory lapses.
 RENEW_MS = 800.0
+# The engine for which memory is held is asked for a sign of life as often. This
+# many times without one it is taken for dead: with the time-out of a call that
+# is 2.6 s after its end at most, when 4 s are allowed to set the memory free.
+SILENT_MOST = 2
 
 
 class ReservationKeeper:
@@ -74,6 +79,18 @@
             if task is not None:
                 task.cancel()
 
+    async def wait_for_silence(self, target: targets.Target) -> None:
+        """Returns when a target does not answer any more.
+
+        Memory elsewhere is held for what runs there, and an engine that dies
+        in silence would have it held until the request's own patience ends.
+        """
+        silent = 0
+        while silent < SILENT_MOST:
+            await asyncio.sleep(RENEW_MS / 1000.0)
+            silent = 0 if await self._orders.ask_alive(target) else silent + 1
+        self._log.warning("Target {} is silent.", target.target_id)
+
     def _keep(self, held: orders.Reservation) -> None:
         task = asyncio.ensure_future(self._renew(held))
         self._tasks[held.name] = task
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -1,10 +1,12 @@
 """Orders to targets: memory that is set aside for a time."""
 
 from ruddergate import environment
+from ruddergate.fleet import target as targets
 from ruddergate.http import client
 from ruddergate.relay import orders
 
 _PATH = "/api/order"
+_REPORT_PATH = "/api/report"
 _OK = 200
 # Statuses that say that a target will not do what was asked.
 _REFUSALS = frozenset({400, 409, 412, 421})
@@ -30,7 +32,14 @@
         document = {"op": "release", "id": held.name}
         return await _order(outside, held, document, timeout_ms)
 
-    return orders.Orders(reserve, release)
+    async def ask_alive(target: targets.Target) -> bool:
+        request = client.make_json_request("GET", _REPORT_PATH)
+        answer = await client.fetch(
+            outside, target.address, request, timeout_ms
+        )
+        return not isinstance(answer, client.Fault)
+
+    return orders.Orders(reserve, release, ask_alive)
 
 
 async def _order(
--- a/src/ruddergate/relay/orders.py
+++ b/src/ruddergate/relay/orders.py
@@ -38,7 +38,9 @@
     Attributes:
         reserve: Sets memory aside, or renews it, for so many milliseconds.
         release: Gives memory back.
+        ask_alive: Returns whether a target answers at all.
     """
 
     reserve: Callable[[Reservation, float], Awaitable[Answer]]
     release: Callable[[Reservation], Awaitable[Answer]]
+    ask_alive: Callable[[targets.Target], Awaitable[bool]]
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -96,6 +96,8 @@
     ) -> message.Response:
         if incoming.path == "/api/order":
             return self._take_order(orjson.loads(incoming.body))
+        if incoming.path == "/api/report":
+            return message.make_json_response(200, {"stage": "both"})
         if self.wrong.mute:
             await asyncio.sleep(3_600.0)
         expected = incoming.headers.get("x-expect-replica", self.name)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -144,11 +144,11 @@
         loguru.logger.remove()
 
     def _call(
-        self, scene: gateway_scene.Scene
+        self, scene: gateway_scene.Scene, prompt_tokens: int = 800_000
     ) -> Awaitable[gateway_caller.Got]:
         return scene.call(
             "long",
-            prompt_tokens=800_000,
+            prompt_tokens=prompt_tokens,
             output_tokens=460,
             time_limit_ms=15_000.0,
         )
@@ -163,6 +163,28 @@
 
         gateway_scene.play(scene, engines=8)
 
+    def test_memory_is_given_back_when_the_writer_falls_silent(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            running = asyncio.ensure_future(self._call(scene, 500_000))
+            await asyncio.sleep(1.0)
+            (writer,) = [r for r in scene.cluster.all_replicas if r.runs]
+            held = [
+                (replica, name)
+                for replica in scene.cluster.all_replicas
+                for name in replica.tickets
+            ]
+            self.assertTrue(held)
+            for node in scene.cluster.targets.values():
+                if node.replica is writer:
+                    node.process.freeze()
+            await asyncio.sleep(3.0)
+            for replica, name in held:
+                self.assertNotIn(name, replica.tickets)
+            got = await running
+            self.assertEqual((got.status, got.is_whole), (200, True))
+
+        gateway_scene.play(scene, engines=10)
+
     def test_memory_lapses_when_its_vm_dies(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             running = asyncio.ensure_future(self._call(scene))
