--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,10 +1,12 @@
 """Runs the tests; those listed in KNOWN-RED.txt are printed, not counted.
 
-Without names, each test file runs in a process of its own, several at once.
+Without names, each test file runs in a process of its own, several at once; of
+files that take long, each test does.
 A line of KNOWN-RED.txt is `test, cause, issue`. A listed test that passes is
 reported as a failure, so that the list never outlives its faults.
 """
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 import concurrent.futures
 import dataclasses
@@ -20,9 +22,9 @@
 _TOP = _HERE.parent
 _LIST = _TOP / "KNOWN-RED.txt"
 _LISTED_MAX = 3
-# Half of the processors: some files start processes of their own.
-_AT_ONCE = max(1, (os.cpu_count() or 2) // 2)
-# These take longest, so they begin first.
+# Three in four processors: some files start processes of their own.
+_AT_ONCE = max(1, (os.cpu_count() or 2) * 3 // 4)
+# These take longest, so their tests begin first, each by itself.
 _LONG = ("test_configuration", "test_promises", "test_schedules")
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 
@@ -53,14 +55,30 @@
     return result.wasSuccessful() and result.testsRun > 0
 
 
-def _find_files() -> list[str]:
-    names = [path.stem for path in sorted(_HERE.glob("test_*.py"))]
-    return sorted(names, key=lambda name: name not in _LONG)
+def _find_jobs() -> list[str]:
+    """Returns what to run by itself: single tests, then whole files."""
+    files = [path.stem for path in sorted(_HERE.glob("test_*.py"))]
+    single = [
+        test_id
+        for name in _LONG
+        for test_id in _name_tests(
+            unittest.defaultTestLoader.loadTestsFromName(f"tests.{name}")
+        )
+    ]
+    return single + [f"tests.{name}" for name in files if name not in _LONG]
+
+
+def _name_tests(suite: unittest.TestSuite) -> Iterator[str]:
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from _name_tests(test)
+        else:
+            yield test.id()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _FileRun:
-    """One test file's run.
+class _JobRun:
+    """The run of one file, or of one test.
 
     Attributes:
         count: Tests that ran.
@@ -75,10 +93,10 @@
     took_s: float
 
 
-def _run_file(name: str) -> _FileRun:
+def _run_job(name: str) -> _JobRun:
     began_s = time.monotonic()
     done = subprocess.run(
-        [sys.executable, "-m", "tests", f"tests.{name}"],
+        [sys.executable, "-m", "tests", name],
         cwd=_TOP,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -88,17 +106,17 @@
     ran = _RAN.search(done.stdout)
     count = int(ran[1]) if ran else 0
     is_well = done.returncode == 0 and count > 0
-    return _FileRun(count, done.stdout, is_well, time.monotonic() - began_s)
+    return _JobRun(count, done.stdout, is_well, time.monotonic() - began_s)
 
 
 def _run_all() -> bool:
-    """Runs every test file; prints what the failed ones have printed."""
+    """Runs every test; prints what the failed ones have printed."""
     began_s = time.monotonic()
     count = 0
     failed: list[str] = []
     with concurrent.futures.ThreadPoolExecutor(_AT_ONCE) as pool:
-        names = _find_files()
-        for name, done in zip(names, pool.map(_run_file, names), strict=True):
+        names = _find_jobs()
+        for name, done in zip(names, pool.map(_run_job, names), strict=True):
             count += done.count
             verdict = "ok" if done.is_well else "FAILED"
             print(f"{name}: {verdict}, {done.took_s:.1f} s", flush=True)
@@ -109,7 +127,7 @@
                 failed.append(name)
     print(f"Ran {count} tests in {time.monotonic() - began_s:.3f}s\n")
     if failed or not count:
-        print(f"FAILED (files: {', '.join(failed) or 'none found'})")
+        print(f"FAILED ({', '.join(failed) or 'none found'})")
         return False
     print("OK")
     return True
