Choose ports for real processes where no outgoing connection takes them

Ports were asked of the system, which gives them from the range of outgoing connections, and released until their use; since test files run side by side, other tests' connections came in between. Ruled out: a fault of the agent (it told the reason and ended with status 2). Change: one function for all stand-ins chooses below that range, from a range of each process's own, and passes over what is taken.

--- a/standins/_private.py
+++ b/standins/_private.py
@@ -2,13 +2,38 @@
 
 import asyncio
 from collections.abc import Coroutine
+import itertools
+import os
 import signal
+import socket
 
 import cyclopts
 
 AT_LEAST_ZERO = cyclopts.Parameter(validator=cyclopts.validators.Number(gte=0))
 
 
+# Below the range from which the system takes ports for outgoing connections
+# (32,768 on): one of those may take a port between its choice and its use.
+_PORTS = range(10_000, 32_000)
+# Each process chooses from a range of its own, so that two that run at once
+# hardly ever meet; the step is more than a run of one process takes.
+_PORTS_OF_PROCESS = 97
+_NEXT_PORT = itertools.count(os.getpid() * _PORTS_OF_PROCESS)
+
+
+def find_free_port() -> int:
+    """Returns a port that nobody listens at, another one at each call."""
+    for number in _NEXT_PORT:
+        port = _PORTS[number % len(_PORTS)]
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+    raise AssertionError("the numbers do not end")
+
+
 def run_until_signal(work: Coroutine) -> None:
     """Runs a coroutine until SIGTERM or SIGINT."""
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from standins import _private
+
 PEER_KEY = "a-key-for-the-demo-only"
 _READY_S = 20.0
 _HOST = "127.0.0.1"
@@ -70,7 +72,7 @@
         """
         targets = []
         for name, pool in pools.items():
-            port = self.ports[name] = find_free_port()
+            port = self.ports[name] = _private.find_free_port()
             kind = "engine" if name.startswith("engine") else "service"
             extra = engine_settings if kind == "engine" else ()
             self._start_standin(name, kind, port, *extra)
@@ -81,11 +83,11 @@
         listing = self._logs / "listing.json"
         rows = {"vms": list(self._vm_rows.values()), "targets": targets}
         listing.write_text(json.dumps(rows))
-        port = self.ports["configuration"] = find_free_port()
+        port = self.ports["configuration"] = _private.find_free_port()
         self._start_standin(
             "configuration", "configuration", port, f"--tree={self._tree}"
         )
-        port = self.ports["vm-list"] = find_free_port()
+        port = self.ports["vm-list"] = _private.find_free_port()
         self._start_standin("vm-list", "vm_list", port, f"--listing={listing}")
 
     def start_vm(self, name: str, **settings: str) -> None:
@@ -225,7 +227,7 @@
 
 def _make_vm_row(name: str, hall: str) -> dict:
     ports = {
-        key: find_free_port()
+        key: _private.find_free_port()
         for key in (
             "entry_port",
             "entry_peer_port",
@@ -236,13 +238,6 @@
     return {"id": name, "hall": hall, "host": _HOST, "state": "live", **ports}
 
 
-def find_free_port() -> int:
-    """Returns a port on loopback that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return probe.getsockname()[1]
-
-
 def request(
     port: int,
     method: str,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -11,7 +11,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -20,6 +19,7 @@
 import loguru
 
 from ruddergate import environment
+from standins import _private
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
@@ -109,7 +109,9 @@
         for number in range(self._sizes.engines + self._sizes.services):
             is_engine = number < self._sizes.engines
             await self._add_replica(number, is_engine, engines)
-        ports = _find_free_ports(self._sizes.gateways * 4)
+        ports = [
+            _private.find_free_port() for _ in range(self._sizes.gateways * 4)
+        ]
         for number in range(self._sizes.gateways):
             own = ports[number * 4 : number * 4 + 4]
             self._fronts.append((await self._add_proxy(own[0])).port)
@@ -284,16 +286,6 @@
     return True
 
 
-def _find_free_ports(count: int) -> list[int]:
-    held = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
-
-
 def _make_command(
     number: int, own: list[int], ports: list[int], store_port: int
 ) -> list[str]:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,6 +11,7 @@
 
 from ruddergate.experiments import outcome
 from ruddergate.experiments import trace
+from standins import _private
 from standins import answers
 from standins import processes
 
@@ -110,7 +111,7 @@
         run = processes.Processes(_TREE)
         self.addCleanup(run.close)
         run.start_platform({"service-1": "estate-app"}, {"vm-1": "hall-vic"})
-        port = processes.find_free_port()
+        port = _private.find_free_port()
         run.start_agent("vm-1", status_listen=f"127.0.0.1:{port}")
         run.start_entry("vm-1")
         run.wait_ready()
