Read the store's state anew when far behind, and wait by its silence

Cause: a VM that lost the store asked for all changes since then. With settings of 250 KB changed every 0.5 s for 8 s, that answer takes 4.5 s on a link of 10 Mbit/s; the call was given up as a whole after 1.5 s and asked anew, until the history was gone. Ruled out: the store (it answers at once), the connection (up at once).

Change: from 2.5 s behind on, the state is read anew, with the settings once; an answer may take as long as it keeps coming (silence 1.5 s, whole 15 s); a connection that is not up after 0.5 s is given up, so that a healed cut is seen sooner. Tries after failures grow apart from 150 to 500 ms, drawn at random.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -11,6 +11,7 @@
 from ruddergate.entry import gateway as gateways
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import source_sync
+from ruddergate.http import client
 from ruddergate.http import server
 from ruddergate.platform import callers
 from ruddergate.platform import orders
@@ -35,6 +36,11 @@
 # Calls of the store are paid for, so they are as far apart as what they tell
 # must be known; the rest is for the call itself and a request on its way.
 _STORE_PART = 0.65
+# The store is up in a few milliseconds where it can be reached. Packets to one
+# that can't are sent again after a second, when a new try has long begun.
+_STORE_CONNECT_MS = 500.0
+# An answer that keeps coming: a megabyte over a link of 1 Mbit/s takes 8 s.
+_STORE_WHOLE_MS = 15_000.0
 # The balancer takes a VM out after two questions, a second apart.
 _STOP_LAG_MS = 2_600.0
 # What is left of the time for a stop when it is given up.
@@ -85,7 +91,7 @@
         apply_ms: Time within which new settings must be in force (ms).
         leave_ms: Time within which a leaving target gets no more work (ms).
         link_mbps: This VM's link (Mbit/s); fast ones pass digests on.
-        store_timeout_ms: Longest wait for an answer of the store (ms).
+        store_timeout_ms: Longest silence in an answer of the store (ms).
         body_bytes_max: Longest body (bytes).
         connections_max: Connections of callers open at once.
         log_level: Least severe level that is logged.
@@ -126,7 +132,11 @@
         send=replicas.make_send(outside),
         orders=orders.make_orders(outside, _ORDER_TIMEOUT_MS),
         source=store.make_source(
-            outside, environment.parse_address(store_address), store_timeout_ms
+            outside,
+            environment.parse_address(store_address),
+            client.TimeLimits(
+                _STORE_CONNECT_MS, store_timeout_ms, _STORE_WHOLE_MS
+            ),
         ),
     )
     tracer = traces.make_tracer(traces_to, "ruddergate-gateway", vm_id)
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -16,6 +16,10 @@
 from ruddergate.telemetry import logs
 
 
+# Each pause between tries is so much longer than the one before.
+_RETRY_GROWTH = 1.3
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pace:
     """How often the store is asked, in milliseconds.
@@ -25,6 +29,9 @@
             change must be in force within two seconds.
         wait_ms: Longest wait of a call for a change.
         retry_ms: After a call that failed.
+        retry_most_ms: After many calls that failed; the pause grows to it.
+        behind_ms: From a view this old on, all is read anew instead of the
+            changes: the settings come once then, and not once a change.
         lapse_grace_ms: How long targets that went off the list while the store
             was out of reach may still be used: those that live are back within
             two seconds.
@@ -34,6 +41,8 @@
     every_ms: float = 1_300.0
     wait_ms: float = 0.0
     retry_ms: float = 150.0
+    retry_most_ms: float = 500.0
+    behind_ms: float = 2_500.0
     lapse_grace_ms: float = 1_500.0
     outage_ms: float = 2_500.0
 
@@ -59,8 +68,10 @@
         self._lapsed_until_ms: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._answered_ms = outside.now_ms()
+        self._current_ms = float("-inf")
         self._outage_ended_ms = float("-inf")
         self._is_lost = False
+        self._tries_failed = 0
         self._log = logs.make_logger("store")
 
     async def run(self) -> None:
@@ -69,23 +80,39 @@
             began_ms = self._outside.now_ms()
             found = await self._ask()
             if isinstance(found, published.Changes):
+                self._tries_failed = 0
                 self._take(found, began_ms)
                 pause_ms = began_ms + self._pace.every_ms
                 pause_ms -= self._outside.now_ms()
             else:
                 self._note_failure(found)
-                pause_ms = self._pace.retry_ms
+                pause_ms = self._draw_pause_ms()
+                self._tries_failed += 1
             await asyncio.sleep(max(0.0, pause_ms) / 1000.0)
 
     async def _ask(
         self,
     ) -> published.Changes | published.HistoryLost | published.Unavailable:
+        if self._is_behind():
+            self._position = None
         if self._position is None:
             return await self._source.read_all()
         return await self._source.read_changes(
             self._position, self._pace.wait_ms
         )
 
+    def _is_behind(self) -> bool:
+        age_ms = self._outside.now_ms() - self._current_ms
+        return age_ms > self._pace.behind_ms
+
+    def _draw_pause_ms(self) -> float:
+        """Returns the time to the next try; VMs are not to ask in step."""
+        pace = self._pace
+        grown_ms = pace.retry_ms * _RETRY_GROWTH**self._tries_failed
+        return min(pace.retry_most_ms, grown_ms) * self._outside.random.uniform(
+            0.7, 1.0
+        )
+
     def _note_failure(
         self, found: published.HistoryLost | published.Unavailable
     ) -> None:
@@ -107,6 +134,7 @@
                 "Store regained.", away_ms=round(now_ms - self._answered_ms)
             )
         self._answered_ms = now_ms
+        self._current_ms = asked_ms
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
         self._take_catalog(changes, asked_ms)
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -31,6 +31,21 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimits:
+    """How long each part of an exchange may take, in milliseconds.
+
+    Attributes:
+        connect_ms: Until the connection is up.
+        silence_ms: Without a byte of the answer.
+        whole_ms: From the beginning to the answer's end.
+    """
+
+    connect_ms: float
+    silence_ms: float
+    whole_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WholeAnswer:
     """An answer read to its end."""
@@ -170,24 +185,47 @@
     timeout_ms: float,
 ) -> WholeAnswer | Fault:
     """Sends the request and reads the whole answer within the timeout."""
+    limits = TimeLimits(timeout_ms, timeout_ms, timeout_ms)
+    return await fetch_within(outside, address, request, limits)
+
+
+async def fetch_within(
+    outside: environment.Environment,
+    address: environment.Address,
+    request: message.OutgoingRequest,
+    limits: TimeLimits,
+) -> WholeAnswer | Fault:
+    """Sends the request and reads the whole answer.
+
+    An answer that keeps coming may take longer than the other side's silence
+    is borne: a large one on a thin link does.
+    """
     began_ms = outside.now_ms()
-    exchange = await start(outside, address, request, timeout_ms)
+    exchange = await start(outside, address, request, limits.connect_ms)
     if isinstance(exchange, Fault):
         return exchange
-    left_ms = max(1.0, timeout_ms - (outside.now_ms() - began_ms))
+    left_ms = max(1.0, limits.whole_ms - (outside.now_ms() - began_ms))
+    silence_s = limits.silence_ms / 1000.0
     try:
         async with asyncio.timeout(left_ms / 1000.0):
-            fault = await exchange.read_head()
+            async with asyncio.timeout(silence_s):
+                fault = await exchange.read_head()
             if fault is not None:
                 return fault
-            body = await exchange.read_all()
+            body = bytearray()
+            while True:
+                async with asyncio.timeout(silence_s):
+                    part = await exchange.read_part()
+                if isinstance(part, Fault):
+                    return part
+                if not part:
+                    break
+                body += part
     except TimeoutError:
         return Fault(True, True, f"no answer from {address} in time")
     finally:
         exchange.close()
-    if isinstance(body, Fault):
-        return body
-    return WholeAnswer(exchange.status, exchange.headers, body)
+    return WholeAnswer(exchange.status, exchange.headers, bytes(body))
 
 
 def make_json_request(
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Iterable
+import dataclasses
 import urllib.parse
 
 import orjson
@@ -23,18 +24,18 @@
 def make_source(
     outside: environment.Environment,
     address: environment.Address,
-    timeout_ms: float,
+    limits: client.TimeLimits,
 ) -> published.Source:
     """Returns the calls of the store at `address`.
 
     Args:
         outside: Clock and streams.
         address: Where the store serves.
-        timeout_ms: Longest wait for an answer that is not held for changes.
+        limits: Of a call that the store does not hold for changes.
     """
 
     async def read_all() -> published.Changes | published.Unavailable:
-        return await _read_all(outside, address, timeout_ms)
+        return await _read_all(outside, address, limits)
 
     async def read_changes(
         position: int, wait_ms: float
@@ -44,9 +45,12 @@
             "since-rev": position,
             "wait-ms": round(wait_ms),
         }
-        document = await _ask(
-            outside, address, "/api/kv-watch", query, wait_ms + timeout_ms
+        held = dataclasses.replace(
+            limits,
+            silence_ms=limits.silence_ms + wait_ms,
+            whole_ms=limits.whole_ms + wait_ms,
         )
+        document = await _ask(outside, address, "/api/kv-watch", query, held)
         if isinstance(document, published.HistoryLost | published.Unavailable):
             return document
         events = _private.get(document, "events", list, None)
@@ -61,16 +65,14 @@
 async def _read_all(
     outside: environment.Environment,
     address: environment.Address,
-    timeout_ms: float,
+    limits: client.TimeLimits,
 ) -> published.Changes | published.Unavailable:
     """Reads page by page; changes meanwhile follow from the first page on."""
     items: list[object] = []
     first_at: int | None = None
     query: dict[str, object] = {"path-prefix": ""}
     while True:
-        document = await _ask(
-            outside, address, "/api/kv-range", query, timeout_ms
-        )
+        document = await _ask(outside, address, "/api/kv-range", query, limits)
         if isinstance(document, published.HistoryLost):
             return published.Unavailable("a page of the store is gone")
         if isinstance(document, published.Unavailable):
@@ -92,11 +94,11 @@
     address: environment.Address,
     path: str,
     query: dict[str, object],
-    timeout_ms: float,
+    limits: client.TimeLimits,
 ) -> object | published.HistoryLost | published.Unavailable:
     target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
     request = client.make_json_request("GET", target)
-    answer = await client.fetch(outside, address, request, timeout_ms)
+    answer = await client.fetch_within(outside, address, request, limits)
     if isinstance(answer, client.Fault):
         return published.Unavailable(answer.detail)
     if answer.status == _HISTORY_GONE:
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -8,6 +8,7 @@
 from ruddergate.entry import gateway as gateways
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import source_sync
+from ruddergate.http import client
 from ruddergate.platform import callers
 from ruddergate.platform import orders
 from ruddergate.platform import replicas
@@ -25,6 +26,7 @@
 _PEER_PORT = 83
 _REPLICA_PORT = 90
 _STORE = environment.Address("store", 70)
+_STORE_LIMITS = client.TimeLimits(500.0, 1_500.0, 15_000.0)
 HOST = "app.example"
 KEY = "key-of-w1"
 REVOKE_MS = 5_000.0
@@ -275,7 +277,7 @@
         door=callers.make_door(),
         send=replicas.make_send(outside),
         orders=orders.make_orders(outside, 500.0),
-        source=stores.make_source(outside, _STORE, 1_500.0),
+        source=stores.make_source(outside, _STORE, _STORE_LIMITS),
     )
 
 
@@ -330,6 +332,14 @@
     }
 
 
+def make_idle_routes(count: int) -> list[dict[str, object]]:
+    """Returns routes that nobody calls, to make settings large."""
+    return [
+        _make_route(f"idle-{number}", "notices", 300, 2_000, 0)
+        for number in range(count)
+    ]
+
+
 def _make_route(
     name: str,
     service: str,
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -8,12 +8,15 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
 from ruddergate import environment
 from standins import virtual_process as processes
 
 _RETRY_S = 0.2
+# Bytes that a thin link carries at a time, as a few packets would be.
+_PIECE_BYTES = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,11 +51,26 @@
         self._sink = sink
         self._under_way: collections.deque[bytes] = collections.deque()
         self._is_closed = False
+        self._free_s = 0.0
 
     def send(self, data: bytes) -> None:
         """Sends bytes; empty bytes are the end of the stream."""
-        self._under_way.append(data)
-        self._deliver_later(self._network.latency_s(self._source, self._sink))
+        latency_s = self._network.latency_s(self._source, self._sink)
+        rate = self._network.link_bytes_per_s(self._source, self._sink)
+        if not data or rate == math.inf:
+            self._under_way.append(data)
+            self._deliver_later(latency_s + self._find_wait_s())
+            return
+        for start in range(0, len(data), _PIECE_BYTES):
+            piece = data[start : start + _PIECE_BYTES]
+            now_s = asyncio.get_running_loop().time()
+            self._free_s = max(self._free_s, now_s) + len(piece) / rate
+            self._under_way.append(piece)
+            self._deliver_later(latency_s + self._find_wait_s())
+
+    def _find_wait_s(self) -> float:
+        """Returns how long the link still carries what was sent before."""
+        return max(0.0, self._free_s - asyncio.get_running_loop().time())
 
     def _deliver_later(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -128,10 +146,18 @@
 
 
 class VirtualNetwork:
-    """All nodes, listeners, streams and cuts of a run."""
+    """All nodes, listeners, streams and cuts of a run.
+
+    Attributes:
+        cuts: What is parted now.
+        thin_links: Bytes a second of a node's link, by the node's name; each
+            stream has them by itself. Other links carry all at once.
+        neutral: The context in which nothing belongs to a node.
+    """
 
     def __init__(self, seed: int, latency: Latency) -> None:
         self.cuts: list[Cut] = []
+        self.thin_links: dict[str, float] = {}
         self.neutral = processes.contextvars.Context()
         self._seed = seed
         self._latency = latency
@@ -161,6 +187,17 @@
             return self._latency.in_hall_ms / 1000.0
         return self._latency.between_halls_ms / 1000.0
 
+    def link_bytes_per_s(
+        self,
+        one: processes.VirtualProcess,
+        other: processes.VirtualProcess,
+    ) -> float:
+        """Returns what a stream between two nodes carries a second."""
+        links = self.thin_links
+        return min(
+            links.get(one.name, math.inf), links.get(other.name, math.inf)
+        )
+
     def make_environment(
         self, process: processes.VirtualProcess, incarnation: int
     ) -> environment.Environment:
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -75,6 +75,43 @@
 
         gateway_scene.play(scene)
 
+    def test_vm_on_a_thin_link_is_up_to_date_after_a_cut(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            # 10 Mbit/s; settings of about 250 KB, changed each 0.5 s.
+            cluster.network.thin_links["vm-0"] = 1_250_000.0
+            routes = gateway_cluster.make_idle_routes(1_000)
+            cluster.publish(routes=routes)
+            await asyncio.sleep(4.0)
+            cut = gateway_cluster.virtual_network.Cut("vm-0", "store")
+            cluster.network.cuts.append(cut)
+            for _ in range(16):
+                await asyncio.sleep(0.5)
+                cluster.publish(routes=routes)
+            cluster.network.cuts.remove(cut)
+            await asyncio.sleep(2.9)
+            view = cluster.vms["vm-0"].gateway.tools.view
+            self.assertEqual(view.catalog.revision, cluster.revision)
+
+        gateway_scene.play(scene)
+
+    def test_store_out_of_reach_is_asked_ever_less_often(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            store = scene.cluster.store
+            store.trouble = "reset"
+            await asyncio.sleep(2.0)
+            before = store.calls
+            await asyncio.sleep(10.0)
+            self.assertLess(store.calls - before, 3 * 10.0 / 0.35)
+            store.trouble = ""
+            await asyncio.sleep(0.6)
+            for node in scene.cluster.vms.values():
+                view = node.gateway.tools.view
+                now_ms = node.gateway.tools.outside.now_ms()
+                self.assertLess(view.settings_age_ms(now_ms), 600.0)
+
+        gateway_scene.play(scene)
+
     def test_settings_never_go_back(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             scene.cluster.publish()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.fleet import condition
+from ruddergate.http import client
 from ruddergate.http import message
 from ruddergate.http import server
 from ruddergate.platform import callers
@@ -246,7 +247,9 @@
             await far.start(lambda: outside.serve(handler, address))
             near = virtual_process.VirtualProcess("vm", "h")
             source = store.make_source(
-                network.make_environment(near, 1), address, 500.0
+                network.make_environment(near, 1),
+                address,
+                client.TimeLimits(500.0, 500.0, 500.0),
             )
             return await near.start(lambda: source.read_changes(5, 0.0))
 
