Serve on by the last settings where removed keys may be used until heard of

Cause: the platform's settings say whether a removed key must be refused in time by VMs that hear nothing (strict), and the gateway passed that over: 3.8 s after it lost the store it refused every call with a key. Ruled out: any other promise that rests on fresh settings (targets that leave bind by what was heard; versions only rise).

Where false, a VM serves on by the last settings, stays ready and says their age in logs; what is unknown by so old settings gets 503, not 401 or 404, since it may be new. A VM without any settings is never ready. A wrong value ends the start with one line.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -1,9 +1,12 @@
 """Command line of `ruddergate-gateway`."""
 
 import asyncio
+import math
 import signal
 import sys
 from typing import Annotated
+from typing import Literal
+from typing import TypeAlias
 
 from ruddergate import environment
 from ruddergate.cli import _private
@@ -45,6 +48,7 @@
 _STOP_LAG_MS = 2_600.0
 # What is left of the time for a stop when it is given up.
 _STOP_MARGIN_MS = 400.0
+StrictRevoke: TypeAlias = Literal["", "true", "false"]
 
 
 @APP.default
@@ -59,6 +63,7 @@
     seeds: str = "",
     store_address: _private.AddressText,
     revoke_ms: Annotated[float, _private.number(1, 600_000)] = 5_000.0,
+    strict_revoke: StrictRevoke = "",
     grace_s: Annotated[float, _private.number(0.1, 600)] = 8.0,
     retry_share: Annotated[float, _private.number(0, 1)] = 0.15,
     retry_most: Annotated[float, _private.number(0, 1_000)] = 4.0,
@@ -85,6 +90,10 @@
             there at the same port as this VM.
         store_address: Where the store serves (HOST:PORT).
         revoke_ms: Time within which a removed key must be refused (ms).
+        strict_revoke: Whether a removed key is refused within that time also
+            by a VM that does not hear of its removal: such a VM refuses all
+            keys then. Without it, it goes on by the last settings. Not given
+            means true.
         grace_s: Time for a planned stop (s).
         retry_share: Second sends allowed for each first one.
         retry_most: Second sends that may be saved up.
@@ -111,11 +120,14 @@
             body_bytes_max=body_bytes_max, connections_max=connections_max
         ),
     )
+    is_lenient = strict_revoke == "false"
+    key_age_max_ms = revoke_ms - _KEY_MARGIN_MS
     gateway_config = gateways.GatewayConfig(
         ready_listen=environment.parse_address(ready_listen),
         metrics_listen=environment.parse_address(metrics_listen),
-        settings_age_max_ms=revoke_ms - _KEY_MARGIN_MS,
-        ready_age_max_ms=revoke_ms * _READY_PART,
+        settings_age_max_ms=math.inf if is_lenient else key_age_max_ms,
+        ready_age_max_ms=math.inf if is_lenient else revoke_ms * _READY_PART,
+        certain_age_max_ms=key_age_max_ms,
         stop_lag_ms=_STOP_LAG_MS,
         stop_limit_ms=grace_s * 1_000.0 - _STOP_MARGIN_MS,
         pace=source_sync.Pace(every_ms=min(apply_ms, leave_ms) * _STORE_PART),
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -15,6 +15,7 @@
 from ruddergate.entry import config as configs
 from ruddergate.entry import open_calls
 from ruddergate.entry import peer_exchange
+from ruddergate.entry import relay_admit
 from ruddergate.entry import relay_handler
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import scheduler as schedulers
@@ -44,8 +45,11 @@
     Attributes:
         ready_listen: Where the balancer asks whether this VM takes callers.
         metrics_listen: Where metrics are served.
-        settings_age_max_ms: Oldest settings by which a key may be used.
+        settings_age_max_ms: Oldest settings by which a key may be used; without
+            bound where a removed key may be used until a VM hears of it.
         ready_age_max_ms: Oldest settings with which new callers are taken.
+        certain_age_max_ms: Oldest settings by which an unknown route or key is
+            certainly unknown.
         stop_lag_ms: Time for the balancer to see that this VM stops.
         stop_limit_ms: Time after which a planned stop ends with calls open.
         pace: How often the store is asked.
@@ -58,6 +62,7 @@
     metrics_listen: environment.Address
     settings_age_max_ms: float
     ready_age_max_ms: float
+    certain_age_max_ms: float
     stop_lag_ms: float
     stop_limit_ms: float
     pace: source_sync.Pace
@@ -133,7 +138,10 @@
             platform.door,
             platform.send,
             self._keeper,
-            gateway_config.settings_age_max_ms,
+            relay_admit.Trust(
+                gateway_config.settings_age_max_ms,
+                gateway_config.certain_age_max_ms,
+            ),
         )
         self._peers = peer_exchange.PeerExchange(
             outside,
@@ -208,7 +216,10 @@
         return self._is_stopping or not self._is_fresh()
 
     def _is_fresh(self) -> bool:
-        age_ms = self.tools.view.settings_age_ms(self._outside.now_ms())
+        view = self.tools.view
+        if view.catalog.revision == 0:
+            return False
+        age_ms = view.settings_age_ms(self._outside.now_ms())
         return age_ms <= self._gateway_config.ready_age_max_ms
 
     async def _answer_ready(
--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -1,5 +1,6 @@
 """From an inquiry to a request: route, key, freshness, limits of time."""
 
+import dataclasses
 import random
 
 from ruddergate import outcomes
@@ -23,11 +24,25 @@
 _OUTPUT_TOKENS_TYPICAL = 512
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trust:
+    """How old settings may be, in milliseconds.
+
+    Attributes:
+        key_age_max_ms: For a key to be used.
+        certain_age_max_ms: For an unknown route or key to be unknown for
+            certain; by older ones it may be new.
+    """
+
+    key_age_max_ms: float
+    certain_age_max_ms: float
+
+
 def admit(
     incoming: message.IncomingRequest,
     inquiry: doors.Inquiry,
     tools: tool_types.Tools,
-    settings_age_max_ms: float,
+    trust: Trust,
 ) -> requests.Request | outcomes.NotServed:
     """Returns the request with its effective settings, or why not.
 
@@ -35,7 +50,7 @@
         incoming: The call as received.
         inquiry: The call as understood.
         tools: What the stages share.
-        settings_age_max_ms: Oldest settings by which a key may be used.
+        trust: How old settings may be.
     """
     catalog = tools.view.catalog
     if catalog.revision == 0:
@@ -46,21 +61,21 @@
         )
     route = catalog.find_route(inquiry.host, incoming.path)
     if route is None:
-        return outcomes.refuse(
-            outcomes.Reason.UNKNOWN_WORKLOAD, "no route covers this call"
+        return _refuse_unknown(
+            outcomes.Reason.UNKNOWN_WORKLOAD,
+            "no route covers this call",
+            tools,
+            trust,
         )
     workspace = catalogs.Workspace("", 0)
     if catalog.workspaces and not route.is_open:
-        now_ms = tools.outside.now_ms()
-        if tools.view.settings_age_ms(now_ms) > settings_age_max_ms:
-            return outcomes.refuse(
-                outcomes.Reason.SETTINGS_TOO_OLD,
-                "this VM can't tell whether the key is still good",
-                _STALE_RETRY_MS,
-            )
+        if _settings_age_ms(tools) > trust.key_age_max_ms:
+            return _refuse_stale("whether the key is still good")
         found = catalog.workspaces.get(inquiry.key)
         if found is None:
-            return outcomes.refuse(outcomes.Reason.UNKNOWN_KEY, "unknown key")
+            return _refuse_unknown(
+                outcomes.Reason.UNKNOWN_KEY, "unknown key", tools, trust
+            )
         workspace = found
     pool = _choose_pool(catalog, route, tools.outside.random)
     if pool is None:
@@ -74,6 +89,30 @@
     )
 
 
+def _settings_age_ms(tools: tool_types.Tools) -> float:
+    return tools.view.settings_age_ms(tools.outside.now_ms())
+
+
+def _refuse_unknown(
+    reason: outcomes.Reason,
+    detail: str,
+    tools: tool_types.Tools,
+    trust: Trust,
+) -> outcomes.NotServed:
+    """Says for good that something is unknown, or that it may be new."""
+    if _settings_age_ms(tools) > trust.certain_age_max_ms:
+        return _refuse_stale(f"more than this: {detail}")
+    return outcomes.refuse(reason, detail)
+
+
+def _refuse_stale(what: str) -> outcomes.NotServed:
+    return outcomes.refuse(
+        outcomes.Reason.SETTINGS_TOO_OLD,
+        f"this VM has not heard of the settings for long and can't tell {what}",
+        _STALE_RETRY_MS,
+    )
+
+
 def _choose_pool(
     catalog: catalogs.Catalog, route: routes.Route, chance: random.Random
 ) -> effective.Pool | None:
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -24,7 +24,7 @@
         door: How callers are understood and answered.
         send: Sends a call to a target.
         keeper: Holds memory for requests.
-        settings_age_max_ms: Oldest settings by which a key may be used.
+        trust: How old settings may be.
     """
 
     def __init__(
@@ -33,13 +33,13 @@
         door: doors.Door,
         send: errands.Send,
         keeper: reservation_keeper.ReservationKeeper,
-        settings_age_max_ms: float,
+        trust: relay_admit.Trust,
     ) -> None:
         self._tools = tools
         self._door = door
         self._send = send
         self._keeper = keeper
-        self._settings_age_max_ms = settings_age_max_ms
+        self._trust = trust
         self._log = logs.make_logger("entry")
 
     async def handle(
@@ -49,9 +49,7 @@
         inquiry = self._door.read(incoming)
         if isinstance(inquiry, outcomes.NotServed):
             return self._refuse(inquiry, "")
-        request = relay_admit.admit(
-            incoming, inquiry, self._tools, self._settings_age_max_ms
-        )
+        request = relay_admit.admit(incoming, inquiry, self._tools, self._trust)
         if isinstance(request, outcomes.NotServed):
             return self._refuse(request, inquiry.request_id)
         events = relay_run.run(request, self._send, self._keeper, self._tools)
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -15,9 +15,10 @@
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
 
-
 # Each pause between tries is so much longer than the one before.
 _RETRY_GROWTH = 1.3
+# While the store is away, the log says so again after this time.
+_TELL_EVERY_MS = 2_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +72,7 @@
         self._current_ms = float("-inf")
         self._outage_ended_ms = float("-inf")
         self._is_lost = False
+        self._told_ms = 0.0
         self._tries_failed = 0
         self._log = logs.make_logger("store")
 
@@ -120,9 +122,19 @@
             self._log.info("History lost, all is read anew.")
             self._position = None
             return
+        now_ms = self._outside.now_ms()
         if not self._is_lost:
             self._is_lost = True
+            self._told_ms = now_ms
             self._log.warning("Store lost. {}", found.detail)
+        elif now_ms - self._told_ms >= _TELL_EVERY_MS:
+            self._told_ms = now_ms
+            self._log.warning(
+                "Store still lost. {}",
+                found.detail,
+                away_ms=round(now_ms - self._answered_ms),
+                revision=self._view.catalog.revision,
+            )
 
     def _take(self, changes: published.Changes, asked_ms: float) -> None:
         now_ms = self._outside.now_ms()
--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -73,6 +73,16 @@
         """Sends a call and reads its answer to the end."""
         return await self._process.start(lambda: self._send(call))
 
+    async def ask_ready(self, vm: str) -> int:
+        """Returns the status of a VM's answer to the balancer; 0 for none."""
+        return await self._process.start(lambda: self._ask_ready(vm))
+
+    async def _ask_ready(self, vm: str) -> int:
+        address = environment.Address(vm, gateway_cluster.READY_PORT)
+        request = client.make_json_request("GET", "/api/ready")
+        answer = await client.fetch(self._outside, address, request, 1_000.0)
+        return 0 if isinstance(answer, client.Fault) else answer.status
+
     async def _send(self, call: Call) -> Got:
         sent_s = asyncio.get_running_loop().time()
         began_ms = self._outside.now_ms()
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from ruddergate import environment
 from ruddergate.entry import config as configs
@@ -21,7 +22,7 @@
 from standins import virtual_process
 
 FRONT_PORT = 80
-_READY_PORT = 81
+READY_PORT = 81
 _METRICS_PORT = 82
 _PEER_PORT = 83
 _REPLICA_PORT = 90
@@ -43,6 +44,7 @@
         engines: Engines.
         services: Replicas of the plain service.
         seed: Source of all chance.
+        is_strict: Whether keys are refused by settings that are too old.
     """
 
     vms: int = 3
@@ -50,6 +52,7 @@
     engines: int = 5
     services: int = 3
     seed: int = 1
+    is_strict: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,11 +176,14 @@
             environment.Address(f"vm-{number}", _PEER_PORT)
             for number in range(min(2, self.layout.vms))
         )
+        is_strict = self.layout.is_strict
+        key_age_max_ms = REVOKE_MS - 1_200.0
         return gateways.GatewayConfig(
-            ready_listen=environment.Address(node.name, _READY_PORT),
+            ready_listen=environment.Address(node.name, READY_PORT),
             metrics_listen=environment.Address(node.name, _METRICS_PORT),
-            settings_age_max_ms=REVOKE_MS - 1_200.0,
-            ready_age_max_ms=REVOKE_MS * 0.5,
+            settings_age_max_ms=key_age_max_ms if is_strict else math.inf,
+            ready_age_max_ms=REVOKE_MS * 0.5 if is_strict else math.inf,
+            certain_age_max_ms=key_age_max_ms,
             stop_lag_ms=2_600.0,
             stop_limit_ms=7_600.0,
             pace=source_sync.Pace(),
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -63,6 +63,39 @@
 
         gateway_scene.play(scene)
 
+    def test_lenient_vms_serve_on_through_an_outage(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.store.trouble = "silent"
+            await asyncio.sleep(12.0)
+            got = await scene.call("unsafe")
+            self.assertEqual(got.status, 200)
+            self.assertNotEqual(got.headers.get("connection"), "close")
+            self.assertEqual(await scene.caller.ask_ready("vm-0"), 200)
+            # What is unknown by so old a view may have come since.
+            got = await scene.call("unsafe", key="added-since")
+            self.assertEqual((got.status, scene.runs(got)), (503, []))
+            self.assertEqual((await scene.call("nowhere")).status, 503)
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            scene.cluster.store.trouble = ""
+            await asyncio.sleep(2.0)
+            got = await scene.call("unsafe")
+            self.assertEqual((got.status, scene.runs(got)), (401, []))
+
+        gateway_scene.play(scene, is_strict=False)
+
+    def test_vm_without_settings_is_not_ready(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.store.trouble = "silent"
+            node = scene.cluster.vms["vm-0"]
+            scene.cluster.kill(node)
+            scene.cluster.start_vm(node)
+            await asyncio.sleep(3.0)
+            self.assertEqual(await scene.caller.ask_ready("vm-0"), 503)
+            self.assertEqual((await scene.call("open")).status, 503)
+
+        gateway_scene.play(scene, is_strict=False)
+
     def test_change_is_in_force_within_two_seconds(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             scene.cluster.keys = {"w1": [gateway_cluster.KEY], "w2": ["new"]}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -217,3 +217,26 @@
         )
         self.assertEqual(status, 0)
         self.assertIn("urgent", text)
+
+    def test_wrong_settings_of_a_gateway_are_one_line(self) -> None:
+        good = {
+            "--vm-id": "vm-1",
+            "--hall": "hall-vic",
+            "--listen": "127.0.0.1:1",
+            "--ready-listen": "127.0.0.1:1",
+            "--metrics-listen": "127.0.0.1:1",
+            "--peer-listen": "127.0.0.1:1",
+            "--store-address": "127.0.0.1:1",
+        }
+        for name, value in (
+            ("--strict-revoke", "maybe"),
+            ("--strict-revoke", "False"),
+            ("--revoke-ms", "soon"),
+        ):
+            with self.subTest(f"{name} {value}"):
+                given = {**good, name: value}
+                pairs = [part for pair in given.items() for part in pair]
+                status, text = _run_program("ruddergate-gateway", *pairs)
+                self.assertEqual(status, 2, text)
+                self.assertEqual(len(text.splitlines()), 1, text)
+                self.assertIn(value, text)
