Sum up from logs what became of requests; end each story with one line

Cause: what callers lost had to be gathered by hand from the logs, and a call whose caller left had no last line in them.

Change: ruddergatectl losses LOG... sums outcomes by route, moment and decision; the last line of a call names its aims, and a caller that left is told.

--- a/src/ruddergate/cli/ctl.py
+++ b/src/ruddergate/cli/ctl.py
@@ -13,6 +13,7 @@
 from ruddergate.experiments import plots
 from ruddergate.experiments import trace
 from ruddergate.settings import kind as kinds
+from ruddergate.telemetry import losses
 from ruddergate.telemetry import story
 
 _PROGRAM = "ruddergatectl"
@@ -87,13 +88,7 @@
         request_id: The request, as its caller named it.
         logs: Files of JSON log lines.
     """
-    sources = []
-    for path in logs:
-        try:
-            text = path.read_text(errors="replace")
-        except OSError as error:
-            _private.fail(_PROGRAM, f"{path}: {error}")
-        sources.append((path.name, text.splitlines()))
+    sources = [(path.name, _read_log(path)) for path in logs]
     lines = story.tell(request_id, sources)
     if not lines:
         _private.fail(_PROGRAM, f"no log names request {request_id}")
@@ -101,6 +96,25 @@
         print(line)
 
 
+@APP.command(name="losses")
+def sum_losses(logs: list[pathlib.Path]) -> None:
+    """Sums up what became of requests, from the logs of several VMs.
+
+    Args:
+        logs: Files of JSON log lines.
+    """
+    found = losses.read(_read_log(path) for path in logs)
+    print("\n".join(losses.render(found)))
+
+
+def _read_log(path: pathlib.Path) -> list[str]:
+    try:
+        return path.read_text(errors="replace").splitlines()
+    except OSError as error:
+        _private.fail(_PROGRAM, f"{path}: {error}")
+        raise AssertionError("the process has ended") from error
+
+
 @APP.command
 def replay(
     trace_file: pathlib.Path,
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -1,5 +1,6 @@
 """Answers callers whose calls are passed on unchanged."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -15,6 +16,9 @@
 from ruddergate.relay import errand as errands
 from ruddergate.telemetry import logs
 
+# How a call ends in logs and metrics whose caller did not wait for the answer.
+CALLER_LEFT = "caller_left"
+
 
 class RelayHandler:
     """Admits a call, runs it and hands its answer back.
@@ -57,6 +61,7 @@
             first = await anext(events)
         except BaseException:
             await events.aclose()
+            self._note_left(request, None)
             raise
         if isinstance(first, answers.StreamHead):
             body = self._hand_on(request, events)
@@ -74,23 +79,39 @@
         events: AsyncIterator[answers.Event],
     ) -> AsyncIterator[bytes]:
         pauses = _Pauses(request.arrived_ms)
-        async with contextlib.aclosing(events):
-            async for event in events:
-                if isinstance(event, answers.StreamEvents):
-                    pauses.note_event(self._tools.outside.now_ms())
-                    yield event.data
-                elif isinstance(event, outcomes.NotServed):
-                    self._note_end(
-                        request,
-                        event.reason.value,
-                        event.ran,
-                        event.detail,
-                        pauses,
-                    )
-                    # A proper end would make a broken answer look whole.
-                    raise ConnectionAbortedError(event.detail)
+        try:
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    if isinstance(event, answers.StreamEvents):
+                        pauses.note_event(self._tools.outside.now_ms())
+                        yield event.data
+                    elif isinstance(event, outcomes.NotServed):
+                        self._note_end(
+                            request,
+                            event.reason.value,
+                            event.ran,
+                            event.detail,
+                            pauses,
+                        )
+                        # A proper end would make a broken answer look whole.
+                        raise ConnectionAbortedError(event.detail)
+        except (GeneratorExit, asyncio.CancelledError):
+            self._note_left(request, pauses)
+            raise
         self._note_end(request, "finished", outcomes.Ran.RAN, "", pauses)
 
+    def _note_left(
+        self, request: requests.Request, pauses: "_Pauses | None"
+    ) -> None:
+        """Notes that the caller left, or that this process ends."""
+        self._note_end(
+            request,
+            CALLER_LEFT,
+            outcomes.Ran.UNKNOWN,
+            "the caller's connection ended before the answer",
+            pauses,
+        )
+
     def _refuse(
         self, refusal: outcomes.NotServed, request_id: str
     ) -> message.Response:
@@ -129,6 +150,8 @@
             revision=request.workload.revision,
             prompt_tokens=request.prompt_tokens,
             took_ms=round(took_ms),
+            aim_ms=request.payload.route.aim_ms,
+            gap_aim_ms=request.payload.route.gap_aim_ms,
             first_ms=round(pauses.first_ms) if pauses else None,
             longest_pause_ms=round(pauses.longest_ms) if pauses else None,
         )
--- /dev/null
+++ b/src/ruddergate/telemetry/losses.py
@@ -0,0 +1,167 @@
+"""What became of requests, summed up from the logs of several VMs.
+
+It answers where callers were not served in time: on which route, at which
+moment, after which decision, for which reason. Calls that reached no VM stand
+in no log and are not counted.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from ruddergate.telemetry import story
+
+IN_TIME = "in time"
+LATE_FIRST = "late first token"
+LATE_PAUSE = "late pause"
+# How an end and a refusal begin in the logs; the reason follows.
+_ENDED = "Request ended: "
+_REFUSED = "Request refused: "
+_BEGAN = "Attempt begins at "
+_MARKS = (_ENDED, _REFUSED, _BEGAN)
+_FINISHED = "finished"
+# Length of one moment in the table by time, in seconds.
+MOMENT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fate:
+    """What became of one request.
+
+    Attributes:
+        request_id: The request.
+        route: Its route; empty where it was refused before that was known.
+        ended_s: When it ended, in seconds of the day.
+        prompt_tokens: Length of its prompt.
+        outcome: `in time`, `late first token`, `late pause`, or a reason.
+        sends: How many targets it was sent to.
+        helpers: Engines that helped to read its prompt at the first send.
+        waited_ms: Time from its arrival to its first send.
+        first_ms: Time from its arrival to its first event, if there was one.
+    """
+
+    request_id: str
+    route: str
+    ended_s: float
+    prompt_tokens: int
+    outcome: str
+    sends: int
+    helpers: int
+    waited_ms: int
+    first_ms: int | None
+
+
+def read(sources: Iterable[Iterable[str]]) -> list[Fate]:
+    """Returns the fate of each request that ended, in order of time."""
+    began: dict[str, list[story.LogLine]] = collections.defaultdict(list)
+    ended: dict[str, story.LogLine] = {}
+    for lines in sources:
+        for line in lines:
+            if not any(mark in line for mark in _MARKS):
+                continue
+            parsed = story.parse(line, "")
+            if parsed is None or not parsed[0]:
+                continue
+            request_id, found = parsed
+            if found.event.startswith(_BEGAN):
+                began[request_id].append(found)
+            else:
+                ended[request_id] = found
+    fates = [
+        _judge(request_id, line, began.get(request_id, []))
+        for request_id, line in ended.items()
+    ]
+    return sorted(fates, key=lambda each: each.ended_s)
+
+
+def _judge(
+    request_id: str, line: story.LogLine, began: list[story.LogLine]
+) -> Fate:
+    inputs = line.inputs
+    first = began[0].inputs if began else {}
+    return Fate(
+        request_id=request_id,
+        route=str(inputs.get("route", "")),
+        ended_s=_read_s(line.at),
+        prompt_tokens=int(inputs.get("prompt_tokens") or 0),
+        outcome=_find_outcome(line),
+        sends=len(began),
+        helpers=len(first.get("helpers") or ()),
+        waited_ms=int(first.get("waited_ms") or 0),
+        first_ms=inputs.get("first_ms"),
+    )
+
+
+def _find_outcome(line: story.LogLine) -> str:
+    if line.event.startswith(_REFUSED):
+        return "refused: " + _cut_reason(line.event, _REFUSED)
+    reason = _cut_reason(line.event, _ENDED)
+    if reason != _FINISHED:
+        return reason
+    inputs = line.inputs
+    aim_ms = inputs.get("aim_ms") or float("inf")
+    first_ms = inputs.get("first_ms")
+    if first_ms is None:
+        first_ms = inputs.get("took_ms") or 0
+    if first_ms > aim_ms:
+        return LATE_FIRST
+    pause_ms = inputs.get("longest_pause_ms") or 0
+    if pause_ms > (inputs.get("gap_aim_ms") or float("inf")):
+        return LATE_PAUSE
+    return IN_TIME
+
+
+def _cut_reason(event: str, start: str) -> str:
+    return event.removeprefix(start).split(" ")[0].rstrip(".")
+
+
+def _read_s(at: str) -> float:
+    """Returns the seconds of the day of a time such as 2026-01-01T07:44:10."""
+    clock = at.partition("T")[2][:12].rstrip("+Z")
+    try:
+        hours, minutes, seconds = clock.split(":")
+        return int(hours) * 3_600.0 + int(minutes) * 60.0 + float(seconds)
+    except ValueError:
+        return 0.0
+
+
+def render(fates: list[Fate]) -> list[str]:
+    """Returns tables by route, by moment and by decision, as lines."""
+    if not fates:
+        return ["no request ended in these logs"]
+    began_s = fates[0].ended_s
+    tables: list[tuple[str, Callable[[Fate], str]]] = [
+        ("route", lambda each: each.route or "(unknown)"),
+        (
+            "second",
+            lambda each: f"{_floor(each.ended_s - began_s, MOMENT_S):6.0f}",
+        ),
+        ("sends, helpers", lambda each: f"{each.sends}, {each.helpers}"),
+    ]
+    lines: list[str] = []
+    for title, key in tables:
+        lines += _render_table(title, fates, key)
+    return lines
+
+
+def _floor(value: float, step: float) -> float:
+    return value // step * step
+
+
+def _render_table(
+    title: str, fates: list[Fate], key: Callable[[Fate], str]
+) -> list[str]:
+    rows: dict[str, collections.Counter[str]] = collections.defaultdict(
+        collections.Counter
+    )
+    for each in fates:
+        rows[key(each)][each.outcome] += 1
+    lines = ["", f"{title:24} asked in time  lost"]
+    for name in sorted(rows):
+        counts = rows[name]
+        asked = sum(counts.values())
+        in_time = counts.pop(IN_TIME, 0)
+        lost = ", ".join(f"{text} {n}" for text, n in counts.most_common())
+        lines.append(f"{name:24} {asked:5} {in_time:7}  {lost}")
+    return lines
--- a/src/ruddergate/telemetry/story.py
+++ b/src/ruddergate/telemetry/story.py
@@ -48,13 +48,14 @@
         for line in lines:
             # Most lines are others'; only those that may match are parsed.
             if request_id in line:
-                parsed = _parse(line, name)
+                parsed = parse(line, name)
                 if parsed is not None and parsed[0] == request_id:
                     found.append(parsed[1])
     return sorted(found, key=lambda each: each.at)
 
 
-def _parse(line: str, source: str) -> tuple[str, LogLine] | None:
+def parse(line: str, source: str) -> tuple[str, LogLine] | None:
+    """Returns a line's request and what it says, or None for other text."""
     start = line.find("{")
     try:
         document = orjson.loads(line[start:]) if start >= 0 else None
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 
+from ruddergate.telemetry import losses
 from ruddergate.telemetry import story
 
 
@@ -59,3 +60,57 @@
             )
             self.assertEqual(missing.returncode, 2)
             self.assertIn("no log names request r2", missing.stderr)
+
+
+class LossesTest(unittest.TestCase):
+    def test_fates_are_summed_by_route_moment_and_decision(self) -> None:
+        at = "2026-01-01T00:00:0"
+        aims = {"aim_ms": 300.0, "gap_aim_ms": 200.0, "route": "ask"}
+        ended = "Request ended: "
+        finished = ended + "finished (ran). "
+        lines = [
+            _line(at + "1.000", "r1", "Attempt begins at t.", helpers=["u"]),
+            _line(
+                at + "2.000",
+                "r1",
+                finished,
+                first_ms=100,
+                longest_pause_ms=90,
+                **aims,
+            ),
+            _line(
+                at + "2.100",
+                "r2",
+                finished,
+                first_ms=400,
+                longest_pause_ms=90,
+                **aims,
+            ),
+            _line(
+                at + "6.000",
+                "r3",
+                finished,
+                first_ms=100,
+                longest_pause_ms=250,
+                **aims,
+            ),
+            _line(at + "6.200", "r4", ended + "target_lost (unknown).", **aims),
+            _line(at + "6.300", "r5", "Request refused: no_target. None."),
+            "no log line: Request ended",
+        ]
+        fates = losses.read([lines])
+        self.assertEqual(
+            [each.outcome for each in fates],
+            [
+                losses.IN_TIME,
+                losses.LATE_FIRST,
+                losses.LATE_PAUSE,
+                "target_lost",
+                "refused: no_target",
+            ],
+        )
+        self.assertEqual((fates[0].sends, fates[0].helpers), (1, 1))
+        text = "\n".join(losses.render(fates))
+        self.assertIn("ask                          4       1", text)
+        self.assertIn("     4                       3       0", text)
+        self.assertEqual(losses.render([]), ["no request ended in these logs"])
