Keep pieces of long prompts off engines that read, and let them wait

Cause: a piece that joins an engine goes ahead of what is read there. The plan counted what pieces do to answers, not what they do to prompts being read; and for a prompt that would be late it took the fewest engines, which blocked these for seconds. Ruled out: memory (the tickets were granted), the engines' speed (predictions of undisturbed prompts are within 5%).

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -318,6 +318,18 @@
         least_ms = planned_ms * PREFILL_REST_LEAST
         return max(least_ms, planned_ms - (now_ms - began_ms))
 
+    def longest_band_in_reading(self, now_ms: float) -> int | None:
+        """Returns the band of the longest prompt in prefill, or None."""
+        peers: Sequence[int] = ()
+        if now_ms - self._peer_ms < PEER_LOADS_MS:
+            peers = self._peer.pending_tokens
+        for band in reversed(range(length_band.BANDS)):
+            if self._totals.open_tokens[band] or (
+                band < len(peers) and peers[band]
+            ):
+                return band
+        return None
+
     def own_streams(self) -> int:
         """Returns how many requests this VM has on the target."""
         return len(self._own)
--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -31,6 +31,15 @@
 GIVE_UP_AIMS = 3.0
 # What each engine taking part costs besides, so that none does for nothing.
 ENGINE_COST = 0.01
+# A piece that joins an engine goes ahead of what is being read there: a prompt
+# of 280,000 tokens, due in 1 s, got its first token after 9 s when two of its
+# nine engines were given pieces of 8 s. A delay of this length makes the other
+# prompt late for certain.
+READER_SLACK_MS = 1_000.0
+# A piece that is longer blocks its engine for prompts to come, and costs this
+# for each second beyond.
+PIECE_MS = 500.0
+BLOCKED_COST_PER_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,12 +51,14 @@
         rest_ms: Predicted rest of what it has to read already.
         answers: Answers under way there, by class of the pause they bear.
         has_room: Whether its memory takes the answer's part.
+        reader_worth: About what the longest prompt is worth that it reads.
     """
 
     target_id: str
     rest_ms: float
     answers: tuple[int, ...]
     has_room: bool
+    reader_worth: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,13 +69,15 @@
         engines: Their names; the first one writes the answer, those behind it
             hold parts of the prompt if one engine's memory is too small.
         first_ms: Predicted time from now to the first token.
-        harm: Worth lost by others.
+        harm: Worth lost by answers under way.
+        reader_harm: Worth lost by prompts that are being read.
         cost: Worth lost by all, with the prompt's own.
     """
 
     engines: tuple[str, ...]
     first_ms: float
     harm: float
+    reader_harm: float
     cost: float
 
 
@@ -117,7 +130,10 @@
     piece_ms = whole_ms / parts
     ranked = sorted(
         engines,
-        key=lambda each: (_find_harm(each, piece_ms), each.rest_ms),
+        key=lambda each: (
+            _find_harm(each, piece_ms) + _find_reader_harm(each, piece_ms),
+            each.rest_ms,
+        ),
     )
     holders = [each for each in ranked if each.has_room][:holders_needed]
     if len(holders) < holders_needed:
@@ -128,14 +144,18 @@
     harm = sum(_find_harm(each, piece_ms) for each in chosen)
     rest_ms = max(each.rest_ms for each in chosen)
     first_ms = rest_ms + piece_ms + START_MS
-    cost = harm + parts * ENGINE_COST
+    # A prompt that several of these engines read is late but once.
+    reader_harm = max(_find_reader_harm(each, piece_ms) for each in chosen)
+    blocked_s = max(0.0, piece_ms - PIECE_MS) / 1000.0
+    cost = harm + reader_harm + parts * ENGINE_COST
+    cost += parts * blocked_s * BLOCKED_COST_PER_S
     worth = find_worth(prompt_tokens)
     aims = (waited_ms + first_ms) / max(AIM_LEAST_MS, aim_ms)
     cost += _find_late_risk(aims) * LATE_LOSS * worth
     if aims > GIVE_UP_AIMS:
         cost += (1.0 - LATE_LOSS) * worth
     rest = [each.target_id for each in chosen if each is not writer]
-    return Plan((writer.target_id, *rest), first_ms, harm, cost)
+    return Plan((writer.target_id, *rest), first_ms, harm, reader_harm, cost)
 
 
 def _find_late_risk(aims: float) -> float:
@@ -154,6 +174,12 @@
     return harm
 
 
+def _find_reader_harm(engine: Engine, piece_ms: float) -> float:
+    """Returns the worth that a piece makes late of what an engine reads."""
+    risk = min(1.0, piece_ms / READER_SLACK_MS)
+    return engine.reader_worth * LATE_LOSS * risk
+
+
 def _count_answers(engine: Engine) -> int:
     return sum(engine.answers)
 
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -15,6 +15,7 @@
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import gangs
+from ruddergate.decisions import length_band
 from ruddergate.decisions import pause_class
 from ruddergate.decisions import reading_plan
 from ruddergate.decisions.routing import job as jobs
@@ -96,6 +97,9 @@
 def _had_better_wait(job: jobs.Job, plan: reading_plan.Plan) -> bool:
     if job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
         return False
+    if plan.reader_harm > PATIENT_HARM:
+        # What is being read there would have to be waited for anyway.
+        return True
     slack_ms = job.aim_ms * reading_plan.LATE_AIMS
     slack_ms -= job.waited_ms + plan.first_ms
     return plan.harm > PATIENT_HARM and slack_ms > SLACK_MS
@@ -106,12 +110,21 @@
 ) -> reading_plan.Plan | None:
     """Returns the best plan in the long region, or else on all engines.
 
-    A small pool has no region of its own for long prompts, and a great prompt
-    may need the memory of more engines than the region has.
+    A small pool has no region of its own for long prompts, a great prompt may
+    need the memory of more engines than the region has, and short pieces do no
+    harm beside short answers.
     """
     long_ids = _find_long_region(candidates, now_ms)
     region = [each for each in candidates if each.target.target_id in long_ids]
-    return _plan_on(job, region, now_ms) or _plan_on(job, candidates, now_ms)
+    plans = (
+        _plan_on(job, region, now_ms),
+        _plan_on(job, candidates, now_ms),
+    )
+    return min(
+        (each for each in plans if each is not None),
+        key=lambda each: each.cost,
+        default=None,
+    )
 
 
 def _plan_on(
@@ -141,9 +154,17 @@
         rest_ms=each.prefilling_ms(now_ms),
         answers=each.streams_by_pause(now_ms),
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
+        reader_worth=_find_reader_worth(each, now_ms),
     )
 
 
+def _find_reader_worth(each: estimates.Estimate, now_ms: float) -> float:
+    band = each.longest_band_in_reading(now_ms)
+    if band is None:
+        return 0.0
+    return reading_plan.find_worth(length_band.TYPICAL_TOKENS[band])
+
+
 def _find(
     candidates: Sequence[estimates.Estimate], target_id: str
 ) -> estimates.Estimate:
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -112,6 +112,19 @@
             each.take_peers(row, 0.0)
         self.assertEqual(by_region._find_long_region(engines, 0.0), before)
 
+    def test_long_prompt_waits_for_the_end_of_another_ones_reading(
+        self,
+    ) -> None:
+        engines = _make_engines(18)
+        for each in engines:
+            row = dispatched.Dispatched(
+                each.target.target_id, (0, 0, 0, 0, 20_000), 0, 0, (), 600.0
+            )
+            each.take_peers(row, 0.0)
+        self.assertEqual(_choose(_LONG, engines), [])
+        waited = dataclasses.replace(_LONG, waited_ms=1_000.0)
+        self.assertTrue(_choose(waited, engines))
+
     def test_route_without_an_aim_is_served(self) -> None:
         job = dataclasses.replace(_LONG, aim_ms=0.0)
         self.assertTrue(_choose(job, _make_engines(18)))
--- a/tests/test_reading_plan.py
+++ b/tests/test_reading_plan.py
@@ -66,6 +66,23 @@
         plan = _plan([*reading, *free])
         self.assertTrue(all(name.startswith("f") for name in plan.engines))
 
+    def test_pieces_stay_off_engines_that_read_a_great_prompt(self) -> None:
+        worth = reading_plan.find_worth(_ARCHIVE_TOKENS)
+        reading = [
+            reading_plan.Engine(f"e{n}", 600.0, (0, 0, 0), True, worth)
+            for n in range(9)
+        ]
+        free = [_engine(f"f{n}") for n in range(6)]
+        plan = _plan([*reading, *free])
+        self.assertTrue(all(name.startswith("f") for name in plan.engines))
+        self.assertEqual(plan.reader_harm, 0.0)
+        self.assertGreater(_plan(reading).reader_harm, 1.0)
+
+    def test_engines_are_not_blocked_for_long(self) -> None:
+        # It can't be in time on so few engines; yet all of them take part.
+        plan = _plan([_engine(f"e{n}") for n in range(6)], whole_ms=24_000.0)
+        self.assertEqual(len(plan.engines), 6)
+
     def test_holders_have_room(self) -> None:
         full = [_engine(f"full{n}", has_room=False) for n in range(4)]
         room = [_engine(f"room{n}") for n in range(3)]
