Let VMs that start together find each other at once, and spread until then

Cause: VMs wrote to the seeds once a second while they knew nobody; those that start together find the seeds' ports closed at first. They knew all peers 0.5 to 1.6 s after the power came back, and until then each took the front of the same ranking for empty: in a logged run 49 prompts of the first half second went to eight engines, ten of them to one, and 43 streams were silent for 0.9 s. Ruled out: the engines' work left from before (they answered others in time).

Change: seeds are written to every 100 ms for the first 3 s; a VM that knows of no peer, though there are seeds, spreads short prompts over all engines.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -69,7 +69,11 @@
         if plan is None or _had_better_wait(job, plan):
             return None
         return _find(candidates, plan.engines[0])
-    long_ids = _find_long_region(candidates, now_ms)
+    long_ids = frozenset()
+    if not job.is_blind:
+        # Without it, VMs that know nothing of each other yet would all fill
+        # the same few engines.
+        long_ids = _find_long_region(candidates, now_ms)
     scored = [
         (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
         for each in candidates
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -29,3 +29,4 @@
     waited_ms: float
     aim_ms: float = 0.0
     pause_aim_ms: float = math.inf
+    is_blind: bool = False
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -113,6 +113,7 @@
             view,
             lambda: self._peers.note_change(),
             lambda: self._peers.collect_sums(),
+            lambda: self._peers.is_blind(),
         )
         self.tools = tool_types.Tools(
             outside=outside,
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -30,9 +30,15 @@
 # All sums are handed over anew in this time, since the scheduler takes what it
 # was not told for 2 s for unknown. What is silent is forgotten then, too.
 RENEW_MS = 500.0
-# Seeds are written to once in this time while no peer is known, so that a
-# fleet finds itself within a second or two of its start.
-SEEDS_FIRST_MS = 1_000.0
+# Seeds are written to once in this time while no peer is known. VMs that start
+# together find the seeds' ports closed at first; with 1 s between the tries,
+# VMs knew all peers 0.5 to 1.6 s after their start, and callers that came back
+# all went to the same few engines meanwhile.
+SEEDS_FIRST_MS = 100.0
+# For so long after its start; later, a VM without peers is alone for a reason.
+SEEDS_FIRST_FOR_MS = 3_000.0
+# And so often then.
+SEEDS_ALONE_MS = 1_000.0
 # And so often later, for parts of a fleet that have lost each other for longer
 # than they remember.
 SEEDS_LATER_MS = 10_000.0
@@ -95,6 +101,7 @@
         )
         self._port: environment.DatagramPort | None = None
         self._number = 0
+        self._began_ms = outside.now_ms()
         self._seeds_due_ms = float("-inf")
         self._changed = asyncio.Event()
         self._is_passing = False
@@ -121,6 +128,12 @@
             self._port.close()
             self._port = None
 
+    def is_blind(self) -> bool:
+        """Returns whether there are peers, none of which is known yet."""
+        return not len(self.loads) and any(
+            str(seed) != self._own for seed in self._config.seeds
+        )
+
     def note_change(self) -> None:
         """Has peers told soon that this VM's work has changed."""
         self._changed.set()
@@ -148,9 +161,16 @@
         return self.loads.collect_sums()
 
     async def _wait(self) -> None:
-        """Returns after a change, or else after a round."""
+        """Returns after a change, or else after a round.
+
+        While seeds are to be written to soon, a round is as short as that.
+        """
+        round_ms = ROUND_MS
+        if not len(self.loads):
+            due_ms = self._seeds_due_ms - self._outside.now_ms()
+            round_ms = max(0.0, min(ROUND_MS, due_ms))
         try:
-            async with asyncio.timeout(ROUND_MS / 1000.0):
+            async with asyncio.timeout(round_ms / 1000.0):
                 await self._changed.wait()
         except TimeoutError:
             return
@@ -196,10 +216,16 @@
         """Makes this VM known to the seeds, which pass its digest on."""
         if now_ms < self._seeds_due_ms:
             return
-        pause_ms = SEEDS_LATER_MS if len(self.loads) else SEEDS_FIRST_MS
-        self._seeds_due_ms = now_ms + pause_ms
+        self._seeds_due_ms = now_ms + self._find_seeds_pause_ms(now_ms)
         self._send(digest, map(str, self._config.seeds))
 
+    def _find_seeds_pause_ms(self, now_ms: float) -> float:
+        if len(self.loads):
+            return SEEDS_LATER_MS
+        if now_ms - self._began_ms < SEEDS_FIRST_FOR_MS:
+            return SEEDS_FIRST_MS
+        return SEEDS_ALONE_MS
+
     def _find_relay(self, now_ms: float) -> str:
         relay = self.loads.find_relay(now_ms)
         if relay != self._relay:
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -62,6 +62,7 @@
         collect_peers: Callable[
             [], Sequence[dispatched.Dispatched]
         ] = lambda: (),
+        is_blind: Callable[[], bool] = lambda: False,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -73,9 +74,11 @@
                 peers had better hear of.
             collect_peers: Returns what peers have on targets, as far as it is
                 news; asked before places are given out.
+            is_blind: Returns whether there are peers of which nothing is known.
         """
         self._note_change = note_change
         self._collect_peers = collect_peers
+        self._is_blind = is_blind
         self._outside = outside
         self._config = config
         self._view = view
@@ -329,7 +332,7 @@
         usable = self._find_usable(pool, now_ms)
         while usable and (job := queue.take(now_ms, closed)) is not None:
             asked = self._asked[job.job_id]
-            seats = self._seating.seat(asked, usable, now_ms)
+            seats = self._seating.seat(asked, usable, now_ms, self._is_blind())
             if not seats:
                 queue.put_back(job, now_ms)
                 closed.add(job.lane)
--- a/src/ruddergate/entry/seating.py
+++ b/src/ruddergate/entry/seating.py
@@ -48,6 +48,7 @@
         asked: placement.Place,
         usable: list[estimates.Estimate],
         now_ms: float,
+        is_blind: bool = False,
     ) -> tuple[placement.Seat, ...]:
         """Returns the seats of a request, or none if it is better kept waiting.
 
@@ -55,6 +56,7 @@
             asked: The request; targets that failed it come last.
             usable: Targets to choose from; never empty.
             now_ms: Monotonic time.
+            is_blind: Whether nothing is known of peers yet.
         """
         candidates = [
             each
@@ -66,7 +68,9 @@
         if asked.segments:
             return self._seat_gang(asked, candidates, now_ms)
         waited_ms = now_ms - asked.route.waited_ms
-        route = dataclasses.replace(asked.route, waited_ms=waited_ms)
+        route = dataclasses.replace(
+            asked.route, waited_ms=waited_ms, is_blind=is_blind
+        )
         chosen = self._policy.choose(route, candidates, now_ms, self._chance)
         if chosen is None:
             return ()
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -79,6 +79,19 @@
             (short,) = _choose(_SHORT, engines)
             self.assertNotIn(short.target.target_id, long_)
 
+    def test_vms_that_know_nothing_of_each_other_spread(self) -> None:
+        blind = dataclasses.replace(_SHORT, is_blind=True)
+        for job, least, most in ((blind, 13, 18), (_SHORT, 1, 4)):
+            chosen = set()
+            for seed in range(60):
+                policy = by_region.make_by_region()
+                target = policy.choose(
+                    job, _make_engines(18), 0.0, random.Random(seed)
+                )
+                chosen.add(target.target.target_id)
+            self.assertGreaterEqual(len(chosen), least)
+            self.assertLessEqual(len(chosen), most)
+
     def test_boundary_follows_short_answers(self) -> None:
         engines = _make_engines(18)
         before = len(by_region._find_long_region(engines, 0.0))
