--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -52,6 +52,7 @@
         answers: Answers under way there, by class of the pause they bear.
         has_room: Whether its memory takes the answer's part.
         reader_worth: About what the longest prompt is worth that it reads.
+        extra_cost: What its taking part costs for other reasons.
     """
 
     target_id: str
@@ -59,6 +60,7 @@
     answers: tuple[int, ...]
     has_room: bool
     reader_worth: float = 0.0
+    extra_cost: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,7 +133,9 @@
     ranked = sorted(
         engines,
         key=lambda each: (
-            _find_harm(each, piece_ms) + _find_reader_harm(each, piece_ms),
+            _find_harm(each, piece_ms)
+            + _find_reader_harm(each, piece_ms)
+            + each.extra_cost,
             each.rest_ms,
         ),
     )
@@ -148,6 +152,7 @@
     reader_harm = max(_find_reader_harm(each, piece_ms) for each in chosen)
     blocked_s = max(0.0, piece_ms - PIECE_MS) / 1000.0
     cost = harm + reader_harm + parts * ENGINE_COST
+    cost += sum(each.extra_cost for each in chosen)
     cost += parts * blocked_s * BLOCKED_COST_PER_S
     worth = find_worth(prompt_tokens)
     aims = (waited_ms + first_ms) / max(AIM_LEAST_MS, aim_ms)
--- a/src/ruddergate/decisions/routing/baselines.py
+++ b/src/ruddergate/decisions/routing/baselines.py
@@ -38,13 +38,26 @@
     return _make_least(lambda job, each, now_ms: (each.streams(now_ms),))
 
 
+# So many more requests make a target of the home hall as bad as one elsewhere:
+# half of the places of a replica of the users' plain services.
+AWAY_REQUESTS = 3.0
+
+
 def make_least_recent() -> policies.Policy:
     """Returns a policy that takes the fewest requests as lately known.
 
     What targets told with old answers fades, so that a target that was busy
-    once is not passed over for good.
+    once is not passed over for good. Targets of the home hall are preferred
+    while they are not much busier than others.
     """
-    return _make_least(lambda job, each, now_ms: (each.recent_streams(now_ms),))
+
+    def score(
+        job: jobs.Job, each: estimates.Estimate, now_ms: float
+    ) -> tuple[float, ...]:
+        is_away = bool(job.home_hall) and each.target.hall != job.home_hall
+        return (each.recent_streams(now_ms) + is_away * AWAY_REQUESTS,)
+
+    return _make_least(score)
 
 
 def make_least_tokens() -> policies.Policy:
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -1,8 +1,9 @@
 """Keeps long prefills and short prompts on different engines.
 
-All VMs rank the engines of a pool alike, by a hash of their names, and without
-a message between them short prompts fill the ranking from its front and long
-ones from its back. The boundary follows the short prompts in flight. A long
+All VMs rank the engines of each hall alike, by a hash of their names, and
+without a message between them short prompts fill the ranking of their own hall
+from its front and long ones all rankings from their backs. The boundary in a
+hall follows the short prompts in flight there. A long
 prompt is read by several engines, chosen by what its pieces do to the answers
 under way there (decisions/reading_plan.py). See docs/design/platform.md.
 """
@@ -26,8 +27,8 @@
 SHORT_FILL = 0.625
 # Places of an engine that does not tell them.
 PLACES_UNTOLD = 8
-# Engines that either region keeps, whatever the other one needs.
-REGION_LEAST = 3
+# Engines that either region of a hall keeps, whatever the other one needs.
+REGION_LEAST = 2
 # A long prompt waits for engines to become free rather than cost others more
 # than this (in answers to short prompts), but for no longer than this part of
 # its aim.
@@ -41,6 +42,13 @@
 FULL_MS = 200.0
 # Going to an engine for long prompts, as a cost that load must outweigh.
 SPILL_MS = 60.0
+# Going to another hall's engine, likewise: a cut between halls makes late what
+# runs there. More than a place at home behind the boundary, less than waiting
+# for one.
+AWAY_MS = 100.0
+# What it costs a long prompt, in answers to short ones, to have an engine of
+# another hall take part.
+AWAY_COST = 0.05
 # What it costs each short answer there when a pass becomes too long for it.
 LATE_MS = 40.0
 # Memory that may be promised; the rest absorbs what peers send meanwhile.
@@ -143,14 +151,14 @@
         job.prompt_tokens,
         job.aim_ms,
         job.waited_ms,
-        [_describe(each, shares[0], now_ms) for each in engines],
+        [_describe(job, each, shares[0], now_ms) for each in engines],
         len(shares),
         pool.gang_engines_max,
     )
 
 
 def _describe(
-    each: estimates.Estimate, share_tokens: int, now_ms: float
+    job: jobs.Job, each: estimates.Estimate, share_tokens: int, now_ms: float
 ) -> reading_plan.Engine:
     room = each.pool.memory_tokens * MEMORY_USE_MAX - each.held_tokens(now_ms)
     return reading_plan.Engine(
@@ -159,6 +167,7 @@
         answers=each.streams_by_pause(now_ms),
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
         reader_worth=_find_reader_worth(each, now_ms),
+        extra_cost=AWAY_COST if _is_away(job, each) else 0.0,
     )
 
 
@@ -181,16 +190,26 @@
     candidates: Sequence[estimates.Estimate], now_ms: float
 ) -> frozenset[str]:
     """Returns the engines at the back that short prompts do not need now."""
-    ranked = sorted(
-        (each.target.target_id for each in candidates), key=_rank_of
-    )
-    streams = sum(each.streams_by_pause(now_ms)[0] for each in candidates)
-    places = [each.target.streams_max or PLACES_UNTOLD for each in candidates]
+    by_hall: dict[str, list[estimates.Estimate]] = {}
+    for each in candidates:
+        by_hall.setdefault(each.target.hall, []).append(each)
+    found: list[str] = []
+    for engines in by_hall.values():
+        found += _find_long_region_of_hall(engines, now_ms)
+    return frozenset(found)
+
+
+def _find_long_region_of_hall(
+    engines: Sequence[estimates.Estimate], now_ms: float
+) -> Sequence[str]:
+    ranked = sorted((each.target.target_id for each in engines), key=_rank_of)
+    streams = sum(each.streams_by_pause(now_ms)[0] for each in engines)
+    places = [each.target.streams_max or PLACES_UNTOLD for each in engines]
     fill = SHORT_FILL * sum(places) / len(places)
     needed = math.ceil(streams / fill) + 1
     least = min(REGION_LEAST, len(ranked) // 2)
     needed = max(least, min(len(ranked) - least, needed))
-    return frozenset(ranked[needed:])
+    return ranked[needed:]
 
 
 def _rank_of(target_id: str) -> int:
@@ -218,4 +237,10 @@
         score_ms += NO_ROOM_MS
     if in_long_region:
         score_ms += SPILL_MS
+    if _is_away(job, each):
+        score_ms += AWAY_MS
     return score_ms
+
+
+def _is_away(job: jobs.Job, each: estimates.Estimate) -> bool:
+    return bool(job.home_hall) and each.target.hall != job.home_hall
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -30,3 +30,4 @@
     aim_ms: float = 0.0
     pause_aim_ms: float = math.inf
     is_blind: bool = False
+    home_hall: str = ""
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -189,6 +189,7 @@
             waited_ms=now_ms,
             aim_ms=route.aim_ms,
             pause_aim_ms=route.gap_aim_ms if route.is_stream else math.inf,
+            home_hall=tools.config.hall,
         ),
         pool=pool,
         segments=(),
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -6,6 +6,7 @@
 
 from ruddergate import environment
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions.routing import by_name
 from ruddergate.decisions.routing import by_region
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.fleet import condition
@@ -34,13 +35,15 @@
 _GREAT = jobs.Job(900_000, 901_000, "", 0, True, 0.0, 3_000.0, 800.0)
 
 
-def _make_engines(count: int, places: int = 8) -> list[estimates.Estimate]:
+def _make_engines(
+    count: int, places: int = 8, halls: int = 1
+) -> list[estimates.Estimate]:
     return [
         estimates.Estimate(
             targets.Target(
                 f"engine-{number}",
                 "engines",
-                "h",
+                f"h{number % halls}",
                 environment.Address("1.1.1.1", number + 1),
                 condition.Condition.LIVE,
                 places,
@@ -92,6 +95,55 @@
             self.assertGreaterEqual(len(chosen), least)
             self.assertLessEqual(len(chosen), most)
 
+    def test_short_prompts_stay_in_their_hall_while_it_has_places(
+        self,
+    ) -> None:
+        engines = _make_engines(18, halls=3)
+        job = dataclasses.replace(_SHORT, home_hall="h1")
+        for _ in range(30):
+            (chosen,) = _choose(job, engines)
+            self.assertEqual(chosen.target.hall, "h1")
+        for each in engines:
+            if each.target.hall == "h1":
+                row = dispatched.Dispatched(
+                    each.target.target_id, (), 0, 9, (9, 0, 0), 0.0
+                )
+                each.take_peers(row, 0.0)
+        (chosen,) = _choose(job, engines)
+        self.assertNotEqual(chosen.target.hall, "h1")
+
+    def test_boundary_is_drawn_in_each_hall(self) -> None:
+        engines = _make_engines(18, halls=3)
+        for each in engines:
+            if each.target.hall == "h0":
+                row = dispatched.Dispatched(
+                    each.target.target_id, (), 0, 4, (4, 0, 0), 0.0
+                )
+                each.take_peers(row, 0.0)
+        long_ids = by_region._find_long_region(engines, 0.0)
+        counts = {
+            hall: sum(
+                each.target.target_id in long_ids
+                for each in engines
+                if each.target.hall == hall
+            )
+            for hall in ("h0", "h1", "h2")
+        }
+        self.assertEqual(counts, {"h0": 2, "h1": 4, "h2": 4})
+
+    def test_plain_calls_stay_in_their_hall_unless_it_is_busier(self) -> None:
+        policy = by_name.make_policy("least_recent")
+        engines = _make_engines(3, halls=3)
+        job = dataclasses.replace(_SHORT, home_hall="h1")
+        chance = random.Random(1)
+        for streams, expected in ((2, True), (4, False)):
+            row = dispatched.Dispatched(
+                engines[1].target.target_id, (), 0, streams, (), 0.0
+            )
+            engines[1].take_peers(row, 0.0)
+            chosen = policy.choose(job, engines, 0.0, chance)
+            self.assertEqual(chosen.target.hall == "h1", expected)
+
     def test_boundary_follows_short_answers(self) -> None:
         engines = _make_engines(18)
         before = len(by_region._find_long_region(engines, 0.0))
