Let calls wait at the VM where all places are taken, those in time first

Cause: with 5 of 18 engines emptied and 52 short prompts a second, all places were taken; calls queued at the engines in order of arrival, and 71 of 105 in two seconds were late, each by a little. Ruled out: time spent at the VM (waited 1 ms).

Change: where no engine has a place, a short prompt waits at the VM, which knows of the next free place anywhere; after half an aim it waits behind those that can still be in time, for an aim or 1.2 s more, and is then refused with a Retry-After that is drawn from 0.4 to 1.2 s. The time for a plan counts from the call's arrival, also for a second attempt.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -82,15 +82,28 @@
         # Without it, VMs that know nothing of each other yet would all fill
         # the same few engines.
         long_ids = _find_long_region(candidates, now_ms)
+    free = [each for each in candidates if _has_place(each, now_ms)]
+    if not free:
+        return None
     scored = [
         (_score_ms(job, each, each.target.target_id in long_ids, now_ms), each)
-        for each in candidates
+        for each in free
     ]
     best_ms = min(score_ms for score_ms, _ in scored)
     near = [each for score_ms, each in scored if score_ms <= best_ms + SAME_MS]
     return chance.choice(near)
 
 
+def _has_place(each: estimates.Estimate, now_ms: float) -> bool:
+    """Returns whether a short prompt would not wait for a place there.
+
+    Where all engines are full, it is better kept here: the next place that
+    becomes free anywhere is nearer than that of any one engine.
+    """
+    most = each.target.streams_max
+    return not most or each.recent_streams(now_ms) < most
+
+
 def _choose_helpers(
     job: jobs.Job,
     chosen: estimates.Estimate,
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -32,10 +32,17 @@
 # What a target that fails with its own 5xx says is the answer; from here on a
 # repeatable call is worth another try.
 _SERVER_ERROR = 500
-# How long a call waits for a target at most, in aims; a policy that holds long
-# prompts back lets them go earlier (by_region.HOLD_AIM_PART).
-NO_TARGET_WAIT_AIMS = 0.5
-_NO_TARGET_RETRY_MS = 500.0
+# How long a call waits for a place ahead of others, in aims: after that it is
+# late anyway, and those that can still be in time go first. A policy that holds
+# long prompts back lets them go earlier (by_region.HOLD_AIM_PART).
+ON_TIME_WAIT_AIMS = 0.5
+# It then waits behind those for an aim, and for so long at least: callers give a
+# stream up that has not begun after four aims, two seconds at least.
+LATE_WAIT_LEAST_MS = 1_200.0
+# Ranks of late calls lie below those of all others.
+_LATE_RANKS = 1_000_000
+# When a place may have become free; callers are not to come back together.
+_NO_TARGET_RETRY_MS = (400.0, 1_200.0)
 
 
 async def run(
@@ -158,21 +165,61 @@
     progress: relay_progress.Progress,
     tools: tool_types.Tools,
 ) -> placement.Placed | outcomes.NotServed:
+    """Waits for a place: ahead of late calls first, and then among them."""
+    for is_late, wait_ms in _find_waits(request, progress, tools):
+        left_ms = request.remaining_ms(tools.outside.now_ms())
+        wait_ms = min(wait_ms, left_ms)
+        if wait_ms <= 0.0:
+            continue
+        asked = _make_place(request, progress, tools, is_late, wait_ms)
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0):
+                return await tools.scheduler.place(asked)
+        except TimeoutError:
+            continue
+    return outcomes.refuse(
+        outcomes.Reason.NO_TARGET,
+        f"no target of pool {request.workload.pool.name} can be used now",
+        tools.outside.random.uniform(*_NO_TARGET_RETRY_MS),
+    )
+
+
+def _find_waits(
+    request: requests.Request,
+    progress: relay_progress.Progress,
+    tools: tool_types.Tools,
+) -> tuple[tuple[bool, float], ...]:
+    """Returns how long to wait as a call in time, and then as a late one."""
+    aim_ms = request.payload.route.aim_ms
+    on_time_ms = ON_TIME_WAIT_AIMS * aim_ms
+    if not progress.is_begun:
+        on_time_ms -= tools.outside.now_ms() - request.arrived_ms
+    return (False, on_time_ms), (True, max(LATE_WAIT_LEAST_MS, aim_ms))
+
+
+def _make_place(
+    request: requests.Request,
+    progress: relay_progress.Progress,
+    tools: tool_types.Tools,
+    is_late: bool,
+    wait_ms: float,
+) -> placement.Place:
     now_ms = tools.outside.now_ms()
     pool = request.workload.pool
     route = request.payload.route
+    priority = request.workload.priority
+    if is_late:
+        rank = priority.rank - _LATE_RANKS
+        priority = dataclasses.replace(priority, name=str(rank), rank=rank)
     cost = costs.predict(
         pool, request.prompt_tokens, 0, request.output_tokens_expected
     )
     band = length_band.find_band(request.prompt_tokens)
-    wait_ms = min(
-        request.remaining_ms(now_ms), NO_TARGET_WAIT_AIMS * route.aim_ms
-    )
-    asked = placement.Place(
+    return placement.Place(
         job=queueing.Job(
             job_id=f"{request.request_id}.{progress.sent}."
             f"{progress.unreachable}.{now_ms}",
-            priority=request.workload.priority,
+            priority=priority,
             workspace=request.workload.workspace,
             weight=request.workload.weight,
             lane=queueing.Lane(pool.name, band),
@@ -186,7 +233,7 @@
             prefix="",
             prefix_tokens=0,
             is_long=band >= length_band.LONG_BAND,
-            waited_ms=now_ms,
+            waited_ms=request.arrived_ms,
             aim_ms=route.aim_ms,
             pause_aim_ms=route.gap_aim_ms if route.is_stream else math.inf,
             home_hall=tools.config.hall,
@@ -196,12 +243,3 @@
         excluded=progress.excluded,
         reply=asyncio.get_running_loop().create_future(),
     )
-    try:
-        async with asyncio.timeout(wait_ms / 1000.0):
-            return await tools.scheduler.place(asked)
-    except TimeoutError:
-        return outcomes.refuse(
-            outcomes.Reason.NO_TARGET,
-            f"no target of pool {pool.name} can be used now",
-            _NO_TARGET_RETRY_MS,
-        )
