--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -53,6 +53,7 @@
         has_room: Whether its memory takes the answer's part.
         reader_worth: About what the longest prompt is worth that it reads.
         extra_cost: What its taking part costs for other reasons.
+        is_pinned: Whether it is to write the answer, whatever that costs.
     """
 
     target_id: str
@@ -61,6 +62,7 @@
     has_room: bool
     reader_worth: float = 0.0
     extra_cost: float = 0.0
+    is_pinned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +135,7 @@
     ranked = sorted(
         engines,
         key=lambda each: (
+            not each.is_pinned,
             _find_harm(each, piece_ms)
             + _find_reader_harm(each, piece_ms)
             + each.extra_cost,
@@ -144,7 +147,9 @@
         return None
     others = [each for each in ranked if each not in holders]
     chosen = [*holders, *others[: parts - holders_needed]]
-    writer = min(holders, key=_count_answers)
+    writer = min(
+        holders, key=lambda each: (not each.is_pinned, _count_answers(each))
+    )
     harm = sum(_find_harm(each, piece_ms) for each in chosen)
     rest_ms = max(each.rest_ms for each in chosen)
     first_ms = rest_ms + piece_ms + START_MS
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -181,6 +181,7 @@
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
         reader_worth=_find_reader_worth(each, now_ms),
         extra_cost=AWAY_COST if _is_away(job, each) else 0.0,
+        is_pinned=each.target.target_id == job.pinned_target,
     )
 
 
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -31,3 +31,4 @@
     pause_aim_ms: float = math.inf
     is_blind: bool = False
     home_hall: str = ""
+    pinned_target: str = ""
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -146,6 +146,7 @@
             case answers.FaultTold():
                 self._at_fault.add(event.target_id)
                 self._progress.excluded |= {event.target_id}
+                self._progress.has_helper_failed = True
                 return False
             case answers.StreamHead():
                 is_new = not self._progress.is_begun
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -25,6 +25,8 @@
 
 # Targets tried for a connection, besides those that were sent the call.
 UNREACHABLE_MAX = 8
+# Times that a call goes to the same target again because of one of its helpers.
+HELPERS_FAILED_MAX = 3
 _NOTHING_SENT = (
     outcomes.Reason.TARGET_UNREACHABLE,
     outcomes.Reason.NO_MEMORY,
@@ -36,8 +38,8 @@
 # late anyway, and those that can still be in time go first. A policy that holds
 # long prompts back lets them go earlier (by_region.HOLD_AIM_PART).
 ON_TIME_WAIT_AIMS = 0.5
-# It then waits behind those for an aim, and for so long at least: callers give a
-# stream up that has not begun after four aims, two seconds at least.
+# It then waits behind those for an aim, and for so long at least: callers give
+# a stream up that has not begun after four aims, two seconds at least.
 LATE_WAIT_LEAST_MS = 1_200.0
 # Ranks of late calls lie below those of all others.
 _LATE_RANKS = 1_000_000
@@ -102,6 +104,13 @@
     _log_attempt(request, seat, ended, progress, tools)
     tools.metrics.attempts.inc({"result": ended.reason.value})
     progress.ran = model_run.worse(progress.ran, ended.ran)
+    if _is_helpers_fault(ended, progress):
+        # The target itself may well take the call, with other helpers; it is
+        # the same target, and so no further one that was sent the call.
+        progress.pinned = seat.target.target_id
+        progress.helpers_failed += 1
+        return await _try_again(request, ended, progress, tools)
+    progress.pinned = ""
     if ended.reason is not outcomes.Reason.NO_MEMORY:
         progress.excluded |= {seat.target.target_id}
     if ended.reason in _NOTHING_SENT:
@@ -114,10 +123,33 @@
     may_go_on = route.is_resumable or not progress.is_begun
     if not may_go_on or progress.sent >= route.targets_max:
         return _conclude(ended, progress)
+    return await _try_again(request, ended, progress, tools)
+
+
+def _is_helpers_fault(
+    ended: outcomes.NotServed, progress: relay_progress.Progress
+) -> bool:
+    """Returns whether a target refused because of one that was to help it."""
+    has_failed = progress.has_helper_failed
+    progress.has_helper_failed = False
+    return (
+        has_failed
+        and ended.ran is outcomes.Ran.NOT_RUN
+        and progress.helpers_failed < HELPERS_FAILED_MAX
+    )
+
+
+async def _try_again(
+    request: requests.Request,
+    ended: outcomes.NotServed,
+    progress: relay_progress.Progress,
+    tools: tool_types.Tools,
+) -> answers.Event | None:
+    """Returns None after a pause, or the outcome if no try is left."""
     decided = retries.decide(
         ended,
         request.repeatable,
-        progress.sent,
+        max(1, progress.sent),
         request.remaining_ms(tools.outside.now_ms()),
         0.0,
         tools.budget,
@@ -237,6 +269,7 @@
             aim_ms=route.aim_ms,
             pause_aim_ms=route.gap_aim_ms if route.is_stream else math.inf,
             home_hall=tools.config.hall,
+            pinned_target=progress.pinned,
         ),
         pool=pool,
         segments=(),
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -49,6 +49,7 @@
         unsigned: Chance to answer without its signature.
         foreign: Chance to answer with another request's name.
         mute: Whether it takes requests and says nothing.
+        helps_nobody: Whether others that name it as a helper refuse for it.
     """
 
     refuse: float = 0.0
@@ -58,6 +59,7 @@
     unsigned: float = 0.0
     foreign: float = 0.0
     mute: bool = False
+    helps_nobody: bool = False
 
 
 class PlatformReplica:
@@ -105,8 +107,19 @@
             return message.Response(421, {"X-Replica-Id": self.name}, b"")
         if self._draw(self.wrong.refuse):
             return message.Response(503, {"X-Not-Executed": "1"}, b"")
+        blamed = self._find_unfit_helper(incoming.headers.get("helpers", ""))
+        if blamed is not None:
+            fields = {"X-Not-Executed": "1", "At-Server": blamed}
+            return message.Response(503, fields, b"")
         return await self._run(incoming)
 
+    def _find_unfit_helper(self, helpers: str) -> str | None:
+        for name in _name_helpers(helpers):
+            replica = self._peers[name]
+            if replica.wrong.helps_nobody:
+                return replica.name
+        return None
+
     def _take_order(self, order: dict) -> message.Response:
         now_ms = self._outside.now_ms()
         held = {k: v for k, v in self.tickets.items() if v[1] > now_ms}
@@ -182,7 +195,7 @@
         return message.Response(200, headers, body)
 
     async def _read_prompt(self, prompt: int, helpers: str) -> None:
-        names = [each.partition("/")[0] for each in helpers.split(",") if each]
+        names = _name_helpers(helpers)
         others = [self._peers[name].engine for name in names]
         engines = [self.engine, *others]
         piece = prompt / len(engines)
@@ -214,6 +227,10 @@
         return chance > 0.0 and self._outside.random.random() < chance
 
 
+def _name_helpers(helpers: str) -> list[str]:
+    return [each.partition("/")[0] for each in helpers.split(",") if each]
+
+
 def count_events(output_tokens: int) -> int:
     """Returns the events of an answer of that many tokens."""
     return max(1, -(-output_tokens // _TOKENS_PER_EVENT))
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -54,6 +54,27 @@
 
         gateway_scene.play(scene, seed=3)
 
+    def test_refusing_helpers_do_not_use_up_the_targets(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            # More helpers refuse, one after the other, than targets may be
+            # tried for one call.
+            names = sorted(scene.cluster.targets)
+            engines = [each for each in names if each.startswith("engine")]
+            for name in engines[:3]:
+                scene.cluster.targets[name].replica.wrong.helps_nobody = True
+            for number in range(4):
+                got = await scene.call(
+                    "long",
+                    f"vm-{number % 3}",
+                    prompt_tokens=300_000,
+                    output_tokens=100,
+                    time_limit_ms=15_000.0,
+                )
+                self.assertEqual((got.status, got.is_whole), (200, True))
+                self.assertEqual(len(scene.runs(got)), 1)
+
+        gateway_scene.play(scene, engines=8)
+
     def test_spoilt_answers_are_not_handed_on(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             for wrong in ("unsigned", "foreign"):
--- a/tests/test_reading_plan.py
+++ b/tests/test_reading_plan.py
@@ -78,6 +78,13 @@
         self.assertEqual(plan.reader_harm, 0.0)
         self.assertGreater(_plan(reading).reader_harm, 1.0)
 
+    def test_pinned_engine_writes(self) -> None:
+        pinned = reading_plan.Engine(
+            "p", 900.0, (3, 0, 0), True, 0.0, 0.0, True
+        )
+        plan = _plan([*(_engine(f"e{n}") for n in range(8)), pinned])
+        self.assertEqual(plan.engines[0], "p")
+
     def test_engines_are_not_blocked_for_long(self) -> None:
         # It can't be in time on so few engines; yet all of them take part.
         plan = _plan([_engine(f"e{n}") for n in range(6)], whole_ms=24_000.0)
