--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -178,10 +178,14 @@
             self._tools.scheduler.post(placement.FirstToken(seat, "", 0))
 
     def _post_ends(self) -> None:
+        writer = self._seats[0]
         for seat in self._seats:
             failed = seat.target.target_id in self._at_fault
+            # A helper that a target blames may well be out of its reach.
+            is_away = seat.target.hall != writer.target.hall
+            is_unreachable = self._is_unreachable or is_away
             self._tools.scheduler.post(
-                placement.Ended(seat, failed, failed and self._is_unreachable)
+                placement.Ended(seat, failed, failed and is_unreachable)
             )
 
     def _make_reservations(self) -> dict[str, orders.Reservation]:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -75,6 +75,24 @@
 
         gateway_scene.play(scene, engines=8)
 
+    def test_hall_whose_engines_can_not_help_is_passed_over(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for node in scene.cluster.targets.values():
+                if node.hall == "hall-1":
+                    node.replica.wrong.helps_nobody = True
+            got = await scene.call(
+                "long",
+                prompt_tokens=400_000,
+                output_tokens=100,
+                time_limit_ms=15_000.0,
+            )
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            # One try for each of two engines shows that it is the hall.
+            tools = scene.cluster.vms["vm-0"].gateway.tools
+            self.assertGreaterEqual(tools.budget.tokens, 4.0 - 2.0)
+
+        gateway_scene.play(scene, engines=15)
+
     def test_spoilt_answers_are_not_handed_on(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             for wrong in ("unsigned", "foreign"):
