--- a/src/ruddergate/entry/placement.py
+++ b/src/ruddergate/entry/placement.py
@@ -83,11 +83,13 @@
         seat: Its place.
         failed: Whether the target is to blame.
         unreachable: Whether not even a connection came up.
+        answered: Whether the target did its part, and so is in reach.
     """
 
     seat: Seat
     failed: bool
     unreachable: bool = False
+    answered: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -64,6 +64,7 @@
         self._at_fault: set[str] = set()
         self._is_unreachable = False
         self._has_first = False
+        self._has_answered = False
 
     async def run(self) -> AsyncIterator[answers.Event]:
         """Yields what the caller is to get, and at last how it ended."""
@@ -152,7 +153,10 @@
                 is_new = not self._progress.is_begun
                 self._progress.is_begun = True
                 return is_new
+            case answers.WholeAnswer():
+                self._has_answered = True
             case answers.StreamEvents():
+                self._has_answered = True
                 self._note_first()
                 self._progress.last_id = event.last_id
             case outcomes.NotServed():
@@ -185,7 +189,12 @@
             is_away = seat.target.hall != writer.target.hall
             is_unreachable = self._is_unreachable or is_away
             self._tools.scheduler.post(
-                placement.Ended(seat, failed, failed and is_unreachable)
+                placement.Ended(
+                    seat,
+                    failed,
+                    failed and is_unreachable,
+                    self._has_answered,
+                )
             )
 
     def _make_reservations(self) -> dict[str, orders.Reservation]:
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -234,7 +234,7 @@
             self._note_missed(target, now_ms)
         if message.failed:
             estimate.note_fault(now_ms)
-        else:
+        elif message.answered:
             self._reachability.note_reached(target.hall)
 
     def _note_missed(self, target: targets.Target, now_ms: float) -> None:
