Let a long prompt wait where a much better plan is near

Cause: with answers under way on most engines the plan that harms nobody is one engine; prompts of 270,000 to 420,000 tokens were sent to one or two engines 4 ms after they came, and began after 7 to 8 s, due in 3 s.

Change: where the plan at hand costs 3 short answers more than one on idle engines of the long region, the prompt waits (0.3 aims at most).

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Sequence
+import dataclasses
 import math
 import random
 import zlib
@@ -34,6 +35,10 @@
 # its aim.
 PATIENT_HARM = 1.0
 HOLD_AIM_PART = 0.3
+# It also waits where the plan at hand costs so much more than one on engines
+# that have become idle, which takes about this part of its aim.
+BETTER_COST = 3.0
+IDLE_AIM_PART = 0.15
 # Without this much time to spare a long prompt waits no longer.
 SLACK_MS = 200.0
 # What one more stream beside it costs a stream, from the time of a step.
@@ -74,7 +79,7 @@
 ) -> estimates.Estimate | None:
     if costs.is_long(candidates[0].pool, job.prompt_tokens):
         plan = _plan(job, candidates, now_ms)
-        if plan is None or _had_better_wait(job, plan):
+        if plan is None or _had_better_wait(job, plan, candidates, now_ms):
             return None
         return _find(candidates, plan.engines[0])
     long_ids = frozenset()
@@ -119,17 +124,52 @@
     return [_find(candidates, name) for name in plan.engines[1:]]
 
 
-def _had_better_wait(job: jobs.Job, plan: reading_plan.Plan) -> bool:
+def _had_better_wait(
+    job: jobs.Job,
+    plan: reading_plan.Plan,
+    candidates: Sequence[estimates.Estimate],
+    now_ms: float,
+) -> bool:
     if job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
         return False
     if plan.reader_harm > PATIENT_HARM:
         # What is being read there would have to be waited for anyway.
         return True
+    if plan.cost - _find_cost_later(job, candidates, now_ms) > BETTER_COST:
+        return True
     slack_ms = job.aim_ms * reading_plan.LATE_AIMS
     slack_ms -= job.waited_ms + plan.first_ms
     return plan.harm > PATIENT_HARM and slack_ms > SLACK_MS
 
 
+def _find_cost_later(
+    job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
+) -> float:
+    """Returns the cost of a plan on the long region when it has become idle."""
+    pool = candidates[0].pool
+    long_ids = _find_long_region(candidates, now_ms)
+    idle = [
+        dataclasses.replace(
+            _describe(job, each, 0, now_ms),
+            rest_ms=0.0,
+            answers=(0,) * pause_class.CLASSES,
+            reader_worth=0.0,
+        )
+        for each in candidates
+        if each.target.target_id in long_ids
+    ]
+    plan = reading_plan.make_plan(
+        costs.predict_prefill_ms(pool, job.prompt_tokens),
+        job.prompt_tokens,
+        job.aim_ms,
+        job.waited_ms + IDLE_AIM_PART * job.aim_ms,
+        idle,
+        len(gangs.split_memory(job.held_tokens, pool.memory_tokens)),
+        pool.gang_engines_max,
+    )
+    return math.inf if plan is None else plan.cost
+
+
 def _plan(
     job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
 ) -> reading_plan.Plan | None:
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -190,6 +190,22 @@
         waited = dataclasses.replace(_LONG, waited_ms=1_000.0)
         self.assertTrue(_choose(waited, engines))
 
+    def test_great_prompt_waits_for_answers_rather_than_be_late(self) -> None:
+        # 400,000 tokens take one engine 8.9 s; each engine of the long region
+        # writes an answer that bears no piece of more than 0.7 s beside it.
+        engines = _make_engines(18)
+        great = dataclasses.replace(
+            _LONG, prompt_tokens=400_000, held_tokens=401_000
+        )
+        for each in engines:
+            row = dispatched.Dispatched(
+                each.target.target_id, (), 0, 1, (1, 2, 1), 0.0
+            )
+            each.take_peers(row, 0.0)
+        self.assertEqual(_choose(great, engines), [])
+        waited = dataclasses.replace(great, waited_ms=1_000.0)
+        self.assertTrue(_choose(waited, engines))
+
     def test_route_without_an_aim_is_served(self) -> None:
         job = dataclasses.replace(_LONG, aim_ms=0.0)
         self.assertTrue(_choose(job, _make_engines(18)))
