Take what may be read beside answers from the published pauses

Cause: the bounds (130, 420 and 700 ms) stood for pauses of 200, 500 and 800 ms; this customer allows 250, 600 and 1,000 ms and has passes of another length.

Change: 0.95 of the least pause that a pool's routes allow in a class, less an idle pass (stride times step) and 17 ms; the old figures follow for the first customers (130, 415, 700).

--- a/src/ruddergate/decisions/cost.py
+++ b/src/ruddergate/decisions/cost.py
@@ -2,13 +2,11 @@
 
 import dataclasses
 
+from ruddergate.decisions import pause_class
 from ruddergate.settings import effective
 
 # Streams that an engine decodes together for about the price of one.
 TYPICAL_BATCH = 32.0
-# A prefill this long makes a pass too long for the answers to short prompts,
-# whose routes allow pauses of 200 ms.
-LONG_PREFILL_MS = 130.0
 _MILLION = 1_000_000.0
 
 
@@ -48,7 +46,7 @@
 
 def is_long(pool: effective.Pool, tokens: int) -> bool:
     """Returns whether prefilling a prompt holds up the answers beside it."""
-    return predict_prefill_ms(pool, tokens) > LONG_PREFILL_MS
+    return predict_prefill_ms(pool, tokens) > pause_class.bears_ms(pool)[0]
 
 
 def predict(
--- a/src/ruddergate/decisions/reading_plan.py
+++ b/src/ruddergate/decisions/reading_plan.py
@@ -53,6 +53,7 @@
         has_room: Whether its memory takes the answer's part.
         reader_worth: About what the longest prompt is worth that it reads.
         extra_cost: What its taking part costs for other reasons.
+        bears_ms: What it may read in a pass beside answers, by class.
         is_pinned: Whether it is to write the answer, whatever that costs.
     """
 
@@ -63,6 +64,7 @@
     reader_worth: float = 0.0
     extra_cost: float = 0.0
     is_pinned: bool = False
+    bears_ms: tuple[float, ...] = pause_class.BEARS_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,7 +181,7 @@
     reading_ms = engine.rest_ms + piece_ms
     harm = 0.0
     for class_, count in enumerate(engine.answers):
-        if reading_ms > pause_class.BEARS_MS[class_]:
+        if reading_ms > engine.bears_ms[class_]:
             harm += count * pause_class.WORTH[class_] * LATE_LOSS
     return harm
 
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -222,6 +222,7 @@
         reader_worth=_find_reader_worth(each, now_ms),
         extra_cost=AWAY_COST if _is_away(job, each) else 0.0,
         is_pinned=each.target.target_id == job.pinned_target,
+        bears_ms=pause_class.bears_ms(each.pool),
     )
 
 
@@ -281,7 +282,7 @@
     rest_ms = each.prefilling_ms(now_ms)
     own_ms = costs.predict_prefill_ms(each.pool, job.prompt_tokens)
     score_ms = rest_ms + streams * STREAM_MS
-    if rest_ms + own_ms > pause_class.BEARS_MS[0]:
+    if rest_ms + own_ms > pause_class.bears_ms(each.pool)[0]:
         score_ms += each.streams_by_pause(now_ms)[0] * LATE_MS
     if each.target.streams_max:
         over = streams + 1.0 - each.target.streams_max
--- a/src/ruddergate/settings/catalog.py
+++ b/src/ruddergate/settings/catalog.py
@@ -43,7 +43,13 @@
     ) -> None:
         self.revision = revision
         self.workspaces = workspaces
-        self.pools = pools
+        routes_ = tuple(routes_)
+        self.pools = {
+            name: dataclasses.replace(
+                pool, pause_aims_ms=_find_pause_aims_ms(name, routes_)
+            )
+            for name, pool in pools.items()
+        }
         self.limits = limits
         self._routes = {(each.host, each.path_prefix): each for each in routes_}
 
@@ -67,6 +73,18 @@
 EMPTY = Catalog(0, (), {}, {})
 
 
+def _find_pause_aims_ms(
+    pool: str, routes_: Iterable[routes.Route]
+) -> tuple[float, ...]:
+    """Returns the longest pauses that routes to a pool allow."""
+    aims_ms = {
+        each.gap_aim_ms
+        for each in routes_
+        if each.is_stream and any(part.pool == pool for part in each.shares)
+    }
+    return tuple(sorted(aims_ms))
+
+
 def _prefixes(path: str) -> Iterator[str]:
     """Yields the parts of a path that end with a slash, longest first."""
     end = len(path)
--- a/src/ruddergate/settings/effective.py
+++ b/src/ruddergate/settings/effective.py
@@ -37,7 +37,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
-    """Effective settings of a pool of targets; see `schema` for each."""
+    """Effective settings of a pool of targets; see `schema` for each.
+
+    Attributes:
+        pass_ms: Time of an engine's pass that reads nothing, where published.
+        pause_aims_ms: The longest pauses that routes to the pool allow between
+            two events, each once and in order, where published.
+    """
 
     name: str
     pool_kind: str
@@ -55,6 +61,8 @@
     checks_key: bool
     gang_engines_max: int
     weight_reads_per_s_max: float
+    pass_ms: float = 0.0
+    pause_aims_ms: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_pause_class.py
@@ -0,0 +1,49 @@
+"""What may be read beside answers follows from what routes publish."""
+
+import unittest
+
+from ruddergate.decisions import pause_class
+from ruddergate.platform import configuration
+
+
+def _make_pool(gaps_ms: dict[str, int], **engine: object):  # noqa: ANN202
+    routes = [
+        {
+            "name": name,
+            "hostname": "h",
+            "path-prefix": f"/{name}/",
+            "service": "engines",
+            "route-type": "streaming",
+            "timeout-ms": 10_000,
+            "target-latency-ms": 300,
+            "gap_aim_ms": gap_ms,
+        }
+        for name, gap_ms in gaps_ms.items()
+    ]
+    document = {
+        "config-version": 1,
+        "routes": routes,
+        "services": [{"name": "engines", "engine": engine}],
+    }
+    return configuration.read_catalog(document).find_pool("engines")
+
+
+class PauseClassTest(unittest.TestCase):
+    def test_pauses_of_routes_less_a_pass(self) -> None:
+        pool = _make_pool(
+            {"a": 250, "b": 600, "c": 1_000, "d": 220}, stride=34, step_ms=1.31
+        )
+        self.assertEqual(pool.pause_aims_ms, (220.0, 250.0, 600.0, 1_000.0))
+        short, middle, long_ = pause_class.bears_ms(pool)
+        # The shortest pause of a class counts.
+        self.assertAlmostEqual(short, 220.0 * 0.95 - 34 * 1.31 - 17.0)
+        self.assertAlmostEqual(middle, 600.0 * 0.95 - 34 * 1.31 - 17.0)
+        self.assertAlmostEqual(long_, 1_000.0 * 0.95 - 34 * 1.31 - 17.0)
+
+    def test_without_published_pauses_the_defaults_hold(self) -> None:
+        pool = _make_pool({}, read_per_s=1_000.0)
+        self.assertEqual(pause_class.bears_ms(pool), pause_class.BEARS_MS)
+
+    def test_a_pause_shorter_than_a_pass_leaves_nothing(self) -> None:
+        pool = _make_pool({"a": 50}, stride=34, step_ms=2.0)
+        self.assertEqual(pause_class.bears_ms(pool)[0], 0.0)
