--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -29,7 +29,11 @@
 # Places of an engine that does not tell them.
 PLACES_UNTOLD = 8
 # Engines that either region of a hall keeps, whatever the other one needs.
-REGION_LEAST = 2
+REGION_LEAST = 1
+# Engines in front of the boundary besides those that short prompts fill: for
+# what VMs do not know of each other yet. With a whole one in each hall, long
+# prompts had too few engines when there were many of them.
+FRONT_SPARE = 0.25
 # A long prompt waits for engines to become free rather than cost others more
 # than this (in answers to short prompts), but for no longer than this part of
 # its aim.
@@ -261,7 +265,7 @@
     streams = sum(each.streams_by_pause(now_ms)[0] for each in engines)
     places = [each.target.streams_max or PLACES_UNTOLD for each in engines]
     fill = SHORT_FILL * sum(places) / len(places)
-    needed = math.ceil(streams / fill) + 1
+    needed = math.ceil(streams / fill + FRONT_SPARE)
     least = min(REGION_LEAST, len(ranked) // 2)
     needed = max(least, min(len(ranked) - least, needed))
     return ranked[needed:]
