Divide the fleet's second sends by the VMs that are known

Cause: each VM saved up 4 second sends whatever the fleet's size: too few of the 106 that nine VMs may make, and 320 at 80 VMs, where 228 are allowed.

Change: ratio and slack come from the platform's settings; a VM saves up 0.45 of the slack by the most VMs that it has known (60 while it knows none, 6 at least). Empty variables count as not given.

--- a/src/ruddergate/cli/_private.py
+++ b/src/ruddergate/cli/_private.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import os
 import signal
 import sys
 from typing import Annotated
@@ -14,6 +15,8 @@
 from ruddergate import environment
 
 USAGE_STATUS = 2
+# What the names of all variables with settings begin with.
+VARIABLES = "RUDDERGATE_"
 KEY_LENGTH_LEAST = 16
 
 
@@ -22,12 +25,19 @@
     return cyclopts.App(
         name=name,
         help=help_,
-        config=cyclopts.config.Env("RUDDERGATE_", command=False),
+        config=cyclopts.config.Env(VARIABLES, command=False),
     )
 
 
 def run_app(app: cyclopts.App) -> None:
-    """Runs a command line; a wrong setting gets one line and status 2."""
+    """Runs a command line; a wrong setting gets one line and status 2.
+
+    A variable that is empty counts as not given: a template that fills in
+    settings leaves it so where there is nothing to fill in.
+    """
+    for name, value in list(os.environ.items()):
+        if name.startswith(VARIABLES) and not value:
+            del os.environ[name]
     try:
         app(exit_on_error=False, print_error=False)
     except cyclopts.CycloptsError as error:
--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -36,6 +36,9 @@
 # Answers to orders come in a few milliseconds; renewals come every
 # 800 ms.
 _ORDER_TIMEOUT_MS = 500.0
+# Of the second sends for each first one; first sends are counted here as they
+# begin, and by the fleet's operators in windows that need not match.
+_RETRY_PART = 0.75
 # Calls of the store are paid for, so they are as far apart as what they tell
 # must be known; the rest is for the call itself and a request on its way.
 _STORE_PART = 0.65
@@ -48,7 +51,7 @@
 _STOP_LAG_MS = 2_600.0
 # What is left of the time for a stop when it is given up.
 _STOP_MARGIN_MS = 400.0
-StrictRevoke: TypeAlias = Literal["", "true", "false"]
+StrictRevoke: TypeAlias = Literal["true", "false"]
 
 
 @APP.default
@@ -63,10 +66,10 @@
     seeds: str = "",
     store_address: _private.AddressText,
     revoke_ms: Annotated[float, _private.number(1, 600_000)] = 5_000.0,
-    strict_revoke: StrictRevoke = "",
+    strict_revoke: StrictRevoke = "true",
     grace_s: Annotated[float, _private.number(0.1, 600)] = 8.0,
-    retry_share: Annotated[float, _private.number(0, 1)] = 0.15,
-    retry_most: Annotated[float, _private.number(0, 1_000)] = 4.0,
+    retry_ratio: Annotated[float, _private.number(0, 1)] = 0.2,
+    retry_slack: Annotated[float, _private.number(0, 100_000)] = 50.0,
     apply_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     leave_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     link_mbps: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
@@ -92,11 +95,10 @@
         revoke_ms: Time within which a removed key must be refused (ms).
         strict_revoke: Whether a removed key is refused within that time also
             by a VM that does not hear of its removal: such a VM refuses all
-            keys then. Without it, it goes on by the last settings. Not given
-            means true.
+            keys then. Without it, it goes on by the last settings.
         grace_s: Time for a planned stop (s).
-        retry_share: Second sends allowed for each first one.
-        retry_most: Second sends that may be saved up.
+        retry_ratio: Second sends that the fleet may make for each first one.
+        retry_slack: Second sends that the fleet may make besides in a while.
         apply_ms: Time within which new settings must be in force (ms).
         leave_ms: Time within which a leaving target gets no more work (ms).
         link_mbps: This VM's link (Mbit/s); fast ones pass digests on.
@@ -131,8 +133,8 @@
         stop_lag_ms=_STOP_LAG_MS,
         stop_limit_ms=grace_s * 1_000.0 - _STOP_MARGIN_MS,
         pace=source_sync.Pace(every_ms=min(apply_ms, leave_ms) * _STORE_PART),
-        retry_share=retry_share,
-        retry_most=retry_most,
+        retry_share=retry_ratio * _RETRY_PART,
+        retry_slack=retry_slack,
         peers=peer_exchange.PeerConfig(
             environment.parse_address(peer_listen),
             _parse_seeds(seeds, environment.parse_address(peer_listen).port),
--- a/src/ruddergate/decisions/retries.py
+++ b/src/ruddergate/decisions/retries.py
@@ -7,6 +7,14 @@
 
 BACKOFF_FIRST_MS = 20.0
 BACKOFF_MOST_MS = 2_000.0
+# Part of the fleet's slack that all VMs together may have saved up. Less than
+# half, as a VM that starts again within the window has its part anew.
+SLACK_PART = 0.45
+# VMs that there may be while none but this one is known.
+VMS_UNKNOWN = 60
+# VMs that there are taken to be at least: parts of a fleet that have lost each
+# other since their start know only themselves.
+VMS_LEAST = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +38,11 @@
     most: float = 20.0
     tokens: float = 10.0
 
+    def resize(self, most: float) -> None:
+        """Changes how many may be saved up; what is saved grows along."""
+        self.tokens = min(most, self.tokens + max(0.0, most - self.most))
+        self.most = most
+
     def note_first_attempt(self) -> None:
         """Counts a first attempt, which earns a part of a retry."""
         self.tokens = min(self.most, self.tokens + self.share)
@@ -42,6 +55,18 @@
         return True
 
 
+def find_saved_most(fleet_slack: float, vms_known: int) -> float:
+    """Returns how many second sends one VM may save up.
+
+    Args:
+        fleet_slack: Second sends that the whole fleet may make in a window
+            besides a share of its first ones.
+        vms_known: Most VMs that this one has known, itself included.
+    """
+    vms = VMS_UNKNOWN if vms_known < 2 else max(VMS_LEAST, vms_known)
+    return fleet_slack * SLACK_PART / vms
+
+
 def decide(
     ended: outcomes.NotServed,
     repeatable: bool,
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -54,7 +54,7 @@
         stop_limit_ms: Time after which a planned stop ends with calls open.
         pace: How often the store is asked.
         retry_share: Second sends allowed for each first one.
-        retry_most: Second sends that may be saved up.
+        retry_slack: Second sends that the fleet may make besides.
         peers: Where peers are found.
     """
 
@@ -67,7 +67,7 @@
     stop_limit_ms: float
     pace: source_sync.Pace
     retry_share: float
-    retry_most: float
+    retry_slack: float
     peers: peer_exchange.PeerConfig
 
 
@@ -123,11 +123,7 @@
             view=view,
             scheduler=scheduler,
             canceller=cancellers.Canceller(outside, view),
-            budget=retries.Budget(
-                gateway_config.retry_share,
-                gateway_config.retry_most,
-                gateway_config.retry_most,
-            ),
+            budget=retries.Budget(gateway_config.retry_share, 0.0, 0.0),
             metrics=metric_types.EntryMetrics(),
             tracer=tracer,
         )
@@ -150,11 +146,21 @@
             config.hall,
             self.tools.incarnation,
             scheduler.summarize,
+            self._divide_retries,
         )
+        self._vms_most = 1
+        self._divide_retries(0)
         self._sync = source_sync.SourceSync(
             outside, platform.source, view, scheduler, gateway_config.pace
         )
 
+    def _divide_retries(self, peers: int) -> None:
+        """Sizes this VM's part of the fleet's second sends."""
+        self._vms_most = max(self._vms_most, peers + 1)
+        slack = self._gateway_config.retry_slack
+        most = retries.find_saved_most(slack, self._vms_most)
+        self.tools.budget.resize(most)
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then ends as planned."""
         tasks = [
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -77,6 +77,7 @@
         hall: Data hall of this VM.
         incarnation: Name of this run of the VM.
         summarize: Returns this VM's own work.
+        note_peers: Is told how many peers are known, whenever that changes.
 
     Attributes:
         loads: What is known of peers.
@@ -89,12 +90,14 @@
         hall: str,
         incarnation: str,
         summarize: Callable[[], tuple[dispatched.Dispatched, ...]],
+        note_peers: Callable[[int], None] = lambda count: None,
     ) -> None:
         self._outside = outside
         self._config = config
         self._hall = hall
         self._incarnation = incarnation
         self._summarize = summarize
+        self._report_peers = note_peers
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
             self._own, peer_groups.Place(hall, config.link_mbps)
@@ -198,6 +201,7 @@
         if len(self.loads) != self._known:
             self._known = len(self.loads)
             self._log.info("Peers known: {}.", self._known)
+            self._report_peers(self._known)
 
     def _make_digest(self) -> load_digest.LoadDigest:
         self._number += 1
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -32,6 +32,7 @@
 KEY = "key-of-w1"
 REVOKE_MS = 5_000.0
 _HEARTBEAT_S = 1.2
+RETRY_SLACK = 54.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,7 +189,7 @@
             stop_limit_ms=7_600.0,
             pace=source_sync.Pace(),
             retry_share=0.15,
-            retry_most=4.0,
+            retry_slack=RETRY_SLACK,
             peers=peer_exchange.PeerConfig(
                 environment.Address(node.name, _PEER_PORT), seeds
             ),
