--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -69,6 +69,7 @@
     async def run(self) -> AsyncIterator[answers.Event]:
         """Yields what the caller is to get, and at last how it ended."""
         reservations = self._make_reservations()
+        self._progress.blamed = ()
         _log_start(self._request, self._seats, self._progress, self._tools)
         try:
             missing = await self._keeper.take(
@@ -147,7 +148,7 @@
             case answers.FaultTold():
                 self._at_fault.add(event.target_id)
                 self._progress.excluded |= {event.target_id}
-                self._progress.has_helper_failed = True
+                self._progress.blamed += (event.target_id,)
                 return False
             case answers.StreamHead():
                 is_new = not self._progress.is_begun
@@ -250,7 +251,9 @@
     seat: placement.Seat, reservations: dict[str, orders.Reservation]
 ) -> errands.Helper:
     held = reservations.get(seat.target.target_id)
-    return errands.Helper(seat.target.address, held.name if held else "")
+    return errands.Helper(
+        seat.target.target_id, seat.target.address, held.name if held else ""
+    )
 
 
 def _find_urgency(request: requests.Request) -> int:
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -18,7 +18,7 @@
         is_begun: Whether the caller has the answer's head.
         excluded: Targets that are not to be tried again.
         answer: A target's own failure, handed on if nothing better comes.
-        has_helper_failed: Whether the last target blamed one of its helpers.
+        blamed: Helpers that the last target blamed, in order.
         helpers_failed: How often a call went to a target again for that.
         pinned: The target that it goes to again, or empty.
     """
@@ -30,6 +30,6 @@
     is_begun: bool = False
     excluded: frozenset[str] = frozenset()
     answer: answers.WholeAnswer | None = None
-    has_helper_failed: bool = False
+    blamed: tuple[str, ...] = ()
     helpers_failed: int = 0
     pinned: str = ""
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -130,10 +130,8 @@
     ended: outcomes.NotServed, progress: relay_progress.Progress
 ) -> bool:
     """Returns whether a target refused because of one that was to help it."""
-    has_failed = progress.has_helper_failed
-    progress.has_helper_failed = False
     return (
-        has_failed
+        bool(progress.blamed)
         and ended.ran is outcomes.Ran.NOT_RUN
         and progress.helpers_failed < HELPERS_FAILED_MAX
     )
@@ -177,6 +175,7 @@
         target=seat.target.target_id,
         route=request.payload.route.name,
         sent=progress.sent,
+        blamed=progress.blamed,
         last_event=progress.last_id,
         waited_ms=round(tools.outside.now_ms() - request.arrived_ms),
     )
--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -27,7 +27,8 @@
 SIGNATURE = "x-replica-signature"
 # The target says that it did not run the call.
 NOT_RUN = "x-not-executed"
-# Beside a refusal: the target whose fault it was, if not the one that refuses.
+# Beside a refusal: the target whose fault it was. A helper is named by the
+# address at which it was asked to help, as HOST:PORT, not by its id.
 AT_FAULT = "at-server"
 # Calls running, calls waiting, places, separated by commas.
 LOAD = "x-replica-load"
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -100,8 +100,8 @@
     told = _read_load(errand, exchange)
     if told is not None:
         yield told
-    at_fault = exchange.headers.get(headers.AT_FAULT, "")
-    if at_fault and at_fault != errand.target.target_id:
+    at_fault = _find_helper_at_fault(errand, exchange)
+    if at_fault is not None:
         yield answers.FaultTold(at_fault)
     wrong = _check_head(errand, exchange)
     if wrong is not None:
@@ -195,6 +195,17 @@
     )
 
 
+def _find_helper_at_fault(
+    errand: errands.Errand, exchange: client.Exchange
+) -> str | None:
+    """Returns the helper that the target blames, by whichever name it does."""
+    named = exchange.headers.get(headers.AT_FAULT, "")
+    for helper in errand.helpers:
+        if named in (helper.target_id, str(helper.address)):
+            return helper.target_id
+    return None
+
+
 def _check_head(
     errand: errands.Errand, exchange: client.Exchange
 ) -> outcomes.NotServed | None:
--- a/src/ruddergate/relay/errand.py
+++ b/src/ruddergate/relay/errand.py
@@ -16,10 +16,12 @@
     """An engine that reads part of the prompt.
 
     Attributes:
+        target_id: Its name.
         address: Where it serves.
         ticket: Name of the memory set aside there, or empty.
     """
 
+    target_id: str
     address: environment.Address
     ticket: str = ""
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -114,10 +114,10 @@
         return await self._run(incoming)
 
     def _find_unfit_helper(self, helpers: str) -> str | None:
-        for name in _name_helpers(helpers):
-            replica = self._peers[name]
-            if replica.wrong.helps_nobody:
-                return replica.name
+        """Returns the address of a helper that does not help, if one is."""
+        for address in _name_helpers(helpers):
+            if self._peers[address].wrong.helps_nobody:
+                return address
         return None
 
     def _take_order(self, order: dict) -> message.Response:
