Let a long prompt wait while it would be late now and not on idle engines

Cause: after the hold of 0.3 aims prompts went out with the plan of the moment, often one engine and 6 to 10 s, though a plan on idle engines took 0.6 s and answers on engines of the long region end within a second or two. Ruled out: too few engines (half of them idle a second later).

Change: while the plan at hand is late and one on an idle long region would be in time, the prompt waits, without the bound of 0.3 aims.

--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -34,9 +34,9 @@
 # what VMs do not know of each other yet. With a whole one in each hall, long
 # prompts had too few engines when there were many of them.
 FRONT_SPARE = 0.25
-# A long prompt waits for engines to become free rather than cost others more
-# than this (in answers to short prompts), but for no longer than this part of
-# its aim.
+# A long prompt waits while it would be late now and could be in time on engines
+# that have become idle. It also waits rather than cost others more than this
+# (in answers to short prompts), but for no longer than this part of its aim.
 PATIENT_HARM = 1.0
 HOLD_AIM_PART = 0.3
 # It also waits where the plan at hand costs so much more than one on engines
@@ -134,22 +134,35 @@
     candidates: Sequence[estimates.Estimate],
     now_ms: float,
 ) -> bool:
+    later = _plan_later(job, candidates, now_ms)
+    later_ms = IDLE_AIM_PART * job.aim_ms
+    if (
+        later is not None
+        and _is_late(job, plan.first_ms)
+        and not _is_late(job, later_ms + later.first_ms)
+    ):
+        return True
     if job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
         return False
     if plan.reader_harm > PATIENT_HARM:
         # What is being read there would have to be waited for anyway.
         return True
-    if plan.cost - _find_cost_later(job, candidates, now_ms) > BETTER_COST:
+    if later is not None and plan.cost - later.cost > BETTER_COST:
         return True
     slack_ms = job.aim_ms * reading_plan.LATE_AIMS
     slack_ms -= job.waited_ms + plan.first_ms
     return plan.harm > PATIENT_HARM and slack_ms > SLACK_MS
 
 
-def _find_cost_later(
+def _is_late(job: jobs.Job, first_ms: float) -> bool:
+    """Returns whether a first token in this time would come too late."""
+    return job.waited_ms + first_ms > reading_plan.LATE_AIMS * job.aim_ms
+
+
+def _plan_later(
     job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
-) -> float:
-    """Returns the cost of a plan on the long region when it has become idle."""
+) -> reading_plan.Plan | None:
+    """Returns a plan on the long region when it has become idle."""
     pool = candidates[0].pool
     long_ids = _find_long_region(candidates, now_ms)
     idle = [
@@ -162,7 +175,7 @@
         for each in candidates
         if each.target.target_id in long_ids
     ]
-    plan = reading_plan.make_plan(
+    return reading_plan.make_plan(
         costs.predict_prefill_ms(pool, job.prompt_tokens),
         job.prompt_tokens,
         job.aim_ms,
@@ -171,7 +184,6 @@
         len(gangs.split_memory(job.held_tokens, pool.memory_tokens)),
         pool.gang_engines_max,
     )
-    return math.inf if plan is None else plan.cost
 
 
 def _plan(
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -203,7 +203,10 @@
             )
             each.take_peers(row, 0.0)
         self.assertEqual(_choose(great, engines), [])
+        # It could still be in time after a second, and not after two.
         waited = dataclasses.replace(great, waited_ms=1_000.0)
+        self.assertEqual(_choose(waited, engines), [])
+        waited = dataclasses.replace(great, waited_ms=2_500.0)
         self.assertTrue(_choose(waited, engines))
 
     def test_route_without_an_aim_is_served(self) -> None:
