Be ready only with room for callers; tests of silence and of room

Cause: a VM with as many callers' connections as it serves said that it was ready, and closed each new connection.

Change: it is not ready then. Tests besides: an answer that falls silent midway on an open connection is taken up elsewhere.

Before and after: test_vm_without_room_for_callers_is_not_ready fails without.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -229,10 +229,16 @@
         age_ms = view.settings_age_ms(self._outside.now_ms())
         return age_ms <= self._gateway_config.ready_age_max_ms
 
+    def _has_room(self) -> bool:
+        """Returns whether a new connection of a caller would be served."""
+        return len(self._connections) < self._config.limits.connections_max
+
     async def _answer_ready(
         self, incoming: message.IncomingRequest
     ) -> message.Response:
-        is_ready = not self._is_stopping and self._is_fresh()
+        is_ready = (
+            not self._is_stopping and self._is_fresh() and self._has_room()
+        )
         return message.Response(_OK if is_ready else _UNAVAILABLE, {}, b"")
 
     async def _answer_metrics(
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -10,6 +10,7 @@
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import source_sync
 from ruddergate.http import client
+from ruddergate.http import server
 from ruddergate.platform import callers
 from ruddergate.platform import orders
 from ruddergate.platform import replicas
@@ -47,6 +48,7 @@
         services: Replicas of the plain service.
         seed: Source of all chance.
         is_strict: Whether keys are refused by settings that are too old.
+        connections_max: Callers' connections that a gateway serves at once.
     """
 
     vms: int = 3
@@ -55,6 +57,7 @@
     services: int = 3
     seed: int = 1
     is_strict: bool = True
+    connections_max: int = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,6 +164,7 @@
             policy="by_region",
             service_policy="least_recent",
             tries_all=True,
+            limits=server.Limits(connections_max=self.layout.connections_max),
         )
         gateway = gateways.Gateway(
             outside,
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -49,6 +49,8 @@
         unsigned: Chance to answer without its signature.
         foreign: Chance to answer with another request's name.
         mute: Whether it takes requests and says nothing.
+        falls_silent: Whether answers stop after their third event, with the
+            connection left open.
         helps_nobody: Whether others that name it as a helper refuse for it.
     """
 
@@ -59,6 +61,7 @@
     unsigned: float = 0.0
     foreign: float = 0.0
     mute: bool = False
+    falls_silent: bool = False
     helps_nobody: bool = False
 
 
@@ -217,6 +220,8 @@
                     # The first token comes with the end of the reading.
                     if number > first:
                         await writer.events.get()
+                    if self.wrong.falls_silent and number == first + 3:
+                        await asyncio.sleep(3_600.0)
                     event = make_event(run.request_id, number)
                     if number == breaks_at:
                         yield event[: len(event) // 2]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -148,6 +148,26 @@
         gateway_scene.play(scene)
 
 
+class ReadinessTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_vm_without_room_for_callers_is_not_ready(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            calls = [
+                asyncio.ensure_future(scene.call("short")) for _ in range(4)
+            ]
+            await asyncio.sleep(0.05)
+            self.assertEqual(await scene.caller.ask_ready("vm-0"), 503)
+            self.assertEqual(await scene.caller.ask_ready("vm-1"), 200)
+            for got in await asyncio.gather(*calls):
+                self.assertEqual((got.status, got.is_whole), (200, True))
+            self.assertEqual(await scene.caller.ask_ready("vm-0"), 200)
+
+        gateway_scene.play(scene, connections_max=4)
+
+
 class StopTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -115,6 +115,24 @@
 
         gateway_scene.play(scene)
 
+    def test_connection_that_falls_silent_midway_is_left(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            running = asyncio.ensure_future(
+                scene.call("short", output_tokens=2_000)
+            )
+            await asyncio.sleep(0.1)
+            for node in scene.cluster.targets.values():
+                if node.replica.runs:
+                    node.replica.wrong.falls_silent = True
+            got = await running
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            self.assertEqual(len(scene.runs(got)), 2)
+            self.assertEqual(
+                gateway_promises.find_broken(scene.cluster, [got]), []
+            )
+
+        gateway_scene.play(scene)
+
     def test_hall_out_of_reach_is_passed_over(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             cut = gateway_cluster.virtual_network.Cut("hall-1", "hall-0")
