Give the boundary and long prompts modules of their own; one home for room

What is left of a cost for full engines went, as short prompts only choose among engines with a place. The start tells how old settings may be.

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -25,6 +25,8 @@
 # of short prompts have ended by then.
 REPORT_FADES_MS = 1_500.0
 PREFIXES_MAX = 4_096
+# Memory that may be promised; the rest absorbs what peers send meanwhile.
+MEMORY_USE_MAX = 0.95
 
 _NOTHING_OPEN = (0.0,) * length_band.BANDS
 
@@ -260,6 +262,11 @@
             return own
         return max(own, self._report.held_tokens + self._since.held_tokens)
 
+    def free_tokens(self, now_ms: float) -> float:
+        """Returns the memory that may still be promised."""
+        most = self.pool.memory_tokens * MEMORY_USE_MAX
+        return most - self.held_tokens(now_ms)
+
     def streams(self, now_ms: float) -> int:
         """Returns the believed number of requests in flight."""
         own = len(self._own)
--- a/src/ruddergate/decisions/routing/baselines.py
+++ b/src/ruddergate/decisions/routing/baselines.py
@@ -54,8 +54,8 @@
     def score(
         job: jobs.Job, each: estimates.Estimate, now_ms: float
     ) -> tuple[float, ...]:
-        is_away = bool(job.home_hall) and each.target.hall != job.home_hall
-        return (each.recent_streams(now_ms) + is_away * AWAY_REQUESTS,)
+        away = AWAY_REQUESTS if jobs.is_away(job, each.target) else 0.0
+        return (each.recent_streams(now_ms) + away,)
 
     return _make_least(score)
 
--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from ruddergate.fleet import target as targets
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
@@ -32,3 +34,8 @@
     is_blind: bool = False
     home_hall: str = ""
     pinned_target: str = ""
+
+
+def is_away(job: Job, target: targets.Target) -> bool:
+    """Returns whether a target is in another hall than the job's VM."""
+    return bool(job.home_hall) and target.hall != job.home_hall
--- /dev/null
+++ b/src/ruddergate/decisions/routing/long_prompts.py
@@ -0,0 +1,157 @@
+"""Which engines read a long prompt, and whether it had better wait for them.
+
+A plan weighs what its pieces do to answers under way and to other prompts that
+are being read (decisions/reading_plan.py). Where engines that will soon be idle
+would do much better, the prompt is kept waiting.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+
+from ruddergate.decisions import cost as costs
+from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import gangs
+from ruddergate.decisions import length_band
+from ruddergate.decisions import pause_class
+from ruddergate.decisions import reading_plan
+from ruddergate.decisions.routing import boundary
+from ruddergate.decisions.routing import job as jobs
+from ruddergate.settings import effective
+
+# A long prompt waits while it would be late now and could be in time on engines
+# that have become idle. It also waits rather than cost others more than this
+# (in answers to short prompts), but for no longer than this part of its aim.
+PATIENT_HARM = 1.0
+HOLD_AIM_PART = 0.3
+# It also waits where the plan at hand costs so much more than one on engines
+# that have become idle, which takes about this part of its aim.
+BETTER_COST = 3.0
+IDLE_AIM_PART = 0.15
+# Without this much time to spare a long prompt waits no longer.
+SLACK_MS = 200.0
+# What it costs a long prompt, in answers to short ones, to have an engine of
+# another hall take part.
+AWAY_COST = 0.05
+
+
+def make_plan(
+    job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
+) -> reading_plan.Plan | None:
+    """Returns the best plan in the long region, or else on all engines.
+
+    A small pool has no region of its own for long prompts, a great prompt may
+    need the memory of more engines than the region has, and short pieces do no
+    harm beside short answers.
+    """
+    long_ids = boundary.find_long_region(candidates, now_ms)
+    region = [each for each in candidates if each.target.target_id in long_ids]
+    plans = (
+        _plan_on(job, region, now_ms),
+        _plan_on(job, candidates, now_ms),
+    )
+    return min(
+        (each for each in plans if each is not None),
+        key=lambda each: each.cost,
+        default=None,
+    )
+
+
+def had_better_wait(
+    job: jobs.Job,
+    plan: reading_plan.Plan,
+    candidates: Sequence[estimates.Estimate],
+    now_ms: float,
+) -> bool:
+    """Returns whether a prompt is better kept waiting than sent by its plan."""
+    later = _plan_later(job, candidates, now_ms)
+    later_ms = IDLE_AIM_PART * job.aim_ms
+    if (
+        later is not None
+        and _is_late(job, plan.first_ms)
+        and not _is_late(job, later_ms + later.first_ms)
+    ):
+        return True
+    if job.waited_ms >= HOLD_AIM_PART * job.aim_ms:
+        return False
+    if plan.reader_harm > PATIENT_HARM:
+        # What is being read there would have to be waited for anyway.
+        return True
+    if later is not None and plan.cost - later.cost > BETTER_COST:
+        return True
+    slack_ms = job.aim_ms * reading_plan.LATE_AIMS
+    slack_ms -= job.waited_ms + plan.first_ms
+    return plan.harm > PATIENT_HARM and slack_ms > SLACK_MS
+
+
+def _is_late(job: jobs.Job, first_ms: float) -> bool:
+    """Returns whether a first token in this time would come too late."""
+    return job.waited_ms + first_ms > reading_plan.LATE_AIMS * job.aim_ms
+
+
+def _plan_later(
+    job: jobs.Job, candidates: Sequence[estimates.Estimate], now_ms: float
+) -> reading_plan.Plan | None:
+    """Returns a plan on the long region when it has become idle."""
+    long_ids = boundary.find_long_region(candidates, now_ms)
+    idle = [
+        dataclasses.replace(
+            _describe(job, each, 0, now_ms),
+            rest_ms=0.0,
+            answers=(0,) * pause_class.CLASSES,
+            reader_worth=0.0,
+        )
+        for each in candidates
+        if each.target.target_id in long_ids
+    ]
+    waited_ms = job.waited_ms + IDLE_AIM_PART * job.aim_ms
+    return _plan_with(
+        dataclasses.replace(job, waited_ms=waited_ms), candidates[0].pool, idle
+    )
+
+
+def _plan_on(
+    job: jobs.Job, engines: Sequence[estimates.Estimate], now_ms: float
+) -> reading_plan.Plan | None:
+    if not engines:
+        return None
+    pool = engines[0].pool
+    shares = gangs.split_memory(job.held_tokens, pool.memory_tokens)
+    described = [_describe(job, each, shares[0], now_ms) for each in engines]
+    return _plan_with(job, pool, described)
+
+
+def _plan_with(
+    job: jobs.Job, pool: effective.Pool, engines: Sequence[reading_plan.Engine]
+) -> reading_plan.Plan | None:
+    return reading_plan.make_plan(
+        costs.predict_prefill_ms(pool, job.prompt_tokens),
+        job.prompt_tokens,
+        job.aim_ms,
+        job.waited_ms,
+        engines,
+        len(gangs.split_memory(job.held_tokens, pool.memory_tokens)),
+        pool.gang_engines_max,
+    )
+
+
+def _describe(
+    job: jobs.Job, each: estimates.Estimate, share_tokens: int, now_ms: float
+) -> reading_plan.Engine:
+    room = each.free_tokens(now_ms)
+    return reading_plan.Engine(
+        target_id=each.target.target_id,
+        rest_ms=each.prefilling_ms(now_ms),
+        answers=each.streams_by_pause(now_ms),
+        has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
+        reader_worth=_find_reader_worth(each, now_ms),
+        extra_cost=AWAY_COST if jobs.is_away(job, each.target) else 0.0,
+        is_pinned=each.target.target_id == job.pinned_target,
+        bears_ms=pause_class.bears_ms(each.pool),
+    )
+
+
+def _find_reader_worth(each: estimates.Estimate, now_ms: float) -> float:
+    band = each.longest_band_in_reading(now_ms)
+    if band is None:
+        return 0.0
+    return reading_plan.find_worth(length_band.TYPICAL_TOKENS[band])
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -179,7 +179,12 @@
         callers = await self._outside.serve(
             self._serve_caller, self._config.listen
         )
-        self._log.info("Serving callers at {}.", self._config.listen)
+        self._log.info(
+            "Serving callers at {}.",
+            self._config.listen,
+            key_age_max_ms=self._gateway_config.settings_age_max_ms,
+            ready_age_max_ms=self._gateway_config.ready_age_max_ms,
+        )
         try:
             await _private.wait_beside(stop.wait(), tasks)
             await self._stop(callers)
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -36,7 +36,7 @@
 _SERVER_ERROR = 500
 # How long a call waits for a place ahead of others, in aims: after that it is
 # late anyway, and those that can still be in time go first. A policy that holds
-# long prompts back lets them go earlier (by_region.HOLD_AIM_PART).
+# long prompts back lets them go earlier (routing/long_prompts.py).
 ON_TIME_WAIT_AIMS = 0.5
 # It then waits behind those for an aim, and for so long at least: callers give
 # a stream up that has not begun after four aims, two seconds at least.
--- a/tests/test_by_region.py
+++ b/tests/test_by_region.py
@@ -6,6 +6,7 @@
 
 from ruddergate import environment
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions.routing import boundary
 from ruddergate.decisions.routing import by_name
 from ruddergate.decisions.routing import by_region
 from ruddergate.decisions.routing import job as jobs
@@ -120,7 +121,7 @@
                     each.target.target_id, (), 0, 4, (4, 0, 0), 0.0
                 )
                 each.take_peers(row, 0.0)
-        long_ids = by_region._find_long_region(engines, 0.0)
+        long_ids = boundary.find_long_region(engines, 0.0)
         counts = {
             hall: sum(
                 each.target.target_id in long_ids
@@ -146,15 +147,15 @@
 
     def test_boundary_follows_short_answers(self) -> None:
         engines = _make_engines(18)
-        before = len(by_region._find_long_region(engines, 0.0))
+        before = len(boundary.find_long_region(engines, 0.0))
         for each in engines:
             row = dispatched.Dispatched(
                 each.target.target_id, (), 0, 6, (6, 0, 0), 0.0
             )
             each.take_peers(row, 0.0)
-        after = len(by_region._find_long_region(engines, 0.0))
+        after = len(boundary.find_long_region(engines, 0.0))
         self.assertGreater(before, after)
-        self.assertEqual(after, by_region.REGION_LEAST)
+        self.assertEqual(after, boundary.REGION_LEAST)
 
     def test_boundary_leaves_places_free_on_engines_of_any_size(self) -> None:
         for places in (4, 6, 8, 12):
@@ -164,18 +165,18 @@
                     each.target.target_id, (), 0, 3, (3, 0, 0), 0.0
                 )
                 each.take_peers(row, 0.0)
-            front = 60 - len(by_region._find_long_region(engines, 0.0))
-            self.assertLessEqual(120 / front, by_region.SHORT_FILL * places)
+            front = 60 - len(boundary.find_long_region(engines, 0.0))
+            self.assertLessEqual(120 / front, boundary.SHORT_FILL * places)
 
     def test_long_answers_leave_the_boundary(self) -> None:
         engines = _make_engines(18)
-        before = by_region._find_long_region(engines, 0.0)
+        before = boundary.find_long_region(engines, 0.0)
         for each in engines:
             row = dispatched.Dispatched(
                 each.target.target_id, (), 0, 4, (0, 2, 2), 0.0
             )
             each.take_peers(row, 0.0)
-        self.assertEqual(by_region._find_long_region(engines, 0.0), before)
+        self.assertEqual(boundary.find_long_region(engines, 0.0), before)
 
     def test_long_prompt_waits_for_the_end_of_another_ones_reading(
         self,
