--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -205,9 +205,11 @@
         asked = _make_place(request, progress, tools, is_late, wait_ms)
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
-                return await tools.scheduler.place(asked)
+                placed = await tools.scheduler.place(asked)
         except TimeoutError:
             continue
+        if is_late or not _is_too_long_a_wait(placed):
+            return placed
     return outcomes.refuse(
         outcomes.Reason.NO_TARGET,
         f"no target of pool {request.workload.pool.name} can be used now",
@@ -215,6 +217,15 @@
     )
 
 
+def _is_too_long_a_wait(
+    placed: placement.Placed | outcomes.NotServed,
+) -> bool:
+    return (
+        isinstance(placed, outcomes.NotServed)
+        and placed.reason is outcomes.Reason.CANNOT_FINISH_IN_TIME
+    )
+
+
 def _find_waits(
     request: requests.Request,
     progress: relay_progress.Progress,
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -221,6 +221,46 @@
         gateway_scene.play(scene, engines=18)
 
 
+class PlacesTest(unittest.TestCase):
+    """All places of all engines are taken."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_calls_that_can_be_in_time_go_before_late_ones(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            lasting = [
+                asyncio.ensure_future(scene.call("short", output_tokens=4_000))
+                for _ in range(7)
+            ]
+            ending = asyncio.ensure_future(
+                scene.call("short", output_tokens=1_000)
+            )
+            await asyncio.sleep(0.1)
+            # It is late 150 ms on, before the ending call leaves its place.
+            late = asyncio.ensure_future(scene.call("short", output_tokens=46))
+            newer = []
+            while not ending.done():
+                await asyncio.sleep(0.06)
+                call = scene.call("short", output_tokens=4_000)
+                newer.append(asyncio.ensure_future(call))
+            self.assertFalse(late.done())
+            served = [
+                got for got in await asyncio.gather(*newer) if scene.runs(got)
+            ]
+            self.assertEqual(len(served), 1)
+            self.assertLess(served[0].first_ms, 300.0)
+            got = await late
+            self.assertEqual((got.status, scene.runs(got)), (503, []))
+            self.assertIn("retry-after", got.headers)
+            # Not held for longer than a late answer would be of use.
+            self.assertLess(got.took_ms, 1_500.0)
+            await asyncio.gather(*lasting)
+
+        gateway_scene.play(scene, engines=1, vms=1, halls=1)
+
+
 class MemoryTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
