Count the targets that were sent a call, whatever became of the tries

Change: the targets are kept by name, beside the tries. Test besides: the only target of a pool is tried twice, no more.

--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -13,7 +13,8 @@
     Attributes:
         last_id: Id of the last event that the caller has, or empty.
         ran: What all attempts together say about having run.
-        sent: Targets that were sent the call.
+        sent: Tries that counted: all but those that a helper spoilt.
+        sent_to: Targets that were sent the call in any of them.
         unreachable: Tries that ended before anything was sent.
         is_begun: Whether the caller has the answer's head.
         excluded: Targets that are not to be tried again.
@@ -26,6 +27,7 @@
     last_id: str
     ran: outcomes.Ran = outcomes.Ran.NOT_RUN
     sent: int = 0
+    sent_to: frozenset[str] = frozenset()
     unreachable: int = 0
     is_begun: bool = False
     excluded: frozenset[str] = frozenset()
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -104,6 +104,8 @@
     _log_attempt(request, seat, ended, progress, tools)
     tools.metrics.attempts.inc({"result": ended.reason.value})
     progress.ran = model_run.worse(progress.ran, ended.ran)
+    if ended.reason not in _NOTHING_SENT:
+        progress.sent_to |= {seat.target.target_id}
     if _is_helpers_fault(ended, progress):
         # The target itself may well take the call, with other helpers; it is
         # the same target, and so no further one that was sent the call.
@@ -120,8 +122,9 @@
             return _conclude(ended, progress)
         return None
     progress.sent += 1
+    most = max(progress.sent, len(progress.sent_to))
     may_go_on = route.is_resumable or not progress.is_begun
-    if not may_go_on or progress.sent >= route.targets_max:
+    if not may_go_on or most >= route.targets_max:
         return _conclude(ended, progress)
     return await _try_again(request, ended, progress, tools)
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -75,6 +75,15 @@
 
         gateway_scene.play(scene, engines=8)
 
+    def test_only_target_of_a_pool_is_tried_as_often_as_allowed(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("engine", lose=1.0)
+            got = await scene.call("short")
+            self.assertEqual(got.status, 502)
+            self.assertEqual(len(scene.runs(got)), 2)
+
+        gateway_scene.play(scene, engines=1, halls=1)
+
     def test_hall_whose_engines_can_not_help_is_passed_over(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             for node in scene.cluster.targets.values():
