Play random schedules on deployments that are drawn as well

Sizes, engines' figures, places, aims, pauses and the strictness of keys come from the seed, so that no policy rests on one customer's sheet.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -49,6 +49,8 @@
         seed: Source of all chance.
         is_strict: Whether keys are refused by settings that are too old.
         connections_max: Callers' connections that a gateway serves at once.
+        figures: Of the engines.
+        aim_scale: By which all aims and pauses of routes are stretched.
     """
 
     vms: int = 3
@@ -58,6 +60,11 @@
     seed: int = 1
     is_strict: bool = True
     connections_max: int = 3_000
+    figures: pass_engine.Figures = pass_engine.Figures()
+    aim_scale: float = 1.0
+
+
+_LAYOUT = Layout()
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +156,7 @@
     def publish(self, **changes: object) -> None:
         """Publishes the next revision of the configuration."""
         self.revision += 1
-        document = make_configuration(self.keys, self.revision)
+        document = make_configuration(self.keys, self.revision, self.layout)
         self.store.put("op/config", {**document, **changes})
 
     def start_vm(self, node: Node) -> None:
@@ -217,7 +224,7 @@
         node.process = _make_process(node.name, node.hall)
         outside = self.network.make_environment(node.process, node.starts)
         is_engine = node.name.startswith("engine")
-        figures = pass_engine.Figures() if is_engine else None
+        figures = self.layout.figures if is_engine else None
         replica = platform_replica.PlatformReplica(
             f"{node.name}.{node.starts}", outside, figures, self._engines
         )
@@ -269,7 +276,7 @@
                 "service": "engines" if is_engine else "notices",
                 "address": f"{node.name}:{_REPLICA_PORT}",
                 "zone": node.hall,
-                "slots": 8 if is_engine else 6,
+                "slots": self.layout.figures.slots if is_engine else 6,
                 "state": state,
                 "sequence": number,
             },
@@ -294,11 +301,20 @@
 
 
 def make_configuration(
-    keys: dict[str, list[str]], revision: int
+    keys: dict[str, list[str]], revision: int, layout: Layout = _LAYOUT
 ) -> dict[str, object]:
     """Returns a configuration with keys by workspace."""
+    document = _make_configuration(keys, revision, layout.figures)
+    for route in document["routes"]:
+        for name in ("target-latency-ms", "gap_aim_ms"):
+            route[name] = round(route[name] * layout.aim_scale)
+    return document
+
+
+def _make_configuration(
+    keys: dict[str, list[str]], revision: int, figures: pass_engine.Figures
+) -> dict[str, object]:
     stream = {"route-type": "streaming", "resumable": True, "max-attempts": 2}
-    figures = pass_engine.Figures()
     return {
         "config-version": revision,
         "routes": [
@@ -330,6 +346,7 @@
                     "slots": figures.slots,
                     "kv-capacity": figures.memory_tokens,
                     "step_ms": figures.step_ms,
+                    "stride": figures.stride,
                     "read_per_s": figures.read_per_ms * 1000.0,
                     "pairs_per_m": figures.pairs_ms_per_m,
                     "hop_ms": 0.1,
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -17,6 +17,7 @@
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
+from standins import pass_engine
 from standins import virtual_network
 from standins import virtual_process
 
@@ -28,14 +29,44 @@
 
 def play(seed: int) -> tuple[list[str], dict[int, int]]:
     """Plays one schedule; returns broken promises and counts of statuses."""
-    return virtual_process.run(lambda: _play(seed))
-
-
-async def _play(seed: int) -> tuple[list[str], dict[int, int]]:
     chance = random.Random(seed)
-    cluster = gateway_cluster.GatewayCluster(
-        gateway_cluster.Layout(vms=chance.choice((2, 4)), seed=seed)
+    layout = gateway_cluster.Layout(vms=chance.choice((2, 4)), seed=seed)
+    return virtual_process.run(lambda: _play(layout, chance))
+
+
+def play_drawn(seed: int) -> tuple[list[str], dict[int, int]]:
+    """Plays one schedule on a deployment that is drawn from the seed too."""
+    chance = random.Random(f"drawn {seed}")
+    layout = draw_layout(seed, chance)
+    return virtual_process.run(lambda: _play(layout, chance))
+
+
+def draw_layout(seed: int, chance: random.Random) -> gateway_cluster.Layout:
+    """Draws sizes, engines, aims and the strictness of keys."""
+    figures = pass_engine.Figures(
+        slots=chance.choice((2, 4, 6, 8, 16)),
+        memory_tokens=chance.choice((200_000, 405_000, 450_000, 1_000_000)),
+        step_ms=chance.uniform(0.5, 3.0),
+        read_per_ms=chance.uniform(60.0, 500.0),
+        pairs_ms_per_m=chance.uniform(0.02, 0.3),
+        stride=chance.choice((10, 34, 46, 60)),
+    )
+    return gateway_cluster.Layout(
+        vms=chance.choice((1, 2, 3, 5, 9)),
+        halls=chance.choice((1, 2, 3)),
+        engines=chance.choice((1, 2, 3, 5, 9, 18)),
+        services=chance.choice((1, 2, 3, 6)),
+        seed=seed,
+        is_strict=chance.random() < 0.5,
+        figures=figures,
+        aim_scale=chance.uniform(0.5, 2.0),
     )
+
+
+async def _play(
+    layout: gateway_cluster.Layout, chance: random.Random
+) -> tuple[list[str], dict[int, int]]:
+    cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     caller = gateway_caller.Caller(cluster)
     faults = [
@@ -203,18 +234,19 @@
 )
 
 
-def main(*, first: int = 1, count: int = 20) -> int:
+def main(*, first: int = 1, count: int = 20, drawn: bool = False) -> int:
     """Plays many schedules.
 
     Args:
         first: First seed.
         count: Number of seeds.
+        drawn: Whether deployments are drawn as well.
     """
     loguru.logger.remove()
     failed = 0
     total: dict[int, int] = {}
     for seed in range(first, first + count):
-        broken, counts = play(seed)
+        broken, counts = play_drawn(seed) if drawn else play(seed)
         failed += bool(broken)
         for status, number in counts.items():
             total[status] = total.get(status, 0) + number
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -19,6 +19,12 @@
                 self.assertEqual(broken, [])
                 self.assertGreater(counts.get(200, 0), 10)
 
+    def test_promises_hold_on_deployments_of_any_kind(self) -> None:
+        for seed in range(_FIRST, _FIRST + _COUNT):
+            with self.subTest(seed=seed):
+                broken, _ = gateway_schedules.play_drawn(seed)
+                self.assertEqual(broken, [])
+
     def test_same_seed_plays_the_same(self) -> None:
         first = gateway_schedules.play(5)
         self.assertEqual(gateway_schedules.play(5), first)
