Bear a target's silence where nobody may take over

A stream was left after 0.9 s of silence, while its engine read a long prompt, taken up by the second and last target that the route allows, and broken off when that one was silent for 0.9 s too; it was at work, and would have gone on. Without a second send left calls ended the same way. Ruled out: dead engines (both ran until they were cut).

Change: when patience is over, the target is given up only if another one may take over: a target left of those allowed, and a second send. Else it is waited for until the deadline.

--- a/src/ruddergate/decisions/retries.py
+++ b/src/ruddergate/decisions/retries.py
@@ -47,9 +47,13 @@
         """Counts a first attempt, which earns a part of a retry."""
         self.tokens = min(self.most, self.tokens + self.share)
 
+    def has_one(self) -> bool:
+        """Returns whether a retry could be made now."""
+        return self.tokens >= 1.0
+
     def spend(self) -> bool:
         """Takes one retry out; returns whether there was one."""
-        if self.tokens < 1.0:
+        if not self.has_one():
             return False
         self.tokens -= 1.0
         return True
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -243,8 +243,20 @@
             CONNECT_TIMEOUT_MS,
             max(SILENCE_LEAST_MS, SILENCE_AIMS * route.aim_ms),
             max(SILENCE_LEAST_MS, SILENCE_AIMS * route.gap_aim_ms),
+            self._may_another_take_over,
         )
 
+    def _may_another_take_over(self) -> bool:
+        """Returns whether giving the target up could help the caller.
+
+        Silence alone is no failure: an engine that reads a long prompt says
+        nothing for seconds, and goes on.
+        """
+        being_sent = frozenset({self._seats[0].target.target_id})
+        most = self._request.payload.route.targets_max
+        is_last = self._progress.count_sent(being_sent) >= most
+        return not is_last and self._tools.budget.has_one()
+
 
 async def _end(task: asyncio.Future) -> None:
     """Cancels a task unless it has ended, and waits for its end."""
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -35,3 +35,11 @@
     blamed: tuple[str, ...] = ()
     helpers_failed: int = 0
     pinned: str = ""
+
+    def count_sent(self, also: frozenset[str] = frozenset()) -> int:
+        """Returns how many of the targets allowed are used up.
+
+        Args:
+            also: Targets that are being sent the call.
+        """
+        return max(self.sent + len(also), len(self.sent_to | also))
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -122,9 +122,8 @@
             return _conclude(ended, progress)
         return None
     progress.sent += 1
-    most = max(progress.sent, len(progress.sent_to))
     may_go_on = route.is_resumable or not progress.is_begun
-    if not may_go_on or most >= route.targets_max:
+    if not may_go_on or progress.count_sent() >= route.targets_max:
         return _conclude(ended, progress)
     return await _try_again(request, ended, progress, tools)
 
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -130,6 +130,13 @@
     if isinstance(found, _Nothing) and late_ms > _STOPPED_MS:
         again_ms = outside.now_ms() + _LOOK_AGAIN_MS
         found = await _read_until(read, outside, again_ms)
+    is_early = outside.now_ms() < errand.deadline_ms
+    if (
+        isinstance(found, _Nothing)
+        and is_early
+        and not errand.patience.may_end()
+    ):
+        found = await _read_until(read, outside, errand.deadline_ms)
     if not isinstance(found, _Nothing):
         return found
     if outside.now_ms() >= errand.deadline_ms:
--- a/src/ruddergate/relay/errand.py
+++ b/src/ruddergate/relay/errand.py
@@ -34,11 +34,14 @@
         connect_ms: For a connection.
         first_ms: For the first event, or a plain answer's head.
         gap_ms: Between two events.
+        may_end: Asked when that is over: whether the target is to be given up,
+            or else waited for until the call's deadline.
     """
 
     connect_ms: float
     first_ms: float
     gap_ms: float
+    may_end: Callable[[], bool] = lambda: True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -49,7 +49,7 @@
         unsigned: Chance to answer without its signature.
         foreign: Chance to answer with another request's name.
         mute: Whether it takes requests and says nothing.
-        falls_silent: Whether answers stop after their third event, with the
+        silent_s: How long answers stop after their third event, with the
             connection left open.
         helps_nobody: Whether others that name it as a helper refuse for it.
     """
@@ -61,7 +61,7 @@
     unsigned: float = 0.0
     foreign: float = 0.0
     mute: bool = False
-    falls_silent: bool = False
+    silent_s: float = 0.0
     helps_nobody: bool = False
 
 
@@ -220,8 +220,8 @@
                     # The first token comes with the end of the reading.
                     if number > first:
                         await writer.events.get()
-                    if self.wrong.falls_silent and number == first + 3:
-                        await asyncio.sleep(3_600.0)
+                    if self.wrong.silent_s and number == first + 3:
+                        await asyncio.sleep(self.wrong.silent_s)
                     event = make_event(run.request_id, number)
                     if number == breaks_at:
                         yield event[: len(event) // 2]
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -132,7 +132,7 @@
             await asyncio.sleep(0.1)
             for node in scene.cluster.targets.values():
                 if node.replica.runs:
-                    node.replica.wrong.falls_silent = True
+                    node.replica.wrong.silent_s = 3_600.0
             got = await running
             self.assertEqual((got.status, got.is_whole), (200, True))
             self.assertEqual(len(scene.runs(got)), 2)
@@ -142,6 +142,27 @@
 
         gateway_scene.play(scene)
 
+    def test_silence_of_the_last_target_allowed_is_borne(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            # Nobody may take over from the second one; giving it up would only
+            # break an answer off that goes on after a long pass.
+            scene.spoil("engine", silent_s=2.5)
+            got = await scene.call("short", output_tokens=2_000)
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            self.assertEqual(len(scene.runs(got)), 2)
+
+        gateway_scene.play(scene)
+
+    def test_silence_is_borne_without_a_second_send_left(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("engine", silent_s=2.5)
+            scene.cluster.vms["vm-0"].gateway.tools.budget.tokens = 0.0
+            got = await scene.call("short", output_tokens=2_000)
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            self.assertEqual(len(scene.runs(got)), 1)
+
+        gateway_scene.play(scene)
+
     def test_hall_out_of_reach_is_passed_over(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             cut = gateway_cluster.virtual_network.Cut("hall-1", "hall-0")
