Let calls wait for the first settings; keep the pace of calls from looking behind

And (review): a VM reads the whole state when its view is 2.5 s old, but asks only every 2.6 s where 4 s are allowed for a change, so it would have read all each time, and was not ready for 0.1 s of each round with strict keys.

Change: in the first 3 s of a process a call waits up to 0.8 s for settings. What counts as behind, or as an outage, is two rounds, 2.5 s at least; the store is asked within 0.8 of the age at which a VM is not ready.

Before and after: two tests (503 to 200; the pace at 2, 3 and 4 s).

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -42,6 +42,9 @@
 # Calls of the store are paid for, so they are as far apart as what they tell
 # must be known; the rest is for the call itself and a request on its way.
 _STORE_PART = 0.65
+# And of the age at which this VM is not ready any more: a call that takes long
+# is not to take it out.
+_FRESH_PART = 0.8
 # The store is up in a few milliseconds where it can be reached. Packets to one
 # that can't are sent again after a second, when a new try has long begun.
 _STORE_CONNECT_MS = 500.0
@@ -124,15 +127,16 @@
     )
     is_lenient = strict_revoke == "false"
     key_age_max_ms = revoke_ms - _KEY_MARGIN_MS
+    ready_age_max_ms = math.inf if is_lenient else revoke_ms * _READY_PART
     gateway_config = gateways.GatewayConfig(
         ready_listen=environment.parse_address(ready_listen),
         metrics_listen=environment.parse_address(metrics_listen),
         settings_age_max_ms=math.inf if is_lenient else key_age_max_ms,
-        ready_age_max_ms=math.inf if is_lenient else revoke_ms * _READY_PART,
+        ready_age_max_ms=ready_age_max_ms,
         certain_age_max_ms=key_age_max_ms,
         stop_lag_ms=_STOP_LAG_MS,
         stop_limit_ms=grace_s * 1_000.0 - _STOP_MARGIN_MS,
-        pace=source_sync.Pace(every_ms=min(apply_ms, leave_ms) * _STORE_PART),
+        pace=make_pace(min(apply_ms, leave_ms), ready_age_max_ms),
         retry_share=retry_ratio * _RETRY_PART,
         retry_slack=retry_slack,
         peers=peer_exchange.PeerConfig(
@@ -165,6 +169,22 @@
     _private.run_program(run_gateway)
 
 
+def make_pace(bound_ms: float, ready_age_max_ms: float) -> source_sync.Pace:
+    """Returns how often the store is asked.
+
+    Args:
+        bound_ms: Time within which what it publishes must be in force.
+        ready_age_max_ms: Oldest settings with which this VM is ready.
+    """
+    every_ms = min(bound_ms * _STORE_PART, ready_age_max_ms * _FRESH_PART)
+    two_rounds_ms = 2.0 * every_ms
+    return source_sync.Pace(
+        every_ms=every_ms,
+        behind_ms=max(source_sync.BEHIND_LEAST_MS, two_rounds_ms),
+        outage_ms=max(source_sync.BEHIND_LEAST_MS, two_rounds_ms),
+    )
+
+
 def _parse_seeds(text: str, port: int) -> tuple[environment.Address, ...]:
     """Returns where the VMs behind the seeds take datagrams."""
     found = filter(None, (each.strip() for each in text.split(",")))
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -18,6 +18,12 @@
 
 # How a call ends in logs and metrics whose caller did not wait for the answer.
 CALLER_LEFT = "caller_left"
+# A VM that has just started has its settings within a few milliseconds, on a
+# thin link and beside many others within half a second; after the loss of all
+# VMs callers that were refused meanwhile had no try left.
+FIRST_SETTINGS_WAIT_MS = 800.0
+# For so long a VM counts as just started; later, the store is out of reach.
+STARTING_MS = 3_000.0
 
 
 class RelayHandler:
@@ -53,6 +59,7 @@
         inquiry = self._door.read(incoming)
         if isinstance(inquiry, outcomes.NotServed):
             return self._refuse(inquiry, "")
+        await self._wait_for_catalog()
         request = relay_admit.admit(incoming, inquiry, self._tools, self._trust)
         if isinstance(request, outcomes.NotServed):
             return self._refuse(request, inquiry.request_id)
@@ -73,6 +80,17 @@
         self._note_end(request, first.reason.value, first.ran, first.detail)
         return self._door.write_failure(first)
 
+    async def _wait_for_catalog(self) -> None:
+        """Lets a call that comes right after the start wait for settings."""
+        tools = self._tools
+        starts_for_ms = tools.began_ms + STARTING_MS - tools.outside.now_ms()
+        wait_ms = min(FIRST_SETTINGS_WAIT_MS, starts_for_ms)
+        if tools.view.catalog_came.is_set() or wait_ms <= 0.0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000.0):
+                await tools.view.catalog_came.wait()
+
     async def _hand_on(
         self,
         request: requests.Request,
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -15,6 +15,8 @@
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
 
+# A view this old has missed a round of calls.
+BEHIND_LEAST_MS = 2_500.0
 # Each pause between tries is so much longer than the one before.
 _RETRY_GROWTH = 1.3
 # While the store is away, the log says so again after this time.
@@ -43,9 +45,9 @@
     wait_ms: float = 0.0
     retry_ms: float = 150.0
     retry_most_ms: float = 500.0
-    behind_ms: float = 2_500.0
+    behind_ms: float = BEHIND_LEAST_MS
     lapse_grace_ms: float = 1_500.0
-    outage_ms: float = 2_500.0
+    outage_ms: float = BEHIND_LEAST_MS
 
 
 class SourceSync:
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -1,5 +1,6 @@
 """What an entry goes by: settings, fleet and shares, with their age."""
 
+import asyncio
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -25,6 +26,7 @@
         catalog: Published routes, workspaces by key and pools, where settings
             come in that form.
         listing: Published list.
+        catalog_came: Set once there is a catalog.
     """
 
     def __init__(self) -> None:
@@ -32,6 +34,7 @@
         self.index = indexes.Index(self.in_force.tree)
         self.catalog = catalogs.EMPTY
         self.listing = listings.EMPTY
+        self.catalog_came = asyncio.Event()
         self._confirmed_ms = _NEVER
         self._settled_since_ms = float("inf")
         self._shares: Mapping[str, share_messages.Share] = {}
@@ -64,6 +67,7 @@
             return False
         self.catalog = offered
         self.index = offered
+        self.catalog_came.set()
         return True
 
     def take_targets(
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -1,10 +1,12 @@
 """What a gateway makes of the store: keys, settings, targets, outages."""
 
 import asyncio
+import math
 import unittest
 
 import loguru
 
+from ruddergate.cli import gateway as gateway_cli
 from standins import gateway_cluster
 from tests import gateway_scene
 
@@ -84,6 +86,41 @@
 
         gateway_scene.play(scene, is_strict=False)
 
+    def test_call_right_after_the_start_waits_for_settings(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            node = scene.cluster.vms["vm-0"]
+            scene.cluster.kill(node)
+            scene.cluster.start_vm(node)
+            await asyncio.sleep(0.0)
+            self.assertEqual((await scene.call("open")).status, 200)
+            # Where the store is away, it is refused soon, and later at once.
+            scene.cluster.store.trouble = "silent"
+            scene.cluster.kill(node)
+            scene.cluster.start_vm(node)
+            await asyncio.sleep(0.0)
+            got = await scene.call("open")
+            self.assertEqual(got.status, 503)
+            self.assertLess(got.took_ms, 900.0)
+            await asyncio.sleep(3.0)
+            got = await scene.call("open")
+            self.assertEqual(got.status, 503)
+            self.assertLess(got.took_ms, 50.0)
+
+        gateway_scene.play(scene)
+
+    def test_pace_of_calls_follows_the_bounds(self) -> None:
+        for bound_ms, ready_age_ms, every_ms in (
+            (2_000.0, 2_500.0, 1_300.0),
+            (3_000.0, 2_500.0, 1_950.0),
+            (4_000.0, 2_500.0, 2_000.0),
+            (4_000.0, math.inf, 2_600.0),
+        ):
+            pace = gateway_cli.make_pace(bound_ms, ready_age_ms)
+            self.assertAlmostEqual(pace.every_ms, every_ms)
+            # A VM that is asked in time is never taken for behind.
+            self.assertGreaterEqual(pace.behind_ms, 2.0 * every_ms - 0.1)
+            self.assertGreaterEqual(pace.outage_ms, 2.0 * every_ms - 0.1)
+
     def test_vm_without_settings_is_not_ready(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             scene.cluster.store.trouble = "silent"
