Let VMs borrow second sends from peers of their hall

Cause: a VM's own part of the fleet's second sends is 0.45 of the published slack divided by the VMs, which is one at 195 VMs.

Ruled out: a larger part for each VM (the sum over the fleet would not hold when all use theirs), and usage told in digests (late by up to a round, so the sum would not hold in a burst).

What a peer lends it has given up for good, so loans add nothing, whatever is lost, cut or started again; no more is kept than one second send or what may be saved up. For short prompts a peer lends only what lies above half of its part. A silent target's patience asks for a loan too. Ages that nobody told are logged as unknown.

Shown by tests.test_retries.LoanTest (any order of loans, losses and sends adds nothing; refused prompts of a VM without sends are served), which fail without it.

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from ruddergate.decisions import length_band
 from ruddergate.decisions import pause_class
@@ -28,6 +29,8 @@
 # Memory that may be promised; the rest absorbs what peers send meanwhile.
 MEMORY_USE_MAX = 0.95
 
+# What logs say of the age of news that never came.
+_UNKNOWN = "unknown"
 _NOTHING_OPEN = (0.0,) * length_band.BANDS
 
 
@@ -371,10 +374,15 @@
         return (
             f"streams={self.recent_streams(now_ms):.1f} own={len(self._own)} "
             f"prefill_ms={self.prefilling_ms(now_ms):.0f} "
-            f"peers_age_ms={min(now_ms - self._peer_ms, 1e9):.0f} "
-            f"report_age_ms={min(now_ms - self._report_ms, 1e9):.0f}"
+            f"peers_age_ms={_tell_age(now_ms - self._peer_ms)} "
+            f"report_age_ms={self._tell_report_age(now_ms)}"
         )
 
+    def _tell_report_age(self, now_ms: float) -> str:
+        if self._report is None:
+            return _UNKNOWN
+        return _tell_age(now_ms - self._report_ms)
+
     def prefixes(self) -> Mapping[str, int]:
         """Returns the prefixes believed cached, with their tokens."""
         return self._prefixes
@@ -394,3 +402,8 @@
     def _forget_half(self) -> None:
         for prefix in list(self._prefixes)[: len(self._prefixes) // 2]:
             del self._prefixes[prefix]
+
+
+def _tell_age(age_ms: float) -> str:
+    """Returns an age for logs; nothing may ever have come."""
+    return f"{age_ms:.0f}" if math.isfinite(age_ms) else _UNKNOWN
--- a/src/ruddergate/decisions/peer_groups.py
+++ b/src/ruddergate/decisions/peer_groups.py
@@ -63,6 +63,12 @@
     return tuple(groups)
 
 
+def rank_hall(fleet: Fleet, hall: str) -> tuple[str, ...]:
+    """Returns the VMs of a hall in the order in which they are to be relay."""
+    names = [name for name, place in fleet.items() if place.hall == hall]
+    return tuple(sorted(names, key=lambda name: _rank_of(name, fleet[name])))
+
+
 def _divide_hall(hall: str, ranked: Sequence[str]) -> list[Group]:
     """Divides by rank in turn, so that groups are of even size."""
     count = -(-len(ranked) // GROUP_MOST)
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -68,6 +68,8 @@
         self._by_target: dict[str, dict[str, dispatched.Dispatched]] = {}
         self._changed: set[str] = set()
         self._groups: tuple[peer_groups.Group, ...] | None = None
+        # VMs of this hall by rank, for as long as the same ones are known.
+        self._hall: tuple[str, ...] | None = None
 
     def __len__(self) -> int:
         return len(self._peers)
@@ -87,7 +89,7 @@
         peer = self._peers.get(digest.sender)
         place = peer_groups.Place(digest.hall, digest.link_mbps)
         if peer is None or peer.place != place:
-            self._groups = None
+            self._forget_groups()
         if peer is None:
             peer = _Peer(place, now_ms, "", -1, {})
             self._peers[digest.sender] = peer
@@ -125,7 +127,7 @@
                 self._replace_rows(name, peer, ())
             if silent_ms > FORGET_MS:
                 del self._peers[name]
-                self._groups = None
+                self._forget_groups()
 
     def find_relay(self, now_ms: float) -> str:
         """Returns the relay of this VM's own group; it may be this VM."""
@@ -164,6 +166,21 @@
             relays.append(found or chance.choice(group.members))
         return relays
 
+    def rank_hall(self, now_ms: float) -> list[str]:
+        """Returns the VMs of this hall that were lately heard of, by rank.
+
+        This VM is among them.
+        """
+        if self._hall is None:
+            fleet = self._list_fleet()
+            self._hall = peer_groups.rank_hall(fleet, self._place.hall)
+        return [
+            name
+            for name in self._hall
+            if name == self._own
+            or now_ms - self._peers[name].heard_ms <= MEMBER_SILENT_MS
+        ]
+
     def collect_sums(self) -> tuple[dispatched.Dispatched, ...]:
         """Returns the sums that have changed since the last call.
 
@@ -197,11 +214,18 @@
 
     def _find_groups(self) -> tuple[peer_groups.Group, ...]:
         if self._groups is None:
-            fleet = {name: peer.place for name, peer in self._peers.items()}
-            fleet[self._own] = self._place
-            self._groups = peer_groups.divide(fleet)
+            self._groups = peer_groups.divide(self._list_fleet())
         return self._groups
 
+    def _list_fleet(self) -> peer_groups.Fleet:
+        fleet = {name: peer.place for name, peer in self._peers.items()}
+        fleet[self._own] = self._place
+        return fleet
+
+    def _forget_groups(self) -> None:
+        self._groups = None
+        self._hall = None
+
     def _replace_rows(
         self,
         name: str,
--- a/src/ruddergate/decisions/retries.py
+++ b/src/ruddergate/decisions/retries.py
@@ -15,6 +15,10 @@
 # VMs that there are taken to be at least: parts of a fleet that have lost each
 # other since their start know only themselves.
 VMS_LEAST = 6
+# What one second send takes.
+ONE = 1.0
+# Part of what a VM may save up that it does not lend for short prompts.
+KEPT_FOR_GREAT = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,19 +49,40 @@
 
     def note_first_attempt(self) -> None:
         """Counts a first attempt, which earns a part of a retry."""
-        self.tokens = min(self.most, self.tokens + self.share)
+        if self.tokens < self.most:
+            self.tokens = min(self.most, self.tokens + self.share)
 
     def has_one(self) -> bool:
         """Returns whether a retry could be made now."""
-        return self.tokens >= 1.0
+        return self.tokens >= ONE
 
     def spend(self) -> bool:
         """Takes one retry out; returns whether there was one."""
         if not self.has_one():
             return False
-        self.tokens -= 1.0
+        self.tokens -= ONE
         return True
 
+    def lend(self, wanted: float, is_great: bool) -> float:
+        """Takes out second sends for a peer; returns how many.
+
+        What is lent is given up for good, so all VMs together have what they
+        had before, also if it gets lost on its way. Of what short prompts want,
+        a part is kept: a long one that comes next is worth many of them.
+        """
+        kept = 0.0 if is_great else self.most * KEPT_FOR_GREAT
+        lent = min(max(0.0, wanted), max(0.0, self.tokens - kept))
+        self.tokens -= lent
+        return lent
+
+    def take_loan(self, lent: float) -> None:
+        """Adds what peers have given up.
+
+        No more is kept than one retry takes, or than may be saved up: loans
+        are no way to save up more than that.
+        """
+        self.tokens = min(max(self.most, ONE), self.tokens + lent)
+
 
 def find_saved_most(fleet_slack: float, vms_known: int) -> float:
     """Returns how many second sends one VM may save up.
@@ -91,8 +116,7 @@
         budget: The VM's budget; a retry is taken out of it.
         chance: For the jitter.
     """
-    may_run = repeatable or ended.ran is outcomes.Ran.NOT_RUN
-    if not may_run:
+    if not may_run_again(ended, repeatable):
         return ended
     most_ms = min(BACKOFF_MOST_MS, BACKOFF_FIRST_MS * 2.0 ** (attempt - 1))
     delay_ms = chance.uniform(0.5, 1.0) * most_ms
@@ -106,3 +130,8 @@
             retry_after_ms=1_000.0,
         )
     return Again(delay_ms)
+
+
+def may_run_again(ended: outcomes.NotServed, repeatable: bool) -> bool:
+    """Returns whether another run does no harm after this end of one."""
+    return repeatable or ended.ran is outcomes.Ran.NOT_RUN
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -15,9 +15,11 @@
 from ruddergate.entry import config as configs
 from ruddergate.entry import open_calls
 from ruddergate.entry import peer_exchange
+from ruddergate.entry import peer_questions
 from ruddergate.entry import relay_admit
 from ruddergate.entry import relay_handler
 from ruddergate.entry import reservation_keeper
+from ruddergate.entry import retry_loans
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import source_sync
 from ruddergate.entry import status
@@ -25,6 +27,8 @@
 from ruddergate.entry import view as views
 from ruddergate.http import message
 from ruddergate.http import server as http_server
+from ruddergate.messages import news
+from ruddergate.messages import retry_loan
 from ruddergate.relay import door as doors
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
@@ -126,6 +130,7 @@
             budget=retries.Budget(gateway_config.retry_share, 0.0, 0.0),
             metrics=metric_types.EntryMetrics(),
             tracer=tracer,
+            secure_retry=lambda is_great: self._loans.secure(is_great),
         )
         self._keeper = reservation_keeper.ReservationKeeper(
             outside, platform.orders
@@ -147,13 +152,36 @@
             self.tools.incarnation,
             scheduler.summarize,
             self._divide_retries,
+            self._answer_peer,
+        )
+        self._loans = retry_loans.RetryLoans(
+            outside,
+            self.tools.budget,
+            self._peers.questions,
+            self._peers.find_hall_peers,
         )
         self._vms_most = 1
         self._divide_retries(0)
         self._sync = source_sync.SourceSync(
-            outside, platform.source, view, scheduler, gateway_config.pace
+            outside,
+            platform.source,
+            view,
+            scheduler,
+            gateway_config.pace,
         )
 
+    def _answer_peer(
+        self, question: peer_questions.Question
+    ) -> peer_questions.Answer | None:
+        match question:
+            case news.NewsWanted():
+                return None
+            case retry_loan.RetriesWanted():
+                lent = self.tools.budget.lend(
+                    question.retries, question.is_great
+                )
+                return retry_loan.RetriesLent(question.question, lent)
+
     def _divide_retries(self, peers: int) -> None:
         """Sizes this VM's part of the fleet's second sends."""
         self._vms_most = max(self._vms_most, peers + 1)
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -11,13 +11,17 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+from typing import TypeAlias
 
 from ruddergate import environment
 from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
+from ruddergate.entry import peer_questions
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
+from ruddergate.messages import news
+from ruddergate.messages import retry_loan
 from ruddergate.telemetry import logs
 from ruddergate.wire import codec
 
@@ -53,6 +57,11 @@
 _BIND_AGAIN_MS = 2_000.0
 
 
+Answerer: TypeAlias = Callable[
+    [peer_questions.Question], peer_questions.Answer | None
+]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerConfig:
     """Where peers are found.
@@ -78,9 +87,11 @@
         incarnation: Name of this run of the VM.
         summarize: Returns this VM's own work.
         note_peers: Is told how many peers are known, whenever that changes.
+        answer: Returns this VM's answer to a peer's question.
 
     Attributes:
         loads: What is known of peers.
+        questions: Asks peers.
     """
 
     def __init__(
@@ -91,6 +102,7 @@
         incarnation: str,
         summarize: Callable[[], tuple[dispatched.Dispatched, ...]],
         note_peers: Callable[[int], None] = lambda count: None,
+        answer: Answerer | None = None,
     ) -> None:
         self._outside = outside
         self._config = config
@@ -102,6 +114,12 @@
         self.loads = peer_loads.PeerLoads(
             self._own, peer_groups.Place(hall, config.link_mbps)
         )
+        self.questions = peer_questions.PeerQuestions(
+            outside,
+            config.listen,
+            lambda message, peer: self._send(message, (peer,)),
+            answer or _answer_nothing,
+        )
         self._port: environment.DatagramPort | None = None
         self._number = 0
         self._began_ms = outside.now_ms()
@@ -137,6 +155,14 @@
             str(seed) != self._own for seed in self._config.seeds
         )
 
+    def find_hall_peers(self) -> list[str]:
+        """Returns the peers of this hall that were lately heard of."""
+        return [name for name in self.rank_hall() if name != self._own]
+
+    def rank_hall(self) -> list[str]:
+        """Returns this hall's VMs, with this one, in the order of readers."""
+        return self.loads.rank_hall(self._outside.now_ms())
+
     def note_change(self) -> None:
         """Has peers told soon that this VM's work has changed."""
         self._changed.set()
@@ -247,6 +273,13 @@
                 passed_on = self._from_relays if message.for_group else None
                 self._take_digests(message.digests, passed_on)
                 self.loads.note_written_by(message.sender)
+            case (
+                news.NewsWanted()
+                | news.News()
+                | retry_loan.RetriesWanted()
+                | retry_loan.RetriesLent()
+            ):
+                self.questions.take(message)
             case _:
                 self._log.warning("Datagram dropped, it is no digest.")
 
@@ -299,7 +332,10 @@
 
     def _send(
         self,
-        message: load_digest.LoadDigest | load_bundle.LoadBundle,
+        message: load_digest.LoadDigest
+        | load_bundle.LoadBundle
+        | peer_questions.Question
+        | peer_questions.Answer,
         receivers: Iterable[str],
     ) -> None:
         if self._port is None:
@@ -310,6 +346,11 @@
                 self._port.send(data, environment.parse_address(name))
 
 
+def _answer_nothing(question: peer_questions.Question) -> None:
+    """Stands where questions are not answered."""
+    return
+
+
 def _is_sound(digest: load_digest.LoadDigest) -> bool:
     """Returns whether a digest's sender can be written to."""
     try:
--- /dev/null
+++ b/src/ruddergate/entry/peer_questions.py
@@ -0,0 +1,106 @@
+"""Questions to peers in datagrams, and their answers.
+
+Either may get lost; the asker waits for a short time and goes on without.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+from ruddergate import environment
+from ruddergate.messages import news
+from ruddergate.messages import retry_loan
+from ruddergate.telemetry import logs
+
+Question: TypeAlias = news.NewsWanted | retry_loan.RetriesWanted
+Answer: TypeAlias = news.News | retry_loan.RetriesLent
+# Peers of a hall answer within a few milliseconds, a busy one within some tens.
+ANSWER_TIMEOUT_MS = 120.0
+
+
+class PeerQuestions:
+    """Asks peers, and answers theirs.
+
+    Args:
+        outside: Clock and chance.
+        own: Where this VM takes datagrams.
+        send: Sends a message to a peer.
+        answer: Returns this VM's answer to a peer's question, if it has one.
+    """
+
+    def __init__(
+        self,
+        outside: environment.Environment,
+        own: environment.Address,
+        send: Callable[[Question | Answer, str], None],
+        answer: Callable[[Question], Answer | None],
+    ) -> None:
+        self._outside = outside
+        self._own = str(own)
+        self._send = send
+        self._answer = answer
+        self._open: dict[str, asyncio.Future[Answer]] = {}
+        self._log = logs.make_logger("peers")
+
+    async def ask_news(self, peer: str, position: int) -> news.News | None:
+        """Returns what a peer knows of the store, or None without an answer."""
+        found = await self._ask(
+            news.NewsWanted(self._own, self._name_question(), position), peer
+        )
+        return found if isinstance(found, news.News) else None
+
+    async def ask_retries(
+        self, peer: str, retries: float, is_great: bool
+    ) -> float:
+        """Returns the second sends that a peer has given up for this VM."""
+        found = await self._ask(
+            retry_loan.RetriesWanted(
+                self._own, self._name_question(), retries, is_great
+            ),
+            peer,
+        )
+        if not isinstance(found, retry_loan.RetriesLent):
+            return 0.0
+        if not 0.0 <= found.retries <= retries:
+            self._log.warning("Loan dropped, it is not what was asked for.")
+            return 0.0
+        return found.retries
+
+    def take(self, message: Question | Answer) -> None:
+        """Takes in a datagram that is a question or an answer."""
+        match message:
+            case news.NewsWanted() | retry_loan.RetriesWanted():
+                self._give_answer(message)
+            case news.News() | retry_loan.RetriesLent():
+                waiting = self._open.pop(message.question, None)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(message)
+
+    def _give_answer(self, question: Question) -> None:
+        try:
+            environment.parse_address(question.sender)
+        except ValueError:
+            self._log.warning("Question dropped, its sender is no address.")
+            return
+        answer = self._answer(question)
+        if answer is not None:
+            self._send(answer, question.sender)
+
+    def _name_question(self) -> str:
+        """Returns a name that no other question has, of any run of this VM.
+
+        An answer that comes late, or after a restart, then fits no question.
+        """
+        return environment.make_token(self._outside.random, 16)
+
+    async def _ask(self, question: Question, peer: str) -> Answer | None:
+        loop = asyncio.get_running_loop()
+        waiting = self._open[question.question] = loop.create_future()
+        self._send(question, peer)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000.0):
+                return await waiting
+        except TimeoutError:
+            return None
+        finally:
+            self._open.pop(question.question, None)
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -246,16 +246,19 @@
             self._may_another_take_over,
         )
 
-    def _may_another_take_over(self) -> bool:
+    async def _may_another_take_over(self) -> bool:
         """Returns whether giving the target up could help the caller.
 
         Silence alone is no failure: an engine that reads a long prompt says
         nothing for seconds, and goes on.
         """
+        request = self._request
         being_sent = frozenset({self._seats[0].target.target_id})
-        most = self._request.payload.route.targets_max
-        is_last = self._progress.count_sent(being_sent) >= most
-        return not is_last and self._tools.budget.has_one()
+        most = request.payload.route.targets_max
+        if self._progress.count_sent(being_sent) >= most:
+            return False
+        is_great = length_band.is_long(request.prompt_tokens)
+        return await self._tools.secure_retry(is_great)
 
 
 async def _end(task: asyncio.Future) -> None:
--- a/src/ruddergate/entry/tools.py
+++ b/src/ruddergate/entry/tools.py
@@ -1,5 +1,7 @@
 """What the stages of a request's way share in one entry."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 
 from ruddergate import environment
@@ -12,6 +14,11 @@
 from ruddergate.telemetry import traces
 
 
+async def _lend_nothing(is_great: bool) -> bool:
+    """Stands where there are no peers that lend retries."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tools:
     """Handles of one entry's tasks.
@@ -27,6 +34,9 @@
         budget: Retries that may be made.
         metrics: Metrics of the process.
         tracer: Starts spans.
+        secure_retry: Sees to it that a retry can be made, by borrowing one
+            where that is possible; told whether it is for a prompt worth many
+            short ones. Returns whether one can be made.
     """
 
     outside: environment.Environment
@@ -39,6 +49,7 @@
     budget: retries.Budget
     metrics: metrics.EntryMetrics
     tracer: traces.Tracer
+    secure_retry: Callable[[bool], Awaitable[bool]] = _lend_nothing
 
     @property
     def owner(self) -> str:
--- /dev/null
+++ b/src/ruddergate/messages/news.py
@@ -0,0 +1,44 @@
+"""What one gateway tells another of the store, so that fewer ask the store."""
+
+import dataclasses
+
+from ruddergate.fleet import target as targets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsWanted:
+    """Asks a peer what the store has published since a position.
+
+    Attributes:
+        sender: Where the asking gateway takes datagrams (HOST:PORT).
+        question: Name of this question; the answer repeats it.
+        position: The store's revision up to which the asker knows everything.
+    """
+
+    sender: str
+    question: str
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """The answer to a `NewsWanted`.
+
+    Attributes:
+        question: Name of the question.
+        position: The store's revision up to which the answerer knows
+            everything.
+        age_ms: How long before this answer it was certain, by the answerer's
+            clock, that nothing newer was published.
+        is_whole: Whether `listed` and `gone` are all that has changed since
+            the asker's position; else the asker is to read the store.
+        listed: Entries of targets in order, as in `published.Changes`.
+        gone: Names of targets that are not listed any more.
+    """
+
+    question: str
+    position: int
+    age_ms: float
+    is_whole: bool
+    listed: tuple[targets.Target, ...] = ()
+    gone: tuple[str, ...] = ()
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -134,7 +134,7 @@
     if (
         isinstance(found, _Nothing)
         and is_early
-        and not errand.patience.may_end()
+        and not await errand.patience.may_end()
     ):
         found = await _read_until(read, outside, errand.deadline_ms)
     if not isinstance(found, _Nothing):
--- a/src/ruddergate/relay/errand.py
+++ b/src/ruddergate/relay/errand.py
@@ -1,6 +1,7 @@
 """One call as it is sent to one target."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 from typing import TypeAlias
@@ -26,6 +27,10 @@
     ticket: str = ""
 
 
+async def _always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Patience:
     """How long to wait for a target, in milliseconds.
@@ -41,7 +46,7 @@
     connect_ms: float
     first_ms: float
     gap_ms: float
-    may_end: Callable[[], bool] = lambda: True
+    may_end: Callable[[], Awaitable[bool]] = _always
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -18,6 +18,8 @@
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.messages import loads
+from ruddergate.messages import news
+from ruddergate.messages import retry_loan
 from ruddergate.messages import shares
 from ruddergate.messages import tree_parts
 from ruddergate.messages import tree_wanted
@@ -36,6 +38,10 @@
     | load_bundle.LoadBundle
     | load_digest.LoadDigest
     | loads.Loads
+    | news.News
+    | news.NewsWanted
+    | retry_loan.RetriesLent
+    | retry_loan.RetriesWanted
     | shares.Shares
     | tree_parts.TreeParts
     | tree_wanted.TreeWanted
@@ -61,6 +67,10 @@
     # 15 was a digest that named peers.
     16: load_digest.LoadDigest,
     17: load_bundle.LoadBundle,
+    18: news.NewsWanted,
+    19: news.News,
+    20: retry_loan.RetriesWanted,
+    21: retry_loan.RetriesLent,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_OF = {type_: tag for tag, type_ in _TAGS.items()}
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,9 +3,12 @@
 import asyncio
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 import loguru
 
 from ruddergate.decisions import retries
+from ruddergate.messages import retry_loan
 from standins import gateway_cluster
 from tests import gateway_scene
 
@@ -56,3 +59,76 @@
 
         loguru.logger.remove()
         gateway_scene.play(scene, vms=9)
+
+
+class LoanTest(unittest.TestCase):
+    """Second sends that VMs hand to each other."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 4),
+                strategies.integers(0, 4),
+                strategies.sampled_from(
+                    ["borrow", "borrow great", "lost", "spend", "first"]
+                ),
+            ),
+            max_size=60,
+        )
+    )
+    @hypothesis.settings(max_examples=200, deadline=None)
+    def test_loans_add_nothing(self, deeds: list[tuple[int, int, str]]) -> None:
+        share = 0.15
+        budgets = [retries.Budget(share, 1.06, 1.06) for _ in range(5)]
+        allowed = 5 * 1.06
+        spent = 0
+        for borrower, lender, deed in deeds:
+            if deed == "spend":
+                spent += budgets[borrower].spend()
+            elif deed == "first":
+                budgets[borrower].note_first_attempt()
+                allowed += share
+            else:
+                is_great = deed != "borrow"
+                lent = budgets[lender].lend(0.7, is_great)
+                if deed != "lost":
+                    budgets[borrower].take_loan(lent)
+            left = sum(each.tokens for each in budgets)
+            self.assertLessEqual(spent + left, allowed + 1e-9)
+            self.assertGreaterEqual(min(e.tokens for e in budgets), 0.0)
+
+    def test_short_prompts_leave_some_to_long_ones(self) -> None:
+        budget = retries.Budget(0.15, 1.0, 1.0)
+        self.assertEqual(budget.lend(1.0, False), 0.5)
+        self.assertEqual(budget.lend(1.0, False), 0.0)
+        self.assertEqual(budget.lend(1.0, True), 0.5)
+
+    def test_loan_that_lies_is_dropped(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            exchange = scene.cluster.vms["vm-0"].gateway._peers
+            (peer,) = exchange.find_hall_peers()
+            lender = scene.cluster.vms[peer.partition(":")[0]].gateway
+            lender._peers.questions._answer = lambda wanted: (
+                retry_loan.RetriesLent(wanted.question, 1_000.0)
+            )
+            lent = await exchange.questions.ask_retries(peer, 1.0, True)
+            self.assertEqual(lent, 0.0)
+
+        loguru.logger.remove()
+        gateway_scene.play(scene, vms=2, halls=1)
+
+    def test_prompt_refused_in_a_burst_is_sent_again(self) -> None:
+        """One VM of a hall gets what fails; the others have sends to spare."""
+
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("engine", 1, refuse=1.0)
+            budget = scene.cluster.vms["vm-0"].gateway.tools.budget
+            for _ in range(8):
+                budget.tokens = 0.0
+                got = await scene.call("long", prompt_tokens=100_000)
+                self.assertEqual(got.status, 200)
+            refused = scene.cluster.targets["engine-0"].replica
+            self.assertEqual(refused.runs, [])
+
+        loguru.logger.remove()
+        gateway_scene.play(scene, vms=6, halls=1, engines=8)
