Hand proofs of freshness from VM to VM within a hall

Ruled out: calls that wait for changes (each change then wakes all VMs), pushed proofs (without a question of the receiver's own they need a shared clock), and an elected reader.

Change: in a hall of more than four VMs the first two by rank read the store, at twice the pace; the others ask one of them each half pace. The answer tells how old the peer's proof is; counted from the moment of asking it is a proof on the asker's own clock. Changes of targets come with it, up to 24 entries; settings are read from the store. Who hears no fresh proof in time reads the store, with pauses of up to 2 s where others do so; who can't reach it asks peers.

Shown by tests.test_proof: every interleaving of calls, questions, answers, delays and a restart (standins/proof_model.py); without matching questions, or with an age that is too young, the model finds a false proof. Halls of nine VMs: calls of the store, changes in time, VMs cut from the store, an outage, dead readers, news that lie.

--- /dev/null
+++ b/src/ruddergate/decisions/change_log.py
@@ -0,0 +1,89 @@
+"""The last changes of what the store published, for peers that ask for them.
+
+A change is known by the store's revisions between which it came. Applying one
+twice does no harm: it holds the last state of each target that it names.
+"""
+
+import collections
+import dataclasses
+
+from ruddergate.fleet import target as targets
+
+# Answers of the store that are kept; at one each second they go back as far as
+# the store's own history does.
+ANSWERS_MOST = 32
+# Entries told in one answer: 24 of them take about 2.5 KB. An asker that has
+# missed more reads the store.
+ROWS_MOST = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """What changed between two revisions.
+
+    Attributes:
+        since: The store's revision behind which it begins.
+        until: The store's revision up to which it goes.
+        has_settings: Whether the settings changed; they are too large to be
+            told in a datagram.
+        listed: Entries of targets, in order.
+        gone: Names of targets that went off the list.
+    """
+
+    since: int
+    until: int
+    has_settings: bool
+    listed: tuple[targets.Target, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+class ChangeLog:
+    """Steps in order; owned by one task."""
+
+    def __init__(self) -> None:
+        self._steps: collections.deque[Step] = collections.deque(
+            maxlen=ANSWERS_MOST
+        )
+
+    def note(self, step: Step) -> None:
+        """Adds a step; one that does not follow the last drops those before."""
+        if self._steps and step.since != self._steps[-1].until:
+            self._steps.clear()
+        if step.until > step.since:
+            self._steps.append(step)
+
+    def restart(self) -> None:
+        """Drops all steps, when everything was read anew."""
+        self._steps.clear()
+
+    def find_since(self, position: int, until: int) -> Step | None:
+        """Returns all changes between two revisions as one step.
+
+        Returns:
+            The step, or None if it is not known, holds settings or is too
+            large to be told.
+        """
+        if position >= until:
+            return Step(until, until, False)
+        wanted = [each for each in self._steps if each.until > position]
+        if not wanted or wanted[0].since > position:
+            return None
+        if wanted[-1].until != until:
+            return None
+        if any(each.has_settings for each in wanted):
+            return None
+        rows = tuple(row for each in wanted for row in each.listed)
+        gone = _find_gone(wanted)
+        if len(rows) + len(gone) > ROWS_MOST:
+            return None
+        return Step(position, until, False, rows, gone)
+
+
+def _find_gone(steps: list[Step]) -> tuple[str, ...]:
+    """Returns the targets that are off the list after all steps."""
+    gone: dict[str, None] = {}
+    for each in steps:
+        for row in each.listed:
+            gone.pop(row.target_id, None)
+        gone.update(dict.fromkeys(each.gone))
+    return tuple(gone)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -168,6 +168,11 @@
             view,
             scheduler,
             gateway_config.pace,
+            source_sync.Peers(
+                self._peers.rank_hall,
+                str(gateway_config.peers.listen),
+                self._peers.questions.ask_news,
+            ),
         )
 
     def _answer_peer(
@@ -175,7 +180,7 @@
     ) -> peer_questions.Answer | None:
         match question:
             case news.NewsWanted():
-                return None
+                return self._sync.answer_news(question)
             case retry_loan.RetriesWanted():
                 lent = self.tools.budget.lend(
                     question.retries, question.is_great
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -2,21 +2,33 @@
 
 It alone writes the view's catalog and targets. Each successful call proves
 that the view was the newest when the call began; keys rest on that proof.
+
+In a hall with many VMs a few read the store and the others ask them, see
+decisions/proof.py: calls of the store do not grow with the fleet, and a VM
+that the store turns away goes by its neighbours' proofs.
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 from ruddergate import environment
+from ruddergate.decisions import change_log
+from ruddergate.decisions import proof
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import view as views
 from ruddergate.fleet import condition
 from ruddergate.fleet import target as targets
+from ruddergate.messages import news
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
 
 # A view this old has missed a round of calls.
 BEHIND_LEAST_MS = 2_500.0
+# A turn never follows at once: what is left of a pause may round to nothing.
+_PAUSE_LEAST_MS = 1.0
 # Each pause between tries is so much longer than the one before.
 _RETRY_GROWTH = 1.3
 # While the store is away, the log says so again after this time.
@@ -33,6 +45,9 @@
         wait_ms: Longest wait of a call for a change.
         retry_ms: After a call that failed.
         retry_most_ms: After many calls that failed; the pause grows to it.
+        follower_retry_most_ms: The same for a VM that others read for: they
+            tell it when the store is back, and its calls are paid for also
+            while the store is away.
         behind_ms: From a view this old on, all is read anew instead of the
             changes: the settings come once then, and not once a change.
         lapse_grace_ms: How long targets that went off the list while the store
@@ -45,13 +60,37 @@
     wait_ms: float = 0.0
     retry_ms: float = 150.0
     retry_most_ms: float = 500.0
+    follower_retry_most_ms: float = 2_000.0
     behind_ms: float = BEHIND_LEAST_MS
     lapse_grace_ms: float = 1_500.0
     outage_ms: float = BEHIND_LEAST_MS
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """What is asked of peers.
+
+    Attributes:
+        rank_hall: Returns this hall's VMs in the order of readers, this one
+            among them.
+        own: Name of this VM there.
+        ask: Asks one for news since a position; None without an answer.
+    """
+
+    rank_hall: Callable[[], Sequence[str]]
+    own: str
+    ask: Callable[[str, int], Awaitable[news.News | None]]
+
+
+# Peers asked in one turn: a reader, and another VM if that one has no news.
+PEERS_ASKED = 2
+# Without news from peers they are asked again after this time, while the store
+# is not asked yet again.
+PEERS_AGAIN_MS = 300.0
+
+
 class SourceSync:
-    """Keeps the view up to date from a store."""
+    """Keeps the view up to date from a store, or from peers that read it."""
 
     def __init__(
         self,
@@ -60,7 +99,9 @@
         view: views.View,
         scheduler: schedulers.Scheduler,
         pace: Pace,
+        peers: Peers | None = None,
     ) -> None:
+        self._peers = peers
         self._outside = outside
         self._source = source
         self._view = view
@@ -76,34 +117,143 @@
         self._is_lost = False
         self._told_ms = 0.0
         self._tries_failed = 0
+        # Before this time the store is not asked again after a failure.
+        self._store_due_ms = float("-inf")
+        self._is_history_lost = False
+        self._changes = change_log.ChangeLog()
         self._log = logs.make_logger("store")
 
     async def run(self) -> None:
         """Asks again and again until cancelled."""
         while True:
             began_ms = self._outside.now_ms()
-            found = await self._ask()
-            if isinstance(found, published.Changes):
-                self._tries_failed = 0
-                self._take(found, began_ms)
-                pause_ms = began_ms + self._pace.every_ms
-                pause_ms -= self._outside.now_ms()
-            else:
-                self._note_failure(found)
-                pause_ms = self._draw_pause_ms()
-                self._tries_failed += 1
-            await asyncio.sleep(max(0.0, pause_ms) / 1000.0)
-
-    async def _ask(
-        self,
-    ) -> published.Changes | published.HistoryLost | published.Unavailable:
-        if self._is_behind():
-            self._position = None
+            pause_ms = await self._take_turn()
+            pause_ms -= self._outside.now_ms() - began_ms
+            await asyncio.sleep(max(_PAUSE_LEAST_MS, pause_ms) / 1000.0)
+
+    def answer_news(self, wanted: news.NewsWanted) -> news.News | None:
+        """Returns what this VM knows, for a peer that follows it."""
+        position = self._position
+        if position is None:
+            return None
+        step = self._changes.find_since(wanted.position, position)
+        age_ms = self._outside.now_ms() - self._current_ms
+        if step is None:
+            return news.News(wanted.question, position, age_ms, False)
+        return news.News(
+            wanted.question, position, age_ms, True, step.listed, step.gone
+        )
+
+    async def _take_turn(self) -> float:
+        """Asks peers or the store; returns the time from turn to turn."""
+        if self._may_follow() and await self._ask_peers():
+            return self._find_every_ms()
+        now_ms = self._outside.now_ms()
+        if now_ms < self._store_due_ms:
+            return min(PEERS_AGAIN_MS, self._store_due_ms - now_ms)
+        found = await self._ask_store()
+        if isinstance(found, published.Changes):
+            self._tries_failed = 0
+            return self._find_every_ms()
+        self._note_failure(found)
+        pause_ms = self._draw_pause_ms()
+        self._tries_failed += 1
+        self._store_due_ms = self._outside.now_ms() + pause_ms
+        return min(PEERS_AGAIN_MS, pause_ms)
+
+    def _rank_hall(self) -> Sequence[str]:
+        return self._peers.rank_hall() if self._peers else ()
+
+    def _is_reader(self) -> bool:
+        if self._peers is None:
+            return True
+        return proof.is_reader(self._peers.own, self._rank_hall())
+
+    def _may_follow(self) -> bool:
+        """Returns whether peers may be asked before the store.
+
+        A VM that can't reach the store asks them as well, whatever its rank.
+        """
         if self._position is None:
-            return await self._source.read_all()
-        return await self._source.read_changes(
-            self._position, self._pace.wait_ms
+            return False
+        return self._tries_failed > 0 or not self._is_reader()
+
+    def _find_every_ms(self) -> float:
+        """Returns the time between two calls of the store, or of peers."""
+        every_ms = self._pace.every_ms
+        if proof.is_shared(self._rank_hall()):
+            return every_ms * proof.SHARED_PART
+        return every_ms
+
+    async def _ask_peers(self) -> bool:
+        """Returns whether a peer had a proof that is fresh enough."""
+        for peer in self._choose_peers():
+            asked_ms = self._outside.now_ms()
+            position = self._position
+            found = await self._peers.ask(peer, position)
+            if found is None:
+                continue
+            proven_ms = proof.find_proven_ms(asked_ms, found.age_ms)
+            if proven_ms is None:
+                self._log.warning(
+                    "News dropped, their age can't be true.", peer=peer
+                )
+                continue
+            if not found.is_whole:
+                # More has changed than a datagram holds: the store tells it.
+                return False
+            self._take_news(found, position, proven_ms)
+            if self._is_fresh():
+                return True
+        return False
+
+    def _choose_peers(self) -> list[str]:
+        """Returns whom to ask: a reader first, and then any other VM."""
+        ranked = [name for name in self._rank_hall() if name != self._peers.own]
+        if not ranked:
+            return []
+        chance = self._outside.random
+        first = chance.choice(ranked[: proof.READERS])
+        rest = [name for name in ranked if name != first]
+        return [first, *chance.sample(rest, min(len(rest), PEERS_ASKED - 1))]
+
+    def _is_fresh(self) -> bool:
+        age_ms = self._outside.now_ms() - self._current_ms
+        return age_ms <= self._find_every_ms() * proof.FRESH_PART
+
+    def _take_news(
+        self, found: news.News, position: int, proven_ms: float
+    ) -> None:
+        """Takes in what a peer told.
+
+        A peer that knows less than this VM proves as much: what it knew was
+        the newest then, and this VM knows all of that.
+        """
+        changes = published.Changes(
+            max(position, found.position), None, found.listed, found.gone, ()
         )
+        self._take(changes, proven_ms, position)
+
+    async def _ask_store(
+        self,
+    ) -> published.Changes | published.HistoryLost | published.Unavailable:
+        """Reads the store and takes in what it tells."""
+        began_ms = self._outside.now_ms()
+        position = None if self._must_read_all() else self._position
+        if position is None:
+            found = await self._source.read_all()
+        else:
+            found = await self._source.read_changes(
+                position, self._pace.wait_ms
+            )
+        if isinstance(found, published.Changes):
+            self._is_history_lost = False
+            self._note_regained()
+            self._take(found, began_ms, position)
+        return found
+
+    def _must_read_all(self) -> bool:
+        return self._is_history_lost or self._is_behind()
 
     def _is_behind(self) -> bool:
         age_ms = self._outside.now_ms() - self._current_ms
@@ -113,16 +263,17 @@
         """Returns the time to the next try; VMs are not to ask in step."""
         pace = self._pace
         grown_ms = pace.retry_ms * _RETRY_GROWTH**self._tries_failed
-        return min(pace.retry_most_ms, grown_ms) * self._outside.random.uniform(
-            0.7, 1.0
-        )
+        most_ms = pace.retry_most_ms
+        if not self._is_reader():
+            most_ms = pace.follower_retry_most_ms
+        return min(most_ms, grown_ms) * self._outside.random.uniform(0.7, 1.0)
 
     def _note_failure(
         self, found: published.HistoryLost | published.Unavailable
     ) -> None:
         if isinstance(found, published.HistoryLost):
             self._log.info("History lost, all is read anew.")
-            self._position = None
+            self._is_history_lost = True
             return
         now_ms = self._outside.now_ms()
         if not self._is_lost:
@@ -138,25 +289,55 @@
                 revision=self._view.catalog.revision,
             )
 
-    def _take(self, changes: published.Changes, asked_ms: float) -> None:
+    def _note_regained(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            away_ms = self._outside.now_ms() - self._answered_ms
+            self._log.info("Store regained.", away_ms=round(away_ms))
+
+    def _take(
+        self,
+        changes: published.Changes,
+        asked_ms: float,
+        since: int | None,
+    ) -> None:
+        """Takes in what the store or a peer told.
+
+        Args:
+            changes: What was told.
+            asked_ms: When it was certainly the newest.
+            since: The position behind which it begins; None for everything.
+        """
         now_ms = self._outside.now_ms()
         if now_ms - self._answered_ms > self._pace.outage_ms:
             self._outage_ended_ms = now_ms
-        if self._is_lost:
-            self._is_lost = False
-            self._log.info(
-                "Store regained.", away_ms=round(now_ms - self._answered_ms)
-            )
         self._answered_ms = now_ms
-        self._current_ms = asked_ms
+        self._current_ms = max(self._current_ms, asked_ms)
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
         self._take_catalog(changes, asked_ms)
-        self._take_targets(changes, now_ms)
+        self._take_targets(changes, now_ms, since is None)
+        self._note_step(changes, since)
         self._position = changes.position
         self._view.take_targets(tuple(self._targets.values()), asked_ms)
         self._scheduler.post(schedulers.ViewChanged())
 
+    def _note_step(self, changes: published.Changes, since: int | None) -> None:
+        """Keeps the changes for peers that ask for them."""
+        if since is None:
+            self._changes.restart()
+            return
+        has_settings = changes.catalog is not None or bool(changes.problems)
+        self._changes.note(
+            change_log.Step(
+                since,
+                changes.position,
+                has_settings,
+                changes.targets,
+                changes.gone,
+            )
+        )
+
     def _take_catalog(
         self, changes: published.Changes, asked_ms: float
     ) -> None:
@@ -172,7 +353,9 @@
         if not changes.problems:
             self._view.confirm_settings(asked_ms)
 
-    def _take_targets(self, changes: published.Changes, now_ms: float) -> None:
+    def _take_targets(
+        self, changes: published.Changes, now_ms: float, is_all: bool
+    ) -> None:
         for target in changes.targets:
             if target.condition is condition.Condition.LEAVING:
                 self._leaving.add(target.target_id)
@@ -182,7 +365,7 @@
             for each in changes.targets
             if each.target_id not in gone
         }
-        if self._position is None:
+        if is_all:
             gone |= self._targets.keys() - listed.keys()
         for target_id in gone:
             self._drop(target_id, now_ms)
--- /dev/null
+++ b/tests/test_proof.py
@@ -0,0 +1,226 @@
+"""Proofs of freshness from peers: the model, the log of changes, a hall."""
+
+import asyncio
+import math
+import unittest
+
+import loguru
+
+from ruddergate import environment
+from ruddergate.decisions import change_log
+from ruddergate.decisions import proof
+from ruddergate.fleet import condition
+from ruddergate.fleet import target as targets
+from ruddergate.messages import news
+from standins import explore
+from standins import gateway_cluster
+from standins import proof_model
+from tests import gateway_scene
+
+_HALL = 9
+
+
+class ProofModelTest(unittest.TestCase):
+    """Every interleaving of a reader and a VM that asks it."""
+
+    def explore(
+        self, find_proven: proof_model.FindProven, **fields: bool
+    ) -> explore.Explored:
+        return explore.explore(
+            proof_model.ProofState(),
+            lambda state: proof_model.steps(state, find_proven, **fields),
+            proof_model.is_true,
+        )
+
+    def test_no_interleaving_proves_what_is_not_true(self) -> None:
+        found = self.explore(proof.find_proven_ms)
+        self.assertEqual(found.trail, ())
+        self.assertGreater(found.states, 10_000)
+
+    def test_answers_of_earlier_questions_would(self) -> None:
+        found = self.explore(proof.find_proven_ms, matches_questions=False)
+        self.assertTrue(found.trail)
+
+    def test_trust_in_a_younger_age_would(self) -> None:
+        found = self.explore(lambda asked_ms, age_ms: asked_ms - age_ms + 1.0)
+        self.assertTrue(found.trail)
+
+    def test_ages_that_cannot_be_true(self) -> None:
+        for age_ms in (-1.0, math.nan, math.inf):
+            self.assertIsNone(proof.find_proven_ms(0.0, age_ms))
+
+    def test_small_halls_read_for_themselves(self) -> None:
+        names = [f"vm-{number}" for number in range(_HALL)]
+        self.assertFalse(proof.is_shared(names[:3]))
+        self.assertTrue(proof.is_reader("vm-2", names[:3]))
+        self.assertFalse(proof.is_reader("vm-2", names))
+
+
+def _make_target(name: str, state: condition.Condition) -> targets.Target:
+    return targets.Target(
+        name, "p", "h", environment.Address("1.1.1.1", 1), state
+    )
+
+
+class ChangeLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log = change_log.ChangeLog()
+        self.live = _make_target("t", condition.Condition.LIVE)
+        self.leaving = _make_target("t", condition.Condition.LEAVING)
+
+    def test_changes_since_a_position(self) -> None:
+        self.log.note(change_log.Step(1, 5, False, (self.live,)))
+        self.log.note(change_log.Step(5, 7, False, (self.leaving,)))
+        self.log.note(change_log.Step(7, 8, False, (), ("t",)))
+        found = self.log.find_since(5, 8)
+        self.assertEqual(found.listed, (self.leaving,))
+        self.assertEqual(found.gone, ("t",))
+        # One that is within a step gets the whole step.
+        self.assertEqual(len(self.log.find_since(3, 8).listed), 2)
+        self.assertEqual(self.log.find_since(8, 8).listed, ())
+
+    def test_lapsed_target_that_is_back_is_not_gone(self) -> None:
+        self.log.note(change_log.Step(1, 2, False, (), ("t",)))
+        self.log.note(change_log.Step(2, 3, False, (self.live,)))
+        self.assertEqual(self.log.find_since(1, 3).gone, ())
+
+    def test_what_cannot_be_told(self) -> None:
+        self.log.note(change_log.Step(1, 2, True))
+        self.log.note(change_log.Step(2, 3, False, (self.live,)))
+        self.assertIsNone(self.log.find_since(1, 3))
+        self.assertIsNotNone(self.log.find_since(2, 3))
+        self.assertIsNone(self.log.find_since(0, 3))
+        rows = (self.live,) * change_log.ROWS_MOST
+        self.log.note(change_log.Step(3, 4, False, rows))
+        self.assertIsNone(self.log.find_since(2, 4))
+
+    def test_gap_drops_what_was_before(self) -> None:
+        self.log.note(change_log.Step(1, 2, False))
+        self.log.note(change_log.Step(4, 5, False))
+        self.assertIsNone(self.log.find_since(1, 5))
+        self.assertIsNotNone(self.log.find_since(4, 5))
+
+
+def _find_age_ms(node: gateway_cluster.Node) -> float:
+    tools = node.gateway.tools
+    return tools.view.settings_age_ms(tools.outside.now_ms())
+
+
+def _cut_off(scene: gateway_scene.Scene, name: str) -> None:
+    cut = gateway_cluster.virtual_network.Cut(name, "store")
+    scene.cluster.network.cuts.append(cut)
+
+
+class HallTest(unittest.TestCase):
+    """One hall with more VMs than readers."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def play(self, scene) -> None:  # noqa: ANN001
+        gateway_scene.play(scene, vms=_HALL, halls=1)
+
+    def test_calls_of_the_store_go_by_readers(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            store = scene.cluster.store
+            before = store.calls
+            seconds = 10.0
+            await asyncio.sleep(seconds)
+            # Each VM for itself asks every 1.3 s: 69 calls in this time.
+            self.assertLess(store.calls - before, 2 * seconds / 0.6)
+            for node in scene.cluster.vms.values():
+                self.assertLess(_find_age_ms(node), 1_500.0)
+
+        self.play(scene)
+
+    def test_changes_reach_all_in_time(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            node = scene.cluster.targets["service-0"]
+            scene.cluster.list_target(node, node.replica, "draining")
+            scene.cluster.keys = {"w1": [gateway_cluster.KEY], "w2": ["new"]}
+            scene.cluster.publish()
+            await asyncio.sleep(1.9)
+            for name, vm in scene.cluster.vms.items():
+                got = await scene.call("unsafe", name, key="new")
+                self.assertEqual(got.status, 200)
+                view = vm.gateway.tools.view
+                (found,) = [
+                    each
+                    for each in view.listing.targets
+                    if each.target_id == node.replica.name
+                ]
+                self.assertIs(found.condition, condition.Condition.LEAVING)
+
+        self.play(scene)
+
+    def test_vms_that_the_store_is_cut_from_go_by_peers(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            names = list(scene.cluster.vms)
+            for name in names[:6]:
+                _cut_off(scene, name)
+            await asyncio.sleep(9.0)
+            for name in names:
+                self.assertEqual((await scene.call("unsafe", name)).status, 200)
+                self.assertEqual(await scene.caller.ask_ready(name), 200)
+            # A key that is removed meanwhile is refused by them all the same.
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            await asyncio.sleep(gateway_cluster.REVOKE_MS / 1000.0)
+            for name in names:
+                got = await scene.call("unsafe", name)
+                self.assertIn(got.status, (401, 503))
+                self.assertEqual(scene.runs(got), [])
+
+        self.play(scene)
+
+    def test_no_proof_goes_round_while_the_store_is_away(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.cluster.store.trouble = "busy"
+            await asyncio.sleep(5.0)
+            for name, node in scene.cluster.vms.items():
+                self.assertGreater(_find_age_ms(node), 4_800.0)
+                self.assertEqual((await scene.call("unsafe", name)).status, 503)
+            before = scene.cluster.store.calls
+            await asyncio.sleep(10.0)
+            # Each VM for itself would ask every 0.4 s: 225 calls in this time.
+            self.assertLess(scene.cluster.store.calls - before, 130)
+            scene.cluster.store.trouble = ""
+            await asyncio.sleep(1.5)
+            for node in scene.cluster.vms.values():
+                self.assertLess(_find_age_ms(node), 1_500.0)
+
+        self.play(scene)
+
+    def test_readers_that_die_are_made_good(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            exchange = scene.cluster.vms["vm-0"].gateway._peers
+            readers = {
+                name.partition(":")[0]
+                for name in exchange.rank_hall()[: proof.READERS]
+            }
+            for name in readers:
+                scene.cluster.kill(scene.cluster.vms[name])
+            for _ in range(30):
+                await asyncio.sleep(0.3)
+                for name, node in scene.cluster.vms.items():
+                    if name not in readers:
+                        self.assertLess(_find_age_ms(node), 2_000.0)
+
+        self.play(scene)
+
+    def test_news_that_lie_change_nothing(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for node in scene.cluster.vms.values():
+                sync = node.gateway._sync
+                sync.answer_news = lambda wanted: news.News(
+                    wanted.question, 9_999, -5_000.0, True
+                )
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            await asyncio.sleep(gateway_cluster.REVOKE_MS / 1000.0)
+            for name in scene.cluster.vms:
+                got = await scene.call("unsafe", name)
+                self.assertEqual((got.status, scene.runs(got)), (401, []))
+
+        self.play(scene)
