Take an overdue prefill to last on, so that a hanging engine looks worse

Cause: an engine that hung for six seconds had few answers under way and a rest of prefill of half its plan, so it looked the idlest; VMs of its hall sent it call after call (a call of 1,940 tokens, due in 320 ms, lay there for 1,995 ms).

Ruled out: forgiving faults later (halves the engines in use where many reset some answers), and a shorter patience (engines that read long prompts are silent for as long).

Change: what should have ended and is more than 200 ms overdue is taken to last as long again, up to 4 s. Digests carry it to the other VMs as any rest of prefill.

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -22,6 +22,13 @@
 PEER_LOADS_MS = 2_000.0
 # Part of a planned prefill that still counts until its first token is seen.
 PREFILL_REST_LEAST = 0.5
+# A prefill that is overdue by more than this is taken to last as long again as
+# it is overdue: an engine that hangs has few answers and looked the idlest, so
+# that all VMs of its hall sent it call after call. Passes beside answers and
+# errors of prediction take less.
+OVERDUE_SLACK_MS = 200.0
+# And for no longer than this: callers give up, and others take over.
+OVERDUE_MOST_MS = 4_000.0
 # What a target told of other VMs' requests fades over this time: most answers
 # of short prompts have ended by then.
 REPORT_FADES_MS = 1_500.0
@@ -321,12 +328,17 @@
         waiting = [w for w in self._own.values() if not w.has_first_token]
         if not waiting:
             return 0.0
-        began_ms = min(w.sent_ms for w in waiting)
+        passed_ms = now_ms - min(w.sent_ms for w in waiting)
         planned_ms = sum(w.prefill_ms for w in waiting)
         # What should have ended by now but has not still takes a while: it
         # waits for the end of a pass, or for others' prefills.
         least_ms = planned_ms * PREFILL_REST_LEAST
-        return max(least_ms, planned_ms - (now_ms - began_ms))
+        overdue_ms = passed_ms - planned_ms - OVERDUE_SLACK_MS
+        return max(
+            least_ms,
+            planned_ms - passed_ms,
+            min(overdue_ms, OVERDUE_MOST_MS),
+        )
 
     def longest_band_in_reading(self, now_ms: float) -> int | None:
         """Returns the band of the longest prompt in prefill, or None."""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -49,6 +49,7 @@
         unsigned: Chance to answer without its signature.
         foreign: Chance to answer with another request's name.
         mute: Whether it takes requests and says nothing.
+        hang: Chance to take a request and say nothing.
         silent_s: How long answers stop after their third event, with the
             connection left open.
         helps_nobody: Whether others that name it as a helper refuse for it.
@@ -61,6 +62,7 @@
     unsigned: float = 0.0
     foreign: float = 0.0
     mute: bool = False
+    hang: float = 0.0
     silent_s: float = 0.0
     helps_nobody: bool = False
 
@@ -103,7 +105,7 @@
             return self._take_order(orjson.loads(incoming.body))
         if incoming.path == "/api/report":
             return message.make_json_response(200, {"stage": "both"})
-        if self.wrong.mute:
+        if self.wrong.mute or self._draw(self.wrong.hang):
             await asyncio.sleep(3_600.0)
         expected = incoming.headers.get("x-expect-replica", self.name)
         if expected != self.name:
