--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -27,11 +27,14 @@
 SILENCE_LEAST_MS = 900.0
 # Where memory was refused, some may be free again after this time.
 _NO_MEMORY_RETRY_MS = 500.0
+# Where engines gave no sign of life, others may serve after this time.
+_SIGN_RETRY_MS = 500.0
 # Urgency of the shortest prompts; plain calls and others follow behind.
 _URGENCY_FIRST = 3
 _NOT_THE_TARGETS_FAULT = (
     outcomes.Reason.TIME_LIMIT,
     outcomes.Reason.NO_MEMORY,
+    outcomes.Reason.HELPER_UNREACHABLE,
 )
 
 
@@ -63,7 +66,8 @@
         self._keeper = keeper
         self._tools = tools
         self._at_fault: set[str] = set()
-        self._is_unreachable = False
+        # Targets from which nothing came back; their hall may be cut off.
+        self._out_of_reach: set[str] = set()
         self._has_first = False
         self._has_answered = False
 
@@ -73,6 +77,10 @@
         self._progress.blamed = ()
         _log_start(self._request, self._seats, self._progress, self._tools)
         try:
+            signs = await self._ask_signs()
+            if any(sign is not orders.Sign.ALIVE for sign in signs):
+                yield self._give_up_unsent(signs)
+                return
             missing = await self._keeper.take(
                 tuple(reservations.values()), self._request.request_id
             )
@@ -92,6 +100,42 @@
             self._keeper.give_back(tuple(reservations.values()))
             self._post_ends()
 
+    async def _ask_signs(self) -> tuple[orders.Sign, ...]:
+        """Returns signs of life of this attempt's targets, once one has failed.
+
+        Engines die together, and each refusal names one of them only: a prompt
+        read by nine engines, four of them dead, was sent five times within
+        250 ms and refused.
+        """
+        if not self._progress.helpers_failed:
+            return ()
+        return await self._keeper.ask_signs(
+            [seat.target for seat in self._seats]
+        )
+
+    def _give_up_unsent(
+        self, signs: tuple[orders.Sign, ...]
+    ) -> outcomes.NotServed:
+        """Returns the outcome; nothing was sent."""
+        missing = tuple(
+            seat.target.target_id
+            for seat, sign in zip(self._seats, signs, strict=True)
+            if sign is not orders.Sign.ALIVE
+        )
+        self._out_of_reach |= {
+            seat.target.target_id
+            for seat, sign in zip(self._seats, signs, strict=True)
+            if sign is orders.Sign.SILENT
+        }
+        self._progress.excluded |= set(missing)
+        self._at_fault |= set(missing)
+        reason = outcomes.Reason.HELPER_UNREACHABLE
+        if signs[0] is not orders.Sign.ALIVE:
+            reason = outcomes.Reason.TARGET_UNREACHABLE
+        return outcomes.refuse(
+            reason, f"no sign of life from {', '.join(missing)}", _SIGN_RETRY_MS
+        )
+
     async def _read(
         self, errand: errands.Errand, is_watched: bool
     ) -> AsyncIterator[answers.Event]:
@@ -134,11 +178,12 @@
         """Returns the outcome; a reservation runs nothing, whatever happens."""
         names = [each.reservation.target.target_id for each in missing]
         self._progress.excluded |= set(names)
-        self._at_fault |= {
-            name
-            for name, each in zip(names, missing, strict=True)
-            if each.answer is orders.Answer.UNREACHABLE
-        }
+        lost = (orders.Answer.GONE, orders.Answer.UNREACHABLE)
+        for name, each in zip(names, missing, strict=True):
+            if each.answer in lost:
+                self._at_fault.add(name)
+            if each.answer is orders.Answer.UNREACHABLE:
+                self._out_of_reach.add(name)
         return outcomes.refuse(
             outcomes.Reason.NO_MEMORY,
             f"no memory could be set aside at {', '.join(names)}",
@@ -173,10 +218,10 @@
     def _note_failure(self, ended: outcomes.NotServed) -> None:
         if ended.reason in _NOT_THE_TARGETS_FAULT or self._at_fault:
             return
-        self._at_fault.add(self._seats[0].target.target_id)
-        self._is_unreachable = (
-            ended.reason is outcomes.Reason.TARGET_UNREACHABLE
-        )
+        writer = self._seats[0].target.target_id
+        self._at_fault.add(writer)
+        if ended.reason is outcomes.Reason.TARGET_UNREACHABLE:
+            self._out_of_reach.add(writer)
 
     def _note_first(self) -> None:
         if self._has_first:
@@ -189,17 +234,17 @@
             self._tools.scheduler.post(placement.FirstToken(seat, "", 0))
 
     def _post_ends(self) -> None:
-        writer = self._seats[0]
+        writers_hall = self._seats[0].target.hall
         for seat in self._seats:
-            failed = seat.target.target_id in self._at_fault
+            name = seat.target.target_id
             # A helper that a target blames may well be out of its reach.
-            is_away = seat.target.hall != writer.target.hall
-            is_unreachable = self._is_unreachable or is_away
+            is_blamed = name in self._progress.blamed
+            is_away = seat.target.hall != writers_hall
             self._tools.scheduler.post(
                 placement.Ended(
                     seat,
-                    failed,
-                    failed and is_unreachable,
+                    name in self._at_fault,
+                    name in self._out_of_reach or (is_blamed and is_away),
                     self._has_answered,
                 )
             )
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -28,8 +28,15 @@
 # Times that a call goes to the same target again because of one of its helpers.
 HELPERS_FAILED_MAX = 3
 _NOTHING_SENT = (
+    outcomes.Reason.TARGET_GONE,
     outcomes.Reason.TARGET_UNREACHABLE,
     outcomes.Reason.NO_MEMORY,
+    outcomes.Reason.HELPER_UNREACHABLE,
+)
+# Failures of other engines than the one that was to write the answer.
+_NOT_THE_WRITERS = (
+    outcomes.Reason.NO_MEMORY,
+    outcomes.Reason.HELPER_UNREACHABLE,
 )
 # What a target that fails with its own 5xx says is the answer; from here on a
 # repeatable call is worth another try.
@@ -112,15 +119,12 @@
         progress.pinned = seat.target.target_id
         progress.helpers_failed += 1
         return await _try_again(request, ended, progress, tools)
-    progress.pinned = ""
-    if ended.reason is not outcomes.Reason.NO_MEMORY:
+    if ended.reason is not outcomes.Reason.HELPER_UNREACHABLE:
+        progress.pinned = ""
+    if ended.reason not in _NOT_THE_WRITERS:
         progress.excluded |= {seat.target.target_id}
     if ended.reason in _NOTHING_SENT:
-        # Nothing was sent, so this counts against no limit of attempts.
-        progress.unreachable += 1
-        if progress.unreachable > UNREACHABLE_MAX:
-            return _conclude(ended, progress)
-        return None
+        return _conclude_unsent(ended, progress)
     progress.sent += 1
     may_go_on = route.is_resumable or not progress.is_begun
     if not may_go_on or progress.count_sent() >= route.targets_max:
@@ -128,6 +132,16 @@
     return await _try_again(request, ended, progress, tools)
 
 
+def _conclude_unsent(
+    ended: outcomes.NotServed, progress: relay_progress.Progress
+) -> answers.Event | None:
+    """Returns None for another try, which counts against no limit of sends."""
+    progress.unreachable += 1
+    if progress.unreachable > UNREACHABLE_MAX:
+        return _conclude(ended, progress)
+    return None
+
+
 def _is_helpers_fault(
     ended: outcomes.NotServed, progress: relay_progress.Progress
 ) -> bool:
--- a/src/ruddergate/entry/reservation_keeper.py
+++ b/src/ruddergate/entry/reservation_keeper.py
@@ -20,6 +20,8 @@
 RENEW_MS = 800.0
 # A release is answered in a few milliseconds, or not before its time-out.
 RELEASE_WAIT_MS = 50.0
+# A target that lives answers in a few milliseconds.
+SIGN_WAIT_MS = 150.0
 # The engine for which memory is held is asked for a sign of life as often. This
 # many times without one it is taken for dead: with the time-out of a call that
 # is 2.6 s after its end at most, when 4 s are allowed to set the memory free.
@@ -109,6 +111,19 @@
         if releasing:
             await asyncio.wait(releasing, timeout=RELEASE_WAIT_MS / 1000.0)
 
+    async def ask_signs(
+        self, asked: Sequence[targets.Target]
+    ) -> tuple[orders.Sign, ...]:
+        """Returns the signs of life that targets give at once, in order."""
+        return tuple(await asyncio.gather(*map(self._ask_sign, asked)))
+
+    async def _ask_sign(self, target: targets.Target) -> orders.Sign:
+        try:
+            async with asyncio.timeout(SIGN_WAIT_MS / 1000.0):
+                return await self._orders.ask_sign(target)
+        except TimeoutError:
+            return orders.Sign.SILENT
+
     async def wait_for_silence(self, target: targets.Target) -> None:
         """Returns when a target does not answer any more.
 
@@ -118,7 +133,8 @@
         silent = 0
         while silent < SILENT_MOST:
             await asyncio.sleep(RENEW_MS / 1000.0)
-            silent = 0 if await self._orders.ask_alive(target) else silent + 1
+            sign = await self._orders.ask_sign(target)
+            silent = 0 if sign is orders.Sign.ALIVE else silent + 1
         self._log.warning("Target {} is silent.", target.target_id)
 
     def _keep(self, held: orders.Reservation) -> None:
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -33,6 +33,8 @@
     TIME_LIMIT = "time_limit"
     TARGET_REFUSED = "target_refused"
     NO_MEMORY = "no_memory"
+    HELPER_UNREACHABLE = "helper_unreachable"
+    TARGET_GONE = "target_gone"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_LOST = "target_lost"
     TARGET_BROKE_PROTOCOL = "target_broke_protocol"
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -32,14 +32,19 @@
         document = {"op": "release", "id": held.name}
         return await _order(outside, held, document, limits)
 
-    async def ask_alive(target: targets.Target) -> bool:
+    async def ask_sign(target: targets.Target) -> orders.Sign:
         request = client.make_json_request("GET", _REPORT_PATH)
         answer = await client.fetch_within(
             outside, target.address, request, limits
         )
-        return not isinstance(answer, client.Fault)
+        if not isinstance(answer, client.Fault):
+            return orders.Sign.ALIVE
+        if answer.timed_out:
+            return orders.Sign.SILENT
+        # A target with too many connections resets more of them.
+        return orders.Sign.ALIVE if answer.sent else orders.Sign.GONE
 
-    return orders.Orders(reserve, release, ask_alive)
+    return orders.Orders(reserve, release, ask_sign)
 
 
 async def _order(
@@ -53,9 +58,11 @@
         outside, reservation.target.address, request, limits
     )
     if isinstance(answer, client.Fault):
-        if not answer.sent:
+        if answer.sent:
+            return orders.Answer.UNKNOWN
+        if answer.timed_out:
             return orders.Answer.UNREACHABLE
-        return orders.Answer.UNKNOWN
+        return orders.Answer.GONE
     if answer.status == _OK:
         return orders.Answer.DONE
     if answer.status in _REFUSALS:
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -176,7 +176,10 @@
 
 def _make_lost(fault: client.Fault) -> outcomes.NotServed:
     if not fault.sent:
-        return outcomes.refuse(outcomes.Reason.TARGET_UNREACHABLE, fault.detail)
+        reason = outcomes.Reason.TARGET_GONE
+        if fault.timed_out:
+            reason = outcomes.Reason.TARGET_UNREACHABLE
+        return outcomes.refuse(reason, fault.detail)
     return outcomes.NotServed(
         outcomes.Reason.TARGET_LOST, outcomes.Ran.UNKNOWN, fault.detail
     )
--- a/src/ruddergate/relay/orders.py
+++ b/src/ruddergate/relay/orders.py
@@ -24,14 +24,31 @@
 
 
 class Answer(enum.Enum):
-    """What became of an order; after UNREACHABLE it was certainly not taken."""
+    """What became of an order.
+
+    After GONE (nobody listens there) and UNREACHABLE (nothing came back) it was
+    certainly not taken.
+    """
 
     DONE = "done"
     REFUSED = "refused"
+    GONE = "gone"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
+class Sign(enum.Enum):
+    """What came back from a target that was asked for a sign of life.
+
+    GONE says that its machine is in reach and nobody listens there; SILENT that
+    nothing came back, as from behind a cut.
+    """
+
+    ALIVE = "alive"
+    GONE = "gone"
+    SILENT = "silent"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Orders:
     """Orders that a platform's targets take.
@@ -39,9 +56,9 @@
     Attributes:
         reserve: Sets memory aside, or renews it, for so many milliseconds.
         release: Gives memory back.
-        ask_alive: Returns whether a target answers at all.
+        ask_sign: Asks a target for a sign of life.
     """
 
     reserve: Callable[[Reservation, float], Awaitable[Answer]]
     release: Callable[[Reservation], Awaitable[Answer]]
-    ask_alive: Callable[[targets.Target], Awaitable[bool]]
+    ask_sign: Callable[[targets.Target], Awaitable[Sign]]
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -75,6 +75,29 @@
 
         gateway_scene.play(scene, engines=8)
 
+    def test_engines_that_die_together_cost_one_second_send(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            names = sorted(scene.cluster.targets)
+            engines = [each for each in names if each.startswith("engine")]
+            for name in engines[1::2]:
+                node = scene.cluster.targets[name]
+                node.replica.wrong.helps_nobody = True
+                scene.cluster.kill(node)
+            budget = scene.cluster.vms["vm-0"].gateway.tools.budget
+            budget.resize(1.0)
+            budget.tokens = 1.0
+            got = await scene.call(
+                "long",
+                prompt_tokens=400_000,
+                output_tokens=100,
+                time_limit_ms=15_000.0,
+            )
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            self.assertEqual(len(scene.runs(got)), 1)
+            self.assertLess(got.first_ms, 3_000.0)
+
+        gateway_scene.play(scene, vms=1, engines=16)
+
     def test_only_target_of_a_pool_is_tried_as_often_as_allowed(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             scene.spoil("engine", lose=1.0)
