Tell peers which targets are not there, so that few VMs find each loss

Cause: a target that died stays listed until its entry lapses, 3.6 s, and each VM found that out by calls of its own; at 195 VMs before 150 engines each loss is found up to 195 times.

Ruled out: probes of targets (paid for, all to all), and a verdict by one VM (it may itself be cut off).

Change: digests carry what a VM has just found: targets in whose place nobody or another one answered (for all halls), targets that were silent and halls out of reach (for its own hall). Others pass these over for 0.6 to 1.8 s, each for another time, unless the target answered them within 300 ms. A VM tells a loss only in a hall that it reached within 2 s, for 1.2 s, and none at all beyond 16.

--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -22,6 +22,8 @@
 PEER_LOADS_MS = 2_000.0
 # Part of a planned prefill that still counts until its first token is seen.
 PREFILL_REST_LEAST = 0.5
+# What has answered this VM within this time is not lost, whatever peers say.
+LATELY_MS = 300.0
 # A prefill that is overdue by more than this is taken to last as long again as
 # it is overdue: an engine that hangs has few answers and looked the idlest, so
 # that all VMs of its hall sent it call after call. Passes beside answers and
@@ -102,6 +104,7 @@
         generation: Its incarnation, empty until known.
         draining: Whether it said that it takes no new work.
         open_until_ms: Circuit breaker: no work before this time.
+        answered_ms: When it last did its part for this VM.
         faults: Failures in a row.
         peak_ms: Peak-sensitive moving average of its response time.
     """
@@ -112,6 +115,7 @@
         self.generation = ""
         self.draining = False
         self.open_until_ms = 0.0
+        self.answered_ms = float("-inf")
         self.faults = 0
         self.peak_ms = 0.0
         self._peak_at_ms = 0.0
@@ -190,6 +194,11 @@
         pause_ms = min(8_000.0, 250.0 * 2.0 ** min(self.faults, 6))
         self.open_until_ms = now_ms + pause_ms
 
+    def note_told_lost(self, now_ms: float, pause_ms: float) -> None:
+        """Passes it over for a while, unless it has lately answered this VM."""
+        if now_ms - self.answered_ms > LATELY_MS:
+            self.open_until_ms = max(self.open_until_ms, now_ms + pause_ms)
+
     def take_report(
         self, report: load_report.LoadReport, now_ms: float
     ) -> None:
--- /dev/null
+++ b/src/ruddergate/decisions/losses_found.py
@@ -0,0 +1,113 @@
+"""Which losses of targets a VM tells its peers, and which it takes from them.
+
+Many VMs before many targets find each loss many times over: seven engines that
+died in a fleet of 195 VMs cost each VM calls of its own until their entries
+lapsed. What one VM found is a hint for the others: they pass a target over for
+a moment, each for another time, so that it is tried later and by few. A VM
+that is itself cut off finds all others out of reach; it tells a loss only in a
+hall that it has lately reached, and to nobody that the cut keeps it from.
+"""
+
+from collections.abc import Iterable
+
+from ruddergate.fleet import bad_news
+
+# A loss is told for so long: two rounds of digests miss it at most once, and
+# what was found in a cut is forgotten soon after its end.
+TOLD_MS = 1_200.0
+# A hall counts as reached for so long after an answer from there.
+REACHED_MS = 2_000.0
+# Losses that are told at once. More than this is more likely this VM's fault.
+TOLD_MOST = 16
+# How long a target is passed over that a peer found lost, drawn from this
+# range: the first VM that tries it again tells the others how it fared.
+PAUSE_MS = (600.0, 1_800.0)
+
+
+class LossesFound:
+    """Losses that this VM has found; owned by the scheduler task."""
+
+    def __init__(self) -> None:
+        self._gone: dict[str, float] = {}
+        self._silent: dict[str, float] = {}
+        self._halls: dict[str, float] = {}
+        self._reached_ms: dict[str, float] = {}
+
+    def note_reached(self, hall: str, target_id: str, now_ms: float) -> None:
+        """Notes that a target has answered."""
+        self._reached_ms[hall] = now_ms
+        self._gone.pop(target_id, None)
+        self._silent.pop(target_id, None)
+        self._halls.pop(hall, None)
+
+    def note_lost(
+        self, hall: str, target_id: str, is_silent: bool, now_ms: float
+    ) -> bool:
+        """Notes a target that is not there; returns whether it is told."""
+        reached_ms = self._reached_ms.get(hall, float("-inf"))
+        if now_ms - reached_ms > REACHED_MS:
+            return False
+        found = self._silent if is_silent else self._gone
+        found[target_id] = now_ms
+        return True
+
+    def note_hall_lost(self, hall: str, now_ms: float) -> None:
+        """Notes a hall that seems cut off."""
+        self._halls[hall] = now_ms
+
+    def summarize(self, now_ms: float) -> bad_news.BadNews:
+        """Returns what peers are to be told now."""
+        for found in (self._gone, self._silent, self._halls):
+            _forget_old(found, now_ms)
+        if not self._gone and not self._silent and not self._halls:
+            return bad_news.NOTHING
+        if len(self._gone) + len(self._silent) > TOLD_MOST:
+            return bad_news.NOTHING
+        return bad_news.BadNews(
+            tuple(self._gone), tuple(self._silent), tuple(self._halls)
+        )
+
+
+def _forget_old(found: dict[str, float], now_ms: float) -> None:
+    for name, at_ms in list(found.items()):
+        if now_ms - at_ms > TOLD_MS:
+            del found[name]
+
+
+def select_for(told: bad_news.BadNews, is_same_hall: bool) -> bad_news.BadNews:
+    """Returns what of a peer's news holds for this VM.
+
+    What did not answer a VM of another hall may well answer here.
+    """
+    if is_same_hall:
+        return told
+    return bad_news.BadNews(gone=told.gone)
+
+
+def find_new(
+    told: bad_news.BadNews, before: bad_news.BadNews
+) -> bad_news.BadNews:
+    """Returns what a peer did not tell already in its digest before."""
+    return bad_news.BadNews(
+        _without(told.gone, before.gone),
+        _without(told.silent, before.silent),
+        _without(told.halls, before.halls),
+    )
+
+
+def merge(news: Iterable[bad_news.BadNews]) -> bad_news.BadNews:
+    """Returns several peers' news as one, each name once."""
+    gone: dict[str, None] = {}
+    silent: dict[str, None] = {}
+    halls: dict[str, None] = {}
+    for each in news:
+        gone.update(dict.fromkeys(each.gone))
+        silent.update(dict.fromkeys(each.silent))
+        halls.update(dict.fromkeys(each.halls))
+    return bad_news.BadNews(tuple(gone), tuple(silent), tuple(halls))
+
+
+def _without(
+    names: tuple[str, ...], others: tuple[str, ...]
+) -> tuple[str, ...]:
+    return tuple(name for name in names if name not in others)
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -6,8 +6,10 @@
 import random
 
 from ruddergate.decisions import length_band
+from ruddergate.decisions import losses_found
 from ruddergate.decisions import pause_class
 from ruddergate.decisions import peer_groups
+from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_digest
 
@@ -41,6 +43,7 @@
         incarnation: Its run.
         number: Number of its last digest.
         rows: Its work by target.
+        lost: What it last told to be out of reach.
         awaited_since_ms: When it was first written to as relay since it last
             wrote itself; None if nothing is awaited of it.
     """
@@ -50,6 +53,7 @@
     incarnation: str
     number: int
     rows: dict[str, dispatched.Dispatched]
+    lost: bad_news.BadNews = bad_news.NOTHING
     awaited_since_ms: float | None = None
 
 
@@ -67,6 +71,7 @@
         self._peers: dict[str, _Peer] = {}
         self._by_target: dict[str, dict[str, dispatched.Dispatched]] = {}
         self._changed: set[str] = set()
+        self._lost: list[bad_news.BadNews] = []
         self._groups: tuple[peer_groups.Group, ...] | None = None
         # VMs of this hall by rank, for as long as the same ones are known.
         self._hall: tuple[str, ...] | None = None
@@ -101,8 +106,24 @@
         peer.incarnation = digest.incarnation
         peer.number = digest.number
         self._replace_rows(digest.sender, peer, digest.rows)
+        self._take_lost(peer, digest.lost)
         return True
 
+    def _take_lost(self, peer: _Peer, told: bad_news.BadNews) -> None:
+        if told != peer.lost:
+            is_same_hall = peer.place.hall == self._place.hall
+            new = losses_found.find_new(told, peer.lost)
+            self._lost.append(losses_found.select_for(new, is_same_hall))
+            peer.lost = told
+
+    def collect_lost(self) -> bad_news.BadNews:
+        """Returns what peers have found out of reach since the last call."""
+        if not self._lost:
+            return bad_news.NOTHING
+        found = losses_found.merge(self._lost)
+        self._lost.clear()
+        return found
+
     def note_written_by(self, name: str) -> None:
         """Notes that a peer has itself written to this VM."""
         peer = self._peers.get(name)
--- a/src/ruddergate/decisions/reachability.py
+++ b/src/ruddergate/decisions/reachability.py
@@ -41,6 +41,18 @@
         found.pause_ms = min(PAUSE_MOST_MS, found.pause_ms * 2.0)
         return True
 
+    def note_told(self, hall: str, now_ms: float) -> bool:
+        """Notes that a peer beside this VM found a hall out of reach.
+
+        Returns whether the hall became suspect by it. The pause does not grow:
+        this VM has not tried it.
+        """
+        found = self._halls.setdefault(hall, _Hall())
+        if now_ms < found.suspect_until_ms:
+            return False
+        found.suspect_until_ms = now_ms + PAUSE_FIRST_MS
+        return True
+
     def note_reached(self, hall: str) -> None:
         """Notes that a target of the hall has answered."""
         self._halls.pop(hall, None)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -118,6 +118,7 @@
             lambda: self._peers.note_change(),
             lambda: self._peers.collect_sums(),
             lambda: self._peers.is_blind(),
+            lambda: self._peers.loads.collect_lost(),
         )
         self.tools = tool_types.Tools(
             outside=outside,
@@ -153,6 +154,7 @@
             scheduler.summarize,
             self._divide_retries,
             self._answer_peer,
+            scheduler.summarize_lost,
         )
         self._loans = retry_loans.RetryLoans(
             outside,
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -17,6 +17,7 @@
 from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
 from ruddergate.entry import peer_questions
+from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
@@ -86,6 +87,7 @@
         hall: Data hall of this VM.
         incarnation: Name of this run of the VM.
         summarize: Returns this VM's own work.
+        summarize_lost: Returns what this VM has found out of reach.
         note_peers: Is told how many peers are known, whenever that changes.
         answer: Returns this VM's answer to a peer's question.
 
@@ -103,12 +105,16 @@
         summarize: Callable[[], tuple[dispatched.Dispatched, ...]],
         note_peers: Callable[[int], None] = lambda count: None,
         answer: Answerer | None = None,
+        summarize_lost: Callable[[], bad_news.BadNews] = lambda: (
+            bad_news.NOTHING
+        ),
     ) -> None:
         self._outside = outside
         self._config = config
         self._hall = hall
         self._incarnation = incarnation
         self._summarize = summarize
+        self._summarize_lost = summarize_lost
         self._report_peers = note_peers
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
@@ -238,6 +244,7 @@
             incarnation=self._incarnation,
             number=self._number,
             rows=self._summarize(),
+            lost=self._summarize_lost(),
         )
 
     def _tell_seeds(
--- a/src/ruddergate/entry/placement.py
+++ b/src/ruddergate/entry/placement.py
@@ -82,14 +82,16 @@
     Attributes:
         seat: Its place.
         failed: Whether the target is to blame.
-        unreachable: Whether not even a connection came up.
+        unreachable: Whether nothing came back from it.
         answered: Whether the target did its part, and so is in reach.
+        gone: Whether nobody or another target answered in its place.
     """
 
     seat: Seat
     failed: bool
     unreachable: bool = False
     answered: bool = True
+    gone: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -31,6 +31,10 @@
 _SIGN_RETRY_MS = 500.0
 # Urgency of the shortest prompts; plain calls and others follow behind.
 _URGENCY_FIRST = 3
+_GONE_REASONS = (
+    outcomes.Reason.TARGET_GONE,
+    outcomes.Reason.TARGET_REPLACED,
+)
 _NOT_THE_TARGETS_FAULT = (
     outcomes.Reason.TIME_LIMIT,
     outcomes.Reason.NO_MEMORY,
@@ -68,6 +72,8 @@
         self._at_fault: set[str] = set()
         # Targets from which nothing came back; their hall may be cut off.
         self._out_of_reach: set[str] = set()
+        # Targets in whose place nobody or another one answered.
+        self._gone: set[str] = set()
         self._has_first = False
         self._has_answered = False
 
@@ -127,6 +133,7 @@
             for seat, sign in zip(self._seats, signs, strict=True)
             if sign is orders.Sign.SILENT
         }
+        self._gone |= set(missing) - self._out_of_reach
         self._progress.excluded |= set(missing)
         self._at_fault |= set(missing)
         reason = outcomes.Reason.HELPER_UNREACHABLE
@@ -184,6 +191,8 @@
                 self._at_fault.add(name)
             if each.answer is orders.Answer.UNREACHABLE:
                 self._out_of_reach.add(name)
+            if each.answer is orders.Answer.GONE:
+                self._gone.add(name)
         return outcomes.refuse(
             outcomes.Reason.NO_MEMORY,
             f"no memory could be set aside at {', '.join(names)}",
@@ -222,6 +231,8 @@
         self._at_fault.add(writer)
         if ended.reason is outcomes.Reason.TARGET_UNREACHABLE:
             self._out_of_reach.add(writer)
+        if ended.reason in _GONE_REASONS:
+            self._gone.add(writer)
 
     def _note_first(self) -> None:
         if self._has_first:
@@ -246,6 +257,7 @@
                     name in self._at_fault,
                     name in self._out_of_reach or (is_blamed and is_away),
                     self._has_answered,
+                    name in self._gone,
                 )
             )
 
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -12,6 +12,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import losses_found
 from ruddergate.decisions import queueing
 from ruddergate.decisions import reachability
 from ruddergate.decisions.routing import by_name
@@ -19,6 +20,7 @@
 from ruddergate.entry import placement
 from ruddergate.entry import seating as seatings
 from ruddergate.entry import view as views
+from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
 from ruddergate.fleet import load_report
 from ruddergate.fleet import target as targets
@@ -63,6 +65,7 @@
             [], Sequence[dispatched.Dispatched]
         ] = lambda: (),
         is_blind: Callable[[], bool] = lambda: False,
+        collect_lost: Callable[[], bad_news.BadNews] = lambda: bad_news.NOTHING,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -75,10 +78,13 @@
             collect_peers: Returns what peers have on targets, as far as it is
                 news; asked before places are given out.
             is_blind: Returns whether there are peers of which nothing is known.
+            collect_lost: Returns what peers have newly found out of reach.
         """
         self._note_change = note_change
         self._collect_peers = collect_peers
         self._is_blind = is_blind
+        self._collect_lost = collect_lost
+        self._losses = losses_found.LossesFound()
         self._outside = outside
         self._config = config
         self._view = view
@@ -127,6 +133,10 @@
             if estimate.own_streams()
         )
 
+    def summarize_lost(self) -> bad_news.BadNews:
+        """Returns what this VM has just found out of reach, for peers."""
+        return self._losses.summarize(self._outside.now_ms())
+
     def waiting_by_class(self) -> dict[str, float]:
         """Returns the cost waiting in each class, in milliseconds."""
         total: dict[str, float] = {}
@@ -147,6 +157,7 @@
             while not self._inbox.empty():
                 self._take(self._inbox.get_nowait())
             self._take_peers(self._collect_peers())
+            self._take_lost(self._collect_lost())
             self._give_places()
 
     async def _wait(self) -> None:
@@ -228,20 +239,41 @@
         if estimate is None:
             return
         estimate.end(message.seat.attempt_id)
-        self._note_change()
         target = message.seat.target
         if message.unreachable:
             self._note_missed(target, now_ms)
+        if message.unreachable or message.gone:
+            self._losses.note_lost(
+                target.hall, target.target_id, message.unreachable, now_ms
+            )
         if message.failed:
             estimate.note_fault(now_ms)
         elif message.answered:
             self._reachability.note_reached(target.hall)
+            self._losses.note_reached(target.hall, target.target_id, now_ms)
+            estimate.answered_ms = now_ms
+        self._note_change()
 
     def _note_missed(self, target: targets.Target, now_ms: float) -> None:
         if self._reachability.note_missed(
             target.hall, target.target_id, now_ms
         ):
             self._log.warning("Hall {} is out of reach.", target.hall)
+            self._losses.note_hall_lost(target.hall, now_ms)
+
+    def _take_lost(self, told: bad_news.BadNews) -> None:
+        """Passes over for a moment what peers found out of reach."""
+        if told is bad_news.NOTHING:
+            return
+        now_ms = self._outside.now_ms()
+        for name in (*told.gone, *told.silent):
+            estimate = self._estimates.get(name)
+            if estimate is not None:
+                pause_ms = self._outside.random.uniform(*losses_found.PAUSE_MS)
+                estimate.note_told_lost(now_ms, pause_ms)
+        for hall in told.halls:
+            if self._reachability.note_told(hall, now_ms):
+                self._log.warning("Hall {} is out of reach of peers.", hall)
 
     def _take_report(
         self, report: load_report.LoadReport, now_ms: float
--- /dev/null
+++ b/src/ruddergate/fleet/bad_news.py
@@ -0,0 +1,22 @@
+"""What a VM has just found out of reach, as it tells its peers."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BadNews:
+    """Hints for placing work; no promise rests on them.
+
+    Attributes:
+        gone: Targets in whose place nobody or another one answered; that is so
+            for whoever asks.
+        silent: Targets from which nothing came back to this VM.
+        halls: Data halls that seem cut off from this VM.
+    """
+
+    gone: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
+    halls: tuple[str, ...] = ()
+
+
+NOTHING = BadNews()
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
 
 
@@ -16,6 +17,7 @@
         incarnation: Name of this run of the gateway.
         number: Rises with each digest of an incarnation.
         rows: Its work on targets; targets without any are left out.
+        lost: What it has just found out of reach.
     """
 
     sender: str
@@ -24,3 +26,4 @@
     incarnation: str
     number: int
     rows: tuple[dispatched.Dispatched, ...]
+    lost: bad_news.BadNews = bad_news.NOTHING
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -35,6 +35,7 @@
     NO_MEMORY = "no_memory"
     HELPER_UNREACHABLE = "helper_unreachable"
     TARGET_GONE = "target_gone"
+    TARGET_REPLACED = "target_replaced"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_LOST = "target_lost"
     TARGET_BROKE_PROTOCOL = "target_broke_protocol"
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -221,7 +221,13 @@
 ) -> outcomes.NotServed | None:
     """Returns why the answer can't be this call's own, if so."""
     found = exchange.headers
-    if exchange.status == _MISDIRECTED or headers.NOT_RUN in found:
+    if exchange.status == _MISDIRECTED:
+        return outcomes.refuse(
+            outcomes.Reason.TARGET_REPLACED,
+            f"another target serves there ({exchange.status})",
+            _RETRY_MS,
+        )
+    if headers.NOT_RUN in found:
         return outcomes.refuse(
             outcomes.Reason.TARGET_REFUSED,
             f"the target refused with {exchange.status}",
--- /dev/null
+++ b/tests/test_losses_found.py
@@ -0,0 +1,118 @@
+"""Losses of targets that VMs tell each other: what is told, who believes it."""
+
+import asyncio
+import unittest
+
+import loguru
+
+from ruddergate.decisions import losses_found
+from ruddergate.decisions import reachability
+from ruddergate.fleet import bad_news
+from standins import gateway_cluster
+from tests import gateway_scene
+
+_VMS = 8
+_HALL = "h"
+
+
+class LossesFoundTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.losses = losses_found.LossesFound()
+
+    def test_loss_is_told_for_a_while(self) -> None:
+        self.losses.note_reached(_HALL, "t1", 0.0)
+        self.assertTrue(self.losses.note_lost(_HALL, "t2", False, 10.0))
+        self.assertTrue(self.losses.note_lost(_HALL, "t3", True, 10.0))
+        told = bad_news.BadNews(gone=("t2",), silent=("t3",))
+        self.assertEqual(self.losses.summarize(500.0), told)
+        late_ms = 11.0 + losses_found.TOLD_MS
+        self.assertIs(self.losses.summarize(late_ms), bad_news.NOTHING)
+
+    def test_target_that_answers_is_not_lost(self) -> None:
+        self.losses.note_reached(_HALL, "t1", 0.0)
+        self.losses.note_lost(_HALL, "t2", True, 10.0)
+        self.losses.note_reached(_HALL, "t2", 20.0)
+        self.assertIs(self.losses.summarize(30.0), bad_news.NOTHING)
+
+    def test_vm_that_is_cut_off_tells_nothing(self) -> None:
+        self.assertFalse(self.losses.note_lost(_HALL, "t1", True, 0.0))
+        self.losses.note_reached(_HALL, "t1", 0.0)
+        late_ms = losses_found.REACHED_MS + 1.0
+        self.assertFalse(self.losses.note_lost(_HALL, "t2", False, late_ms))
+        # Nor does one that loses many at once.
+        self.losses.note_reached(_HALL, "t1", late_ms)
+        for number in range(losses_found.TOLD_MOST + 1):
+            self.losses.note_lost(_HALL, f"e{number}", False, late_ms)
+        self.assertIs(self.losses.summarize(late_ms), bad_news.NOTHING)
+
+    def test_only_what_holds_elsewhere_is_taken_from_another_hall(self) -> None:
+        told = bad_news.BadNews(("a",), ("b",), ("h2",))
+        self.assertEqual(losses_found.select_for(told, True), told)
+        self.assertEqual(
+            losses_found.select_for(told, False), bad_news.BadNews(("a",))
+        )
+
+    def test_what_was_told_before_is_no_news(self) -> None:
+        before = bad_news.BadNews(("a",))
+        told = bad_news.BadNews(("a", "b"))
+        new = losses_found.find_new(told, before)
+        self.assertEqual(new, bad_news.BadNews(("b",)))
+        self.assertEqual(losses_found.merge([new, new, told]).gone, ("b", "a"))
+
+    def test_hall_that_peers_lost_is_passed_over_once(self) -> None:
+        found = reachability.Reachability()
+        self.assertTrue(found.note_told(_HALL, 0.0))
+        self.assertFalse(found.note_told(_HALL, 1.0))
+        self.assertTrue(found.is_suspect(_HALL, 1.0))
+        self.assertFalse(
+            found.is_suspect(_HALL, reachability.PAUSE_FIRST_MS + 1.0)
+        )
+
+
+class FleetTest(unittest.TestCase):
+    def test_engines_that_died_are_found_by_few(self) -> None:
+        failed = []
+
+        async def scene(scene: gateway_scene.Scene) -> None:
+            await _call_steadily(scene, 40)
+            for name in ("engine-1", "engine-4", "engine-7", "engine-9"):
+                scene.cluster.kill(scene.cluster.targets[name])
+            loguru.logger.add(failed.append, filter=_is_failed_attempt)
+            await _call_steadily(scene, 120)
+
+        loguru.logger.remove()
+        gateway_scene.play(scene, vms=_VMS, halls=1, engines=12)
+        # 89 tries failed while each VM found each dead engine by itself.
+        self.assertLessEqual(len(failed), 30)
+
+    def test_vms_of_another_hall_keep_to_their_own_view(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            network = gateway_cluster.virtual_network
+            # One hall loses the other; the third one loses nothing.
+            scene.cluster.network.cuts.append(network.Cut("hall-0", "hall-1"))
+            for _ in range(6):
+                await scene.call("long", "vm-0", prompt_tokens=300_000)
+            gateway = scene.cluster.vms["vm-2"].gateway
+            scheduler = gateway.tools.scheduler
+            now_ms = gateway.tools.outside.now_ms()
+            self.assertFalse(
+                scheduler._reachability.is_suspect("hall-1", now_ms)
+            )
+
+        loguru.logger.remove()
+        gateway_scene.play(scene, vms=6, halls=3, engines=9)
+
+
+async def _call_steadily(scene: gateway_scene.Scene, count: int) -> None:
+    async def call(number: int) -> None:
+        await asyncio.sleep(number * 0.02)
+        got = await scene.call("short", f"vm-{number % _VMS}")
+        assert got.status == 200
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(count):
+            group.create_task(call(number))
+
+
+def _is_failed_attempt(record: dict) -> bool:
+    return record["message"].startswith("Attempt failed")
