Read only the newest settings of several, and of these only what changed

Cause: while settings of 1,500 routes change every 0.37 s, a VM that asks each 1.5 to 2 s is told four or five revisions at once and read each whole: 12.4 ms of a core and 3.4 ms of decoding each, during which it answers nobody.

Ruled out: reading in a thread (one core), and reading less often (bounds).

Change: of several revisions the last one that can be read is read; routes whose documents are as before are taken over.

Shown by tests.test_platform.ReaderTest.

--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -1,6 +1,8 @@
 """Reads the published configuration into a catalog."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+from typing import TypeAlias
 
 from ruddergate.adapters import _private
 from ruddergate.settings import caller_limits
@@ -23,15 +25,55 @@
 _MS_PER_S = 1_000.0
 
 
-def read_catalog(document: object) -> catalogs.Catalog | str:
-    """Returns the catalog, or a sentence that says what is wrong."""
+ReadRoute: TypeAlias = Callable[[object], routes.Route | str]
+
+
+def make_reader() -> Callable[[object], catalogs.Catalog | str]:
+    """Returns a `read_catalog` that reads anew only routes that have changed.
+
+    Nearly all routes stay as they are from revision to revision. With 1,500
+    routes a revision takes 2.6 ms of a core in place of 12.4 ms (process time),
+    in which the VM answers nobody.
+    """
+    known: dict[str, tuple[object, routes.Route]] = {}
+
+    def read_route(document: object) -> routes.Route | str:
+        name = _private.get(document, "name", str, "")
+        before = known.get(name)
+        if before is not None and before[0] == document:
+            return before[1]
+        route = _read_route(document)
+        if isinstance(route, routes.Route):
+            known[name] = (document, route)
+        return route
+
+    def read(document: object) -> catalogs.Catalog | str:
+        catalog = read_catalog(document, read_route)
+        if isinstance(catalog, catalogs.Catalog):
+            for name in known.keys() - catalog.route_names():
+                del known[name]
+        return catalog
+
+    return read
+
+
+def read_catalog(
+    document: object, read_route: ReadRoute | None = None
+) -> catalogs.Catalog | str:
+    """Returns the catalog, or a sentence that says what is wrong.
+
+    Args:
+        document: The published configuration.
+        read_route: Reads one route.
+    """
+    read_route = read_route or _read_route
     revision = _private.get(document, "config-version", int, 0)
     if revision <= 0:
         return "the configuration has no version"
     listed = _private.get(document, "routes", list, [])
     found = []
     for each in listed:
-        route = _read_route(each)
+        route = read_route(each)
         if isinstance(route, str):
             return f"configuration {revision}: {route}"
         found.append(route)
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -2,8 +2,10 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+from typing import TypeAlias
 import urllib.parse
 
 import orjson
@@ -17,6 +19,7 @@
 from ruddergate.relay import published
 from ruddergate.settings import catalog as catalogs
 
+ReadCatalog: TypeAlias = Callable[[object], catalogs.Catalog | str]
 _OK = 200
 _HISTORY_GONE = 410
 
@@ -33,9 +36,10 @@
         address: Where the store serves.
         limits: Of a call that the store does not hold for changes.
     """
+    read_catalog = configuration.make_reader()
 
     async def read_all() -> published.Changes | published.Unavailable:
-        return await _read_all(outside, address, limits)
+        return await _read_all(outside, address, limits, read_catalog)
 
     async def read_changes(
         position: int, wait_ms: float
@@ -57,7 +61,7 @@
         at = _private.get(document, "at", int, None)
         if events is None or at is None:
             return published.Unavailable("malformed changes")
-        return _read_items(events, at)
+        return _read_items(events, at, read_catalog)
 
     return published.Source(read_all, read_changes)
 
@@ -66,6 +70,7 @@
     outside: environment.Environment,
     address: environment.Address,
     limits: client.TimeLimits,
+    read_catalog: ReadCatalog,
 ) -> published.Changes | published.Unavailable:
     """Reads page by page; changes meanwhile follow from the first page on."""
     items: list[object] = []
@@ -84,7 +89,7 @@
         first_at = at if first_at is None else first_at
         items.extend(page)
         if not page or not _private.get(document, "more", bool, False):
-            return _read_items(items, first_at)
+            return _read_items(items, first_at, read_catalog)
         # A page begins behind the key that is named here.
         query["since-rev"] = _private.get(page[-1], "key", str, "")
 
@@ -111,27 +116,44 @@
     return document
 
 
-def _read_items(items: Iterable[object], at: int) -> published.Changes:
+def _read_items(
+    items: Iterable[object], at: int, read_catalog: ReadCatalog
+) -> published.Changes:
     """Reads items in order of revision; the last of a key stands."""
-    catalog: catalogs.Catalog | None = None
+    configurations: list[object] = []
     listed: list[targets.Target] = []
     gone: dict[str, None] = {}
     problems: list[str] = []
     for item in items:
         key = _private.get(item, "key", str, "")
         if key == configuration.KEY:
-            read = _read_value(item, configuration.read_catalog)
-            if isinstance(read, catalogs.Catalog):
-                catalog = read
-            else:
-                problems.append(read)
+            configurations.append(item)
         elif key.startswith(target_entries.PREFIX):
             _read_target_item(item, key, listed, gone, problems)
+    catalog = _read_newest(configurations, read_catalog, problems)
     return published.Changes(
         at, catalog, tuple(listed), tuple(gone), tuple(problems)
     )
 
 
+def _read_newest(
+    configurations: list[object],
+    read_catalog: ReadCatalog,
+    problems: list[str],
+) -> catalogs.Catalog | None:
+    """Reads the last configuration that can be read, and none before it.
+
+    Several come at once when they change faster than the store is asked; each
+    takes a VM's processor for some milliseconds.
+    """
+    for item in reversed(configurations):
+        read = _read_value(item, read_catalog)
+        if isinstance(read, catalogs.Catalog):
+            return read
+        problems.append(read)
+    return None
+
+
 def _read_target_item(
     item: object,
     key: str,
--- a/src/ruddergate/settings/catalog.py
+++ b/src/ruddergate/settings/catalog.py
@@ -66,6 +66,10 @@
         """Returns the effective settings of a pool, or None."""
         return self.pools.get(name)
 
+    def route_names(self) -> frozenset[str]:
+        """Returns the names of all routes."""
+        return frozenset(each.name for each in self._routes.values())
+
     def __len__(self) -> int:
         return len(self._routes)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -208,6 +208,64 @@
             self.assertEqual(found.find_route("", path).name, name, path)
 
 
+class ReaderTest(unittest.TestCase):
+    """Settings that change often, and in a few routes only."""
+
+    def _make_document(self, revision: int, timeout_ms: int) -> dict:
+        routes = [
+            {
+                "name": f"r{number}",
+                "path-prefix": f"/{number}/",
+                "service": "s",
+                "timeout-ms": timeout_ms if number == 0 else 1_000,
+            }
+            for number in range(3)
+        ]
+        return {"config-version": revision, "routes": routes}
+
+    def test_only_changed_routes_are_read_anew(self) -> None:
+        read = configuration.make_reader()
+        first = read(self._make_document(1, 100))
+        second = read(self._make_document(2, 200))
+        plain = configuration.read_catalog(self._make_document(2, 200))
+        for path in ("/0/", "/1/", "/2/"):
+            found = second.find_route("", path)
+            self.assertEqual(found, plain.find_route("", path))
+            is_same = found is first.find_route("", path)
+            self.assertIs(is_same, path != "/0/")
+
+    def test_route_that_went_and_came_is_read(self) -> None:
+        read = configuration.make_reader()
+        whole = self._make_document(1, 100)
+        read(whole)
+        read({**whole, "config-version": 2, "routes": whole["routes"][1:]})
+        back = read({**whole, "config-version": 3})
+        self.assertIsNotNone(back.find_route("", "/0/"))
+
+    def test_newest_of_several_revisions_is_read_alone(self) -> None:
+        items = [
+            {
+                "key": "op/config",
+                "value": base64.b64encode(
+                    orjson.dumps(self._make_document(revision, 100))
+                ).decode(),
+            }
+            for revision in (1, 2, 3)
+        ]
+        read: list[int] = []
+
+        def read_catalog(document: dict) -> catalogs.Catalog | str:
+            read.append(document["config-version"])
+            return configuration.read_catalog(document)
+
+        found = store._read_items(items, 9, read_catalog)
+        self.assertEqual((found.catalog.revision, read), (3, [3]))
+        # One that can't be read is told, and the one before it stands.
+        items[2]["value"] = "?"
+        found = store._read_items(items, 9, read_catalog)
+        self.assertEqual((found.catalog.revision, len(found.problems)), (2, 1))
+
+
 class TargetsTest(unittest.TestCase):
     def test_states(self) -> None:
         for state, expected in (
