Tell an outage by a gap between proofs; let a reader come back to the store

Cause, found in review: answers of peers, also those with old proofs, counted as news of the store, so that in a hall with a reader an outage was never noticed and targets whose entries had lapsed meanwhile were taken off at once, all of them. And a reader that the store had turned away was content with its peers' proofs and never read again.

Change: an outage is a gap between proofs, wherever they come from; a reader asks the store whenever that is due and its peers in between. The list of targets, with leaving and lapsed ones, has a module of its own.

--- a/src/ruddergate/decisions/proof.py
+++ b/src/ruddergate/decisions/proof.py
@@ -64,19 +64,6 @@
     return not is_shared(ranked) or own in ranked[:READERS]
 
 
-def find_every_ms(alone_ms: float, is_shared: bool, is_follower: bool) -> float:
-    """Returns the time between two calls of the store, or two questions.
-
-    Args:
-        alone_ms: The time for a VM that reads for itself alone.
-        is_shared: Whether the hall has few VMs read.
-        is_follower: Whether this VM asks peers.
-    """
-    if not is_shared:
-        return alone_ms
-    return alone_ms * (FOLLOWER_PART if is_follower else READER_PART)
-
-
 def is_fresh(age_ms: float, alone_ms: float) -> bool:
     """Returns whether a follower's proof will do until its next question."""
     return age_ms <= alone_ms * READER_PART + FRESH_SLACK_MS
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -18,9 +18,8 @@
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import target_list
 from ruddergate.entry import view as views
-from ruddergate.fleet import condition
-from ruddergate.fleet import target as targets
 from ruddergate.messages import news
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
@@ -45,9 +44,9 @@
         wait_ms: Longest wait of a call for a change.
         retry_ms: After a call that failed.
         retry_most_ms: After many calls that failed; the pause grows to it.
-        follower_retry_most_ms: The same for a VM that others read for: they
-            tell it when the store is back, and its calls are paid for also
-            while the store is away.
+        follower_retry_most_ms: The same for a VM that others read for, or
+            that hears fresh proofs of them: they tell it when the store is
+            back, and its calls are paid for also while the store is away.
         behind_ms: From a view this old on, all is read anew instead of the
             changes: the settings come once then, and not once a change.
         lapse_grace_ms: How long targets that went off the list while the store
@@ -108,11 +107,10 @@
         self._scheduler = scheduler
         self._pace = pace
         self._position: int | None = None
-        self._targets: dict[str, targets.Target] = {}
-        self._lapsed_until_ms: dict[str, float] = {}
-        self._leaving: set[str] = set()
-        self._answered_ms = outside.now_ms()
-        self._current_ms = float("-inf")
+        self._targets = target_list.TargetList()
+        # When what is known was last proven to be the newest; at first, when
+        # this VM began.
+        self._proven_ms = outside.now_ms()
         self._outage_ended_ms = float("-inf")
         self._is_lost = False
         self._told_ms = 0.0
@@ -137,7 +135,7 @@
         if position is None:
             return None
         step = self._changes.find_since(wanted.position, position)
-        age_ms = self._outside.now_ms() - self._current_ms
+        age_ms = self._outside.now_ms() - self._proven_ms
         if step is None:
             return news.News(wanted.question, position, age_ms, False)
         return news.News(
@@ -145,21 +143,32 @@
         )
 
     async def _take_turn(self) -> float:
-        """Asks peers or the store; returns the time from turn to turn."""
-        if self._may_follow() and await self._ask_peers():
-            return self._find_every_ms()
-        now_ms = self._outside.now_ms()
-        if now_ms < self._store_due_ms:
-            return min(PEERS_AGAIN_MS, self._store_due_ms - now_ms)
+        """Asks the store or peers; returns the time from turn to turn."""
+        is_reading = self._is_reader() or self._position is None
+        if is_reading and self._is_store_due() and await self._read_store():
+            return self._find_every_ms(proof.READER_PART)
+        if self._position is not None and await self._ask_peers():
+            return self._find_every_ms(proof.FOLLOWER_PART)
+        if self._is_store_due() and await self._read_store():
+            return self._find_every_ms(proof.FOLLOWER_PART)
+        left_ms = self._store_due_ms - self._outside.now_ms()
+        return min(PEERS_AGAIN_MS, left_ms)
+
+    def _is_store_due(self) -> bool:
+        return self._outside.now_ms() >= self._store_due_ms
+
+    async def _read_store(self) -> bool:
+        """Returns whether the store has answered."""
         found = await self._ask_store()
         if isinstance(found, published.Changes):
             self._tries_failed = 0
-            return self._find_every_ms()
+            self._store_due_ms = float("-inf")
+            return True
         self._note_failure(found)
         pause_ms = self._draw_pause_ms()
         self._tries_failed += 1
         self._store_due_ms = self._outside.now_ms() + pause_ms
-        return min(PEERS_AGAIN_MS, pause_ms)
+        return False
 
     def _rank_hall(self) -> Sequence[str]:
         return self._peers.rank_hall() if self._peers else ()
@@ -169,22 +178,15 @@
             return True
         return proof.is_reader(self._peers.own, self._rank_hall())
 
-    def _may_follow(self) -> bool:
-        """Returns whether peers may be asked before the store.
+    def _find_every_ms(self, part: float) -> float:
+        """Returns the time from turn to turn.
 
-        A VM that can't reach the store asks them as well, whatever its rank.
+        Args:
+            part: The part of it that a VM takes in a hall with a reader.
         """
-        if self._position is None:
-            return False
-        return self._tries_failed > 0 or not self._is_reader()
-
-    def _find_every_ms(self) -> float:
-        """Returns the time between two calls of the store, or of peers."""
-        return proof.find_every_ms(
-            self._pace.every_ms,
-            proof.is_shared(self._rank_hall()),
-            self._may_follow(),
-        )
+        if proof.is_shared(self._rank_hall()):
+            return self._pace.every_ms * part
+        return self._pace.every_ms
 
     async def _ask_peers(self) -> bool:
         """Returns whether a peer had a proof that is fresh enough."""
@@ -219,7 +221,7 @@
         return [first, *chance.sample(rest, min(len(rest), PEERS_ASKED - 1))]
 
     def _is_fresh(self) -> bool:
-        age_ms = self._outside.now_ms() - self._current_ms
+        age_ms = self._outside.now_ms() - self._proven_ms
         return proof.is_fresh(age_ms, self._pace.every_ms)
 
     def _take_news(
@@ -257,16 +259,16 @@
         return self._is_history_lost or self._is_behind()
 
     def _is_behind(self) -> bool:
-        age_ms = self._outside.now_ms() - self._current_ms
+        age_ms = self._outside.now_ms() - self._proven_ms
         return age_ms > self._pace.behind_ms
 
     def _draw_pause_ms(self) -> float:
         """Returns the time to the next try; VMs are not to ask in step."""
         pace = self._pace
         grown_ms = pace.retry_ms * _RETRY_GROWTH**self._tries_failed
-        most_ms = pace.retry_most_ms
-        if not self._is_reader():
-            most_ms = pace.follower_retry_most_ms
+        most_ms = pace.follower_retry_most_ms
+        if self._is_reader() and not self._is_fresh():
+            most_ms = pace.retry_most_ms
         return min(most_ms, grown_ms) * self._outside.random.uniform(0.7, 1.0)
 
     def _note_failure(
@@ -286,14 +288,14 @@
             self._log.warning(
                 "Store still lost. {}",
                 found.detail,
-                away_ms=round(now_ms - self._answered_ms),
+                away_ms=round(now_ms - self._proven_ms),
                 revision=self._view.catalog.revision,
             )
 
     def _note_regained(self) -> None:
         if self._is_lost:
             self._is_lost = False
-            away_ms = self._outside.now_ms() - self._answered_ms
+            away_ms = self._outside.now_ms() - self._proven_ms
             self._log.info("Store regained.", away_ms=round(away_ms))
 
     def _take(
@@ -309,19 +311,17 @@
             asked_ms: When it was certainly the newest.
             since: The position behind which it begins; None for everything.
         """
-        now_ms = self._outside.now_ms()
-        if now_ms - self._answered_ms > self._pace.outage_ms:
-            self._outage_ended_ms = now_ms
-        self._answered_ms = now_ms
-        self._current_ms = max(self._current_ms, asked_ms)
+        # Nobody could prove anything while the store was away. Answers of peers
+        # come all the while, so an outage is a gap between proofs.
+        if asked_ms - self._proven_ms > self._pace.outage_ms:
+            self._outage_ended_ms = self._outside.now_ms()
+        self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
         self._take_catalog(changes, asked_ms)
-        self._take_targets(changes, now_ms, since is None)
         self._note_step(changes, since)
         self._position = changes.position
-        self._view.take_targets(tuple(self._targets.values()), asked_ms)
-        self._scheduler.post(schedulers.ViewChanged())
+        self._take_targets(changes, since is None, asked_ms)
 
     def _note_step(self, changes: published.Changes, since: int | None) -> None:
         """Keeps the changes for peers that ask for them."""
@@ -355,51 +355,19 @@
             self._view.confirm_settings(asked_ms)
 
     def _take_targets(
-        self, changes: published.Changes, now_ms: float, is_all: bool
+        self, changes: published.Changes, is_all: bool, asked_ms: float
     ) -> None:
-        for target in changes.targets:
-            if target.condition is condition.Condition.LEAVING:
-                self._leaving.add(target.target_id)
-        gone = set(changes.gone)
-        listed = {
-            each.target_id: each
-            for each in changes.targets
-            if each.target_id not in gone
-        }
-        if is_all:
-            gone |= self._targets.keys() - listed.keys()
-        for target_id in gone:
-            self._drop(target_id, now_ms)
-        for target_id, target in listed.items():
-            self._lapsed_until_ms.pop(target_id, None)
-            target = self._keep_leaving(target)
-            if self._targets.get(target_id) != target:
-                self._log_target(target)
-            self._targets[target_id] = target
-        self._forget_lapsed(now_ms)
-
-    def _keep_leaving(self, target: targets.Target) -> targets.Target:
-        """Returns the target, leaving if it ever was: late news can't undo it.
-
-        A target that starts again has a new name.
-        """
-        if target.target_id not in self._leaving:
-            return target
-        return dataclasses.replace(
-            target, condition=condition.Condition.LEAVING
+        now_ms = self._outside.now_ms()
+        grace_until_ms = self._outage_ended_ms + self._pace.lapse_grace_ms
+        is_any_kept = self._targets.take(
+            changes.targets, changes.gone, is_all, now_ms, grace_until_ms
         )
-
-    def _drop(self, target_id: str, now_ms: float) -> None:
-        """Takes a target off, later if its entry may only have lapsed."""
-        if target_id not in self._targets:
-            return
-        grace_ms = self._outage_ended_ms + self._pace.lapse_grace_ms - now_ms
-        if grace_ms > 0.0:
-            self._lapsed_until_ms.setdefault(target_id, now_ms + grace_ms)
+        if is_any_kept:
             loop = asyncio.get_running_loop()
-            loop.call_later(grace_ms / 1000.0, self._end_grace)
-            return
-        self._forget(target_id)
+            grace_ms = grace_until_ms - now_ms
+            loop.call_later(max(0.0, grace_ms) / 1000.0, self._end_grace)
+        self._view.take_targets(self._targets.listed(), asked_ms)
+        self._scheduler.post(schedulers.ViewChanged())
 
     def _end_grace(self) -> None:
         """Takes off what has not come back, without waiting for the store.
@@ -407,26 +375,6 @@
         Its next answer may be a round away: a target that had left was sent a
         call 2.4 s after that, where 2 s are allowed.
         """
-        self._forget_lapsed(self._outside.now_ms())
-        self._view.take_targets(tuple(self._targets.values()), self._current_ms)
+        self._targets.forget_lapsed(self._outside.now_ms())
+        self._view.take_targets(self._targets.listed(), self._proven_ms)
         self._scheduler.post(schedulers.ViewChanged())
-
-    def _forget_lapsed(self, now_ms: float) -> None:
-        for target_id, until_ms in list(self._lapsed_until_ms.items()):
-            if now_ms >= until_ms:
-                self._forget(target_id)
-
-    def _forget(self, target_id: str) -> None:
-        self._lapsed_until_ms.pop(target_id, None)
-        del self._targets[target_id]
-        self._log.info("Target {} is off the list.", target_id)
-
-    def _log_target(self, target: targets.Target) -> None:
-        self._log.info(
-            "Target {} is {}.",
-            target.target_id,
-            target.condition.value,
-            pool=target.pool,
-            hall=target.hall,
-            address=str(target.address),
-        )
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -192,6 +192,37 @@
 
         self.play(scene)
 
+    def test_lapsed_entries_do_not_empty_a_hall_with_followers(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            store = scene.cluster.store
+            store.trouble = "busy"
+            await asyncio.sleep(4.0)
+            for node in scene.cluster.targets.values():
+                scene.cluster.unlist_target(node)
+            store.trouble = ""
+            # Those that live are listed again 1.2 s later at the latest.
+            for _ in range(12):
+                await asyncio.sleep(0.1)
+                for vm in scene.cluster.vms.values():
+                    listed = vm.gateway.tools.view.listing.targets
+                    self.assertEqual(len(listed), len(scene.cluster.targets))
+
+        self.play(scene)
+
+    def test_reader_that_the_store_turned_away_reads_again(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            exchange = scene.cluster.vms["vm-0"].gateway._peers
+            reader = exchange.rank_hall()[0].partition(":")[0]
+            _cut_off(scene, reader)
+            await asyncio.sleep(6.0)
+            sync = scene.cluster.vms[reader].gateway._sync
+            self.assertLess(_find_age_ms(scene.cluster.vms[reader]), 2_500.0)
+            scene.cluster.network.cuts.clear()
+            await asyncio.sleep(3.0)
+            self.assertFalse(sync._is_lost)
+
+        self.play(scene)
+
     def test_readers_that_die_are_made_good(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             exchange = scene.cluster.vms["vm-0"].gateway._peers
