--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -22,6 +22,9 @@
 PEER_LOADS_MS = 2_000.0
 # Part of a planned prefill that still counts until its first token is seen.
 PREFILL_REST_LEAST = 0.5
+# For so long after a failure a target is left to work that loses little by
+# another one: targets that die stay listed for three heartbeats, about 4 s.
+DOUBT_MS = 5_000.0
 # What has answered this VM within this time is not lost, whatever peers say.
 LATELY_MS = 300.0
 # A prefill that is overdue by more than this is taken to last as long again as
@@ -116,6 +119,7 @@
         self.draining = False
         self.open_until_ms = 0.0
         self.answered_ms = float("-inf")
+        self._doubted_until_ms = 0.0
         self.faults = 0
         self.peak_ms = 0.0
         self._peak_at_ms = 0.0
@@ -156,6 +160,7 @@
         if work is None or work.has_first_token:
             return False
         work.has_first_token = True
+        self._doubted_until_ms = 0.0
         self._count(work, -work.fresh_tokens, 0, 0)
         self.note_response(now_ms - work.sent_ms, now_ms)
         self.faults = 0
@@ -193,11 +198,19 @@
             self.note_response(FAULT_PENALTY_MS, now_ms)
         pause_ms = min(8_000.0, 250.0 * 2.0 ** min(self.faults, 6))
         self.open_until_ms = now_ms + pause_ms
+        self._doubted_until_ms = now_ms + DOUBT_MS
+
+    def is_doubtful(self, now_ms: float) -> bool:
+        """Returns whether it has failed lately and done nothing since."""
+        return now_ms < self._doubted_until_ms
 
     def note_told_lost(self, now_ms: float, pause_ms: float) -> None:
         """Passes it over for a while, unless it has lately answered this VM."""
         if now_ms - self.answered_ms > LATELY_MS:
             self.open_until_ms = max(self.open_until_ms, now_ms + pause_ms)
+            self._doubted_until_ms = max(
+                self._doubted_until_ms, now_ms + DOUBT_MS
+            )
 
     def take_report(
         self, report: load_report.LoadReport, now_ms: float
--- a/src/ruddergate/decisions/routing/long_prompts.py
+++ b/src/ruddergate/decisions/routing/long_prompts.py
@@ -32,6 +32,10 @@
 # What it costs a long prompt, in answers to short ones, to have an engine of
 # another hall take part.
 AWAY_COST = 0.05
+# Part of its worth that a prompt is taken to lose by having an engine take part
+# that has failed lately: each that fails it costs a second send, and without
+# one it is refused.
+DOUBT_RISK = 0.15
 
 
 def make_plan(
@@ -144,12 +148,21 @@
         answers=each.streams_by_pause(now_ms),
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
         reader_worth=_find_reader_worth(each, now_ms),
-        extra_cost=AWAY_COST if jobs.is_away(job, each.target) else 0.0,
+        extra_cost=_find_extra_cost(job, each, now_ms),
         is_pinned=each.target.target_id == job.pinned_target,
         bears_ms=pause_class.bears_ms(each.pool),
     )
 
 
+def _find_extra_cost(
+    job: jobs.Job, each: estimates.Estimate, now_ms: float
+) -> float:
+    cost = AWAY_COST if jobs.is_away(job, each.target) else 0.0
+    if each.is_doubtful(now_ms):
+        cost += DOUBT_RISK * reading_plan.find_worth(job.prompt_tokens)
+    return cost
+
+
 def _find_reader_worth(each: estimates.Estimate, now_ms: float) -> float:
     band = each.longest_band_in_reading(now_ms)
     if band is None:
