Plan each long prompt with an order of engines of its own

Cause: of engines that are as good as each other a plan took the first ones in one order for all.

Ruled out: faster digests (their cost grows with the fleet), and drawing among plans of about equal cost (the first cheapest of each size is the same for all).

Change: each placing shuffles the engines by a number of its own before it plans.

--- a/src/ruddergate/decisions/routing/job.py
+++ b/src/ruddergate/decisions/routing/job.py
@@ -21,6 +21,11 @@
             aim is known.
         pause_aim_ms: Longest pause between two events of its answer within
             which it is in time; infinite when no pause matters.
+        is_blind: Whether nothing is known of peers yet.
+        home_hall: Data hall of this VM, or empty.
+        pinned_target: The target that is to write the answer, or empty.
+        salt: A number of its own, by which targets that are as good as each
+            other are put in order.
     """
 
     prompt_tokens: int
@@ -34,6 +39,7 @@
     is_blind: bool = False
     home_hall: str = ""
     pinned_target: str = ""
+    salt: int = 0
 
 
 def is_away(job: Job, target: targets.Target) -> bool:
--- a/src/ruddergate/decisions/routing/long_prompts.py
+++ b/src/ruddergate/decisions/routing/long_prompts.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import random
 
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
@@ -47,6 +48,7 @@
     need the memory of more engines than the region has, and short pieces do no
     harm beside short answers.
     """
+    candidates = _put_in_order(job, candidates)
     long_ids = boundary.find_long_region(candidates, now_ms)
     region = [each for each in candidates if each.target.target_id in long_ids]
     plans = (
@@ -60,6 +62,20 @@
     )
 
 
+def _put_in_order(
+    job: jobs.Job, candidates: Sequence[estimates.Estimate]
+) -> Sequence[estimates.Estimate]:
+    """Returns the engines in an order of the job's own.
+
+    Of engines that are as good as each other a plan takes the first ones. In
+    one order for all, VMs that plan within the time that digests take chose the
+    same.
+    """
+    ordered = list(candidates)
+    random.Random(job.salt).shuffle(ordered)
+    return ordered
+
+
 def had_better_wait(
     job: jobs.Job,
     plan: reading_plan.Plan,
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -298,6 +298,7 @@
             pause_aim_ms=route.gap_aim_ms if route.is_stream else math.inf,
             home_hall=tools.config.hall,
             pinned_target=progress.pinned,
+            salt=tools.outside.random.getrandbits(32),
         ),
         pool=pool,
         segments=(),
