--- a/src/ruddergate/decisions/routing/long_prompts.py
+++ b/src/ruddergate/decisions/routing/long_prompts.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import random
 
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import estimate as estimates
@@ -32,6 +33,10 @@
 # What it costs a long prompt, in answers to short ones, to have an engine of
 # another hall take part.
 AWAY_COST = 0.05
+# Part of its worth that a prompt is taken to lose by having an engine take part
+# that has failed lately: each that fails it costs a second send, and without
+# one it is refused.
+DOUBT_RISK = 0.15
 
 
 def make_plan(
@@ -43,6 +48,7 @@
     need the memory of more engines than the region has, and short pieces do no
     harm beside short answers.
     """
+    candidates = _put_in_order(job, candidates)
     long_ids = boundary.find_long_region(candidates, now_ms)
     region = [each for each in candidates if each.target.target_id in long_ids]
     plans = (
@@ -56,6 +62,20 @@
     )
 
 
+def _put_in_order(
+    job: jobs.Job, candidates: Sequence[estimates.Estimate]
+) -> Sequence[estimates.Estimate]:
+    """Returns the engines in an order of the job's own.
+
+    Of engines that are as good as each other a plan takes the first ones. In
+    one order for all, VMs that plan within the time that digests take chose the
+    same.
+    """
+    ordered = list(candidates)
+    random.Random(job.salt).shuffle(ordered)
+    return ordered
+
+
 def had_better_wait(
     job: jobs.Job,
     plan: reading_plan.Plan,
@@ -144,12 +164,21 @@
         answers=each.streams_by_pause(now_ms),
         has_room=share_tokens <= room or each.recent_streams(now_ms) == 0.0,
         reader_worth=_find_reader_worth(each, now_ms),
-        extra_cost=AWAY_COST if jobs.is_away(job, each.target) else 0.0,
+        extra_cost=_find_extra_cost(job, each, now_ms),
         is_pinned=each.target.target_id == job.pinned_target,
         bears_ms=pause_class.bears_ms(each.pool),
     )
 
 
+def _find_extra_cost(
+    job: jobs.Job, each: estimates.Estimate, now_ms: float
+) -> float:
+    cost = AWAY_COST if jobs.is_away(job, each.target) else 0.0
+    if each.is_doubtful(now_ms):
+        cost += DOUBT_RISK * reading_plan.find_worth(job.prompt_tokens)
+    return cost
+
+
 def _find_reader_worth(each: estimates.Estimate, now_ms: float) -> float:
     band = each.longest_band_in_reading(now_ms)
     if band is None:
