Hand settings on from VM to VM, as proofs are

Ruled out: settings in digests (each VM would get them from each relay), and a stream between VMs (a port and its life for 20 datagrams).

Change: a peer's news name the revision that it goes by; one that is newer is asked for in compressed parts of 2 KB, at most 400, a part twice at most. What can't be had or read that way is read from the store, as before. The proof is still counted from the moment of the question.

--- a/src/ruddergate/decisions/change_log.py
+++ b/src/ruddergate/decisions/change_log.py
@@ -24,15 +24,15 @@
     Attributes:
         since: The store's revision behind which it begins.
         until: The store's revision up to which it goes.
-        has_settings: Whether the settings changed; they are too large to be
-            told in a datagram.
+        is_unreadable: Whether it holds what this VM could not read; others
+            are to read it for themselves.
         listed: Entries of targets, in order.
         gone: Names of targets that went off the list.
     """
 
     since: int
     until: int
-    has_settings: bool
+    is_unreadable: bool
     listed: tuple[targets.Target, ...] = ()
     gone: tuple[str, ...] = ()
 
@@ -60,7 +60,7 @@
         """Returns all changes between two revisions as one step.
 
         Returns:
-            The step, or None if it is not known, holds settings or is too
+            The step, or None if it is not known, can't be read or is too
             large to be told.
         """
         if position >= until:
@@ -70,7 +70,7 @@
             return None
         if wanted[-1].until != until:
             return None
-        if any(each.has_settings for each in wanted):
+        if any(each.is_unreadable for each in wanted):
             return None
         rows = tuple(row for each in wanted for row in each.listed)
         gone = _find_gone(wanted)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -29,6 +29,7 @@
 from ruddergate.http import server as http_server
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
+from ruddergate.messages import settings_part
 from ruddergate.relay import door as doors
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
@@ -174,6 +175,7 @@
                 self._peers.rank_hall,
                 str(gateway_config.peers.listen),
                 self._peers.questions.ask_news,
+                self._peers.questions.ask_settings,
             ),
         )
 
@@ -183,6 +185,8 @@
         match question:
             case news.NewsWanted():
                 return self._sync.answer_news(question)
+            case settings_part.SettingsWanted():
+                return self._sync.settings.answer(question)
             case retry_loan.RetriesWanted():
                 lent = self.tools.budget.lend(
                     question.retries, question.is_great
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -21,8 +21,6 @@
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
-from ruddergate.messages import news
-from ruddergate.messages import retry_loan
 from ruddergate.telemetry import logs
 from ruddergate.wire import codec
 
@@ -280,11 +278,8 @@
                 passed_on = self._from_relays if message.for_group else None
                 self._take_digests(message.digests, passed_on)
                 self.loads.note_written_by(message.sender)
-            case (
-                news.NewsWanted()
-                | news.News()
-                | retry_loan.RetriesWanted()
-                | retry_loan.RetriesLent()
+            case _ if isinstance(
+                message, peer_questions.QUESTIONS + peer_questions.ANSWERS
             ):
                 self.questions.take(message)
             case _:
--- a/src/ruddergate/entry/peer_questions.py
+++ b/src/ruddergate/entry/peer_questions.py
@@ -10,10 +10,21 @@
 from ruddergate import environment
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
+from ruddergate.messages import settings_part
 from ruddergate.telemetry import logs
 
-Question: TypeAlias = news.NewsWanted | retry_loan.RetriesWanted
-Answer: TypeAlias = news.News | retry_loan.RetriesLent
+Question: TypeAlias = (
+    news.NewsWanted | retry_loan.RetriesWanted | settings_part.SettingsWanted
+)
+Answer: TypeAlias = (
+    news.News | retry_loan.RetriesLent | settings_part.SettingsPart
+)
+QUESTIONS = (
+    news.NewsWanted,
+    retry_loan.RetriesWanted,
+    settings_part.SettingsWanted,
+)
+ANSWERS = (news.News, retry_loan.RetriesLent, settings_part.SettingsPart)
 # Peers of a hall answer within a few milliseconds, a busy one within some tens.
 ANSWER_TIMEOUT_MS = 120.0
 
@@ -49,6 +60,16 @@
         )
         return found if isinstance(found, news.News) else None
 
+    async def ask_settings(
+        self, peer: str, revision: int, part: int
+    ) -> settings_part.SettingsPart | None:
+        """Returns a part of a peer's settings, or None without an answer."""
+        question = settings_part.SettingsWanted(
+            self._own, self._name_question(), revision, part
+        )
+        found = await self._ask(question, peer)
+        return found if isinstance(found, settings_part.SettingsPart) else None
+
     async def ask_retries(
         self, peer: str, retries: float, is_great: bool
     ) -> float:
@@ -68,13 +89,12 @@
 
     def take(self, message: Question | Answer) -> None:
         """Takes in a datagram that is a question or an answer."""
-        match message:
-            case news.NewsWanted() | retry_loan.RetriesWanted():
-                self._give_answer(message)
-            case news.News() | retry_loan.RetriesLent():
-                waiting = self._open.pop(message.question, None)
-                if waiting is not None and not waiting.done():
-                    waiting.set_result(message)
+        if isinstance(message, QUESTIONS):
+            self._give_answer(message)
+            return
+        waiting = self._open.pop(message.question, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(message)
 
     def _give_answer(self, question: Question) -> None:
         try:
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -18,6 +18,7 @@
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import settings_exchange
 from ruddergate.entry import target_list
 from ruddergate.entry import view as views
 from ruddergate.messages import news
@@ -74,11 +75,13 @@
             among them.
         own: Name of this VM there.
         ask: Asks one for news since a position; None without an answer.
+        ask_settings: Asks one for a part of a revision of the settings.
     """
 
     rank_hall: Callable[[], Sequence[str]]
     own: str
     ask: Callable[[str, int], Awaitable[news.News | None]]
+    ask_settings: settings_exchange.AskPart
 
 
 # Peers asked in one turn: a reader, and another VM if that one has no news.
@@ -89,7 +92,11 @@
 
 
 class SourceSync:
-    """Keeps the view up to date from a store, or from peers that read it."""
+    """Keeps the view up to date from a store, or from peers that read it.
+
+    Attributes:
+        settings: Hands the settings in force to peers.
+    """
 
     def __init__(
         self,
@@ -98,9 +105,10 @@
         view: views.View,
         scheduler: schedulers.Scheduler,
         pace: Pace,
-        peers: Peers | None = None,
+        peers: Peers,
     ) -> None:
         self._peers = peers
+        self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
         self._outside = outside
         self._source = source
         self._view = view
@@ -139,7 +147,13 @@
         if step is None:
             return news.News(wanted.question, position, age_ms, False)
         return news.News(
-            wanted.question, position, age_ms, True, step.listed, step.gone
+            wanted.question,
+            position,
+            age_ms,
+            True,
+            self._view.catalog.revision,
+            step.listed,
+            step.gone,
         )
 
     async def _take_turn(self) -> float:
@@ -171,11 +185,9 @@
         return False
 
     def _rank_hall(self) -> Sequence[str]:
-        return self._peers.rank_hall() if self._peers else ()
+        return self._peers.rank_hall()
 
     def _is_reader(self) -> bool:
-        if self._peers is None:
-            return True
         return proof.is_reader(self._peers.own, self._rank_hall())
 
     def _find_every_ms(self, part: float) -> float:
@@ -202,10 +214,10 @@
                     "News dropped, their age can't be true.", peer=peer
                 )
                 continue
-            if not found.is_whole:
-                # More has changed than a datagram holds: the store tells it.
+            changes = await self._complete_news(peer, found, position)
+            if changes is None:
                 return False
-            self._take_news(found, position, proven_ms)
+            self._take(changes, proven_ms, position)
             if self._is_fresh():
                 return True
         return False
@@ -224,18 +236,37 @@
         age_ms = self._outside.now_ms() - self._proven_ms
         return proof.is_fresh(age_ms, self._pace.every_ms)
 
-    def _take_news(
-        self, found: news.News, position: int, proven_ms: float
-    ) -> None:
-        """Takes in what a peer told.
+    async def _complete_news(
+        self, peer: str, found: news.News, position: int
+    ) -> published.Changes | None:
+        """Returns what a peer told, with its settings where they are newer.
 
         A peer that knows less than this VM proves as much: what it knew was
         the newest then, and this VM knows all of that.
+
+        Returns:
+            The changes, or None if the store is to be read for them: more has
+            changed than a datagram holds, or the settings can't be had.
         """
-        changes = published.Changes(
-            max(position, found.position), None, found.listed, found.gone, ()
+        if not found.is_whole:
+            return None
+        catalog, document = None, b""
+        if found.settings_revision > self._view.catalog.revision:
+            document = await self.settings.fetch(peer, found.settings_revision)
+            if document is None:
+                return None
+            catalog = self._source.read_settings(document)
+            if isinstance(catalog, str):
+                self._log.warning("Peer's settings refused. {}", catalog)
+                return None
+        return published.Changes(
+            max(position, found.position),
+            catalog,
+            found.listed,
+            found.gone,
+            (),
+            document,
         )
-        self._take(changes, proven_ms, position)
 
     async def _ask_store(
         self,
@@ -328,12 +359,11 @@
         if since is None:
             self._changes.restart()
             return
-        has_settings = changes.catalog is not None or bool(changes.problems)
         self._changes.note(
             change_log.Step(
                 since,
                 changes.position,
-                has_settings,
+                bool(changes.problems),
                 changes.targets,
                 changes.gone,
             )
@@ -345,6 +375,7 @@
         if changes.catalog is not None and self._view.take_catalog(
             changes.catalog
         ):
+            self.settings.keep(changes.catalog.revision, changes.document)
             self._log.info(
                 "Settings {} in force.",
                 changes.catalog.revision,
--- a/src/ruddergate/messages/news.py
+++ b/src/ruddergate/messages/news.py
@@ -30,8 +30,9 @@
             everything.
         age_ms: How long before this answer it was certain, by the answerer's
             clock, that nothing newer was published.
-        is_whole: Whether `listed` and `gone` are all that has changed since
-            the asker's position; else the asker is to read the store.
+        is_whole: Whether this is all that has changed since the asker's
+            position; else the asker is to read the store.
+        settings_revision: Revision of the settings that the answerer goes by.
         listed: Entries of targets in order, as in `published.Changes`.
         gone: Names of targets that are not listed any more.
     """
@@ -40,5 +41,6 @@
     position: int
     age_ms: float
     is_whole: bool
+    settings_revision: int = 0
     listed: tuple[targets.Target, ...] = ()
     gone: tuple[str, ...] = ()
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -63,7 +63,10 @@
             return published.Unavailable("malformed changes")
         return _read_items(events, at, read_catalog)
 
-    return published.Source(read_all, read_changes)
+    def read_settings(document: bytes) -> catalogs.Catalog | str:
+        return _read_document(document, read_catalog)
+
+    return published.Source(read_all, read_changes, read_settings)
 
 
 async def _read_all(
@@ -130,9 +133,9 @@
             configurations.append(item)
         elif key.startswith(target_entries.PREFIX):
             _read_target_item(item, key, listed, gone, problems)
-    catalog = _read_newest(configurations, read_catalog, problems)
+    catalog, document = _read_newest(configurations, read_catalog, problems)
     return published.Changes(
-        at, catalog, tuple(listed), tuple(gone), tuple(problems)
+        at, catalog, tuple(listed), tuple(gone), tuple(problems), document
     )
 
 
@@ -140,18 +143,23 @@
     configurations: list[object],
     read_catalog: ReadCatalog,
     problems: list[str],
-) -> catalogs.Catalog | None:
+) -> tuple[catalogs.Catalog | None, bytes]:
     """Reads the last configuration that can be read, and none before it.
 
     Several come at once when they change faster than the store is asked; each
     takes a VM's processor for some milliseconds.
     """
     for item in reversed(configurations):
-        read = _read_value(item, read_catalog)
+        document = _decode_value(item)
+        read = (
+            document
+            if isinstance(document, str)
+            else _read_document(document, read_catalog)
+        )
         if isinstance(read, catalogs.Catalog):
-            return read
+            return read, document
         problems.append(read)
-    return None
+    return None, b""
 
 
 def _read_target_item(
@@ -175,11 +183,25 @@
     listed.append(read)
 
 
-def _read_value(item: object, read: object) -> object:
+def _read_value(item: object, read: Callable[[object], object]) -> object:
     """Decodes an item's value and reads it, or says what is wrong."""
+    document = _decode_value(item)
+    if isinstance(document, str):
+        return document
+    return _read_document(document, read)
+
+
+def _decode_value(item: object) -> bytes | str:
+    """Returns an item's value as it was written, or says what is wrong."""
     text = _private.get(item, "value", str, "")
     try:
-        document = orjson.loads(base64.b64decode(text, validate=True))
+        return base64.b64decode(text, validate=True)
     except (binascii.Error, ValueError) as error:
         return f"an item's value can't be read: {error}"
-    return read(document)
+
+
+def _read_document(document: bytes, read: Callable[[object], object]) -> object:
+    try:
+        return read(orjson.loads(document))
+    except orjson.JSONDecodeError as error:
+        return f"an item's value can't be read: {error}"
--- a/src/ruddergate/relay/published.py
+++ b/src/ruddergate/relay/published.py
@@ -19,6 +19,7 @@
             the same target have replaced since.
         gone: Names of targets that are not listed any more.
         problems: What could not be read, a sentence each.
+        document: The settings as published; empty if they are not in this.
     """
 
     position: int
@@ -26,6 +27,7 @@
     targets: tuple[targets.Target, ...]
     gone: tuple[str, ...]
     problems: tuple[str, ...]
+    document: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,9 +50,11 @@
         read_all: Returns everything that is published.
         read_changes: Returns the changes behind a position, waiting for at
             most so many milliseconds when there are none.
+        read_settings: Reads settings as published, or says what is wrong.
     """
 
     read_all: Callable[[], Awaitable[Changes | Unavailable]]
     read_changes: Callable[
         [int, float], Awaitable[Changes | HistoryLost | Unavailable]
     ]
+    read_settings: Callable[[bytes], catalogs.Catalog | str]
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -20,6 +20,7 @@
 from ruddergate.messages import loads
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
+from ruddergate.messages import settings_part
 from ruddergate.messages import shares
 from ruddergate.messages import tree_parts
 from ruddergate.messages import tree_wanted
@@ -42,6 +43,8 @@
     | news.NewsWanted
     | retry_loan.RetriesLent
     | retry_loan.RetriesWanted
+    | settings_part.SettingsPart
+    | settings_part.SettingsWanted
     | shares.Shares
     | tree_parts.TreeParts
     | tree_wanted.TreeWanted
@@ -71,6 +74,8 @@
     19: news.News,
     20: retry_loan.RetriesWanted,
     21: retry_loan.RetriesLent,
+    22: settings_part.SettingsWanted,
+    23: settings_part.SettingsPart,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_OF = {type_: tag for tag, type_ in _TAGS.items()}
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -4,14 +4,18 @@
 import math
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 import loguru
 
 from ruddergate import environment
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
+from ruddergate.decisions import settings_copy
 from ruddergate.fleet import condition
 from ruddergate.fleet import target as targets
 from ruddergate.messages import news
+from ruddergate.messages import settings_part
 from standins import explore
 from standins import gateway_cluster
 from standins import proof_model
@@ -111,6 +115,21 @@
     scene.cluster.network.cuts.append(cut)
 
 
+class SettingsCopyTest(unittest.TestCase):
+    @hypothesis.given(strategies.binary(max_size=9_000))
+    @hypothesis.settings(max_examples=50, deadline=None)
+    def test_parts_make_the_document(self, document: bytes) -> None:
+        parts = settings_copy.split(document)
+        self.assertEqual(settings_copy.join(parts), document)
+        self.assertIsNone(settings_copy.join(parts[:-1]))
+
+    def test_what_is_no_document(self) -> None:
+        self.assertIsNone(settings_copy.join((b"?",)))
+        self.assertIsNone(settings_copy.join(()))
+        too_large = bytes(settings_copy.DOCUMENT_BYTES_MOST + 1)
+        self.assertIsNone(settings_copy.join(settings_copy.split(too_large)))
+
+
 class HallTest(unittest.TestCase):
     """One hall with more VMs than readers."""
 
@@ -169,8 +188,49 @@
             await asyncio.sleep(gateway_cluster.REVOKE_MS / 1000.0)
             for name in names:
                 got = await scene.call("unsafe", name)
-                self.assertIn(got.status, (401, 503))
-                self.assertEqual(scene.runs(got), [])
+                self.assertEqual((got.status, scene.runs(got)), (401, []))
+                got = await scene.call("unsafe", name, key="another")
+                self.assertEqual(got.status, 200)
+
+        self.play(scene)
+
+    def test_settings_that_change_are_read_by_one_vm(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            routes = gateway_cluster.make_idle_routes(1_500)
+            # 10 Mbit/s; settings of about 340 KB.
+            cluster.network.thin_links["vm-3"] = 1_250_000.0
+            cluster.publish(routes=routes)
+            before = cluster.store.calls
+            seconds = 6.0
+            for _ in range(3):
+                await asyncio.sleep(seconds / 3.0)
+                for vm in cluster.vms.values():
+                    view = vm.gateway.tools.view
+                    self.assertEqual(view.catalog.revision, cluster.revision)
+                cluster.publish(routes=routes)
+            # Each VM for itself would read each of the changes besides.
+            self.assertLessEqual(
+                cluster.store.calls - before, 2 + seconds / 0.9
+            )
+
+        self.play(scene)
+
+    def test_settings_that_are_no_settings_are_read_from_the_store(
+        self,
+    ) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for node in scene.cluster.vms.values():
+                settings = node.gateway._sync.settings
+                settings.answer = lambda wanted: settings_part.SettingsPart(
+                    wanted.question, 1, b"?"
+                )
+            scene.cluster.keys = {"w1": ["another"]}
+            scene.cluster.publish()
+            await asyncio.sleep(1.9)
+            for name in scene.cluster.vms:
+                got = await scene.call("unsafe", name, key="another")
+                self.assertEqual(got.status, 200)
 
         self.play(scene)
 
