Give own work and peers' questions of the store modules of their own; mend the example

No behaviour changes.

The example of an embedded policy did not run, since a field of pools had been added (`attention_ms_per_m_pairs`); tests.test_examples runs it from now on and fails without the mend.

--- a/examples/embed_routing.py
+++ b/examples/embed_routing.py
@@ -4,6 +4,7 @@
 
 from ruddergate import environment
 from ruddergate import estimate
+from ruddergate import own_work
 from ruddergate import routing
 from ruddergate.fleet import condition
 from ruddergate.fleet import target
@@ -18,6 +19,7 @@
     role="both",
     memory_tokens=400_000,
     prefill_tokens_per_s=20_000.0,
+    attention_ms_per_m_pairs=0.0,
     decode_ms_per_token=30.0,
     service_concurrency=8,
     exports_kv=True,
@@ -48,7 +50,7 @@
     for name, tokens in (("archive", 300_000), ("repair", 1_200)):
         job = routing.job.Job(tokens, tokens, "", 0, tokens > 65_536, 0.0)
         chosen = policy.choose(job, engines, 0.0, chance)
-        work = estimate.OwnWork(tokens, tokens, 0.0, 3 if job.is_long else 0)
+        work = own_work.OwnWork(tokens, tokens, 0.0, 3 if job.is_long else 0)
         chosen.begin(name, work)
         print(name, "goes to", chosen.target.target_id)
 
--- a/src/ruddergate/__init__.py
+++ b/src/ruddergate/__init__.py
@@ -11,6 +11,7 @@
 from ruddergate.decisions import ledger
 from ruddergate.decisions import membership
 from ruddergate.decisions import orders
+from ruddergate.decisions import own_work
 from ruddergate.decisions import queueing
 from ruddergate.decisions import rendezvous
 from ruddergate.decisions import retries
@@ -27,6 +28,7 @@
     "ledger",
     "membership",
     "orders",
+    "own_work",
     "queueing",
     "rendezvous",
     "retries",
--- a/src/ruddergate/decisions/estimate.py
+++ b/src/ruddergate/decisions/estimate.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import math
 
 from ruddergate.decisions import length_band
+from ruddergate.decisions import own_work
 from ruddergate.decisions import pause_class
 from ruddergate.fleet import cache_event
 from ruddergate.fleet import condition
@@ -46,54 +46,6 @@
 _NOTHING_OPEN = (0.0,) * length_band.BANDS
 
 
-@dataclasses.dataclass(slots=True)
-class OwnWork:
-    """One attempt of this VM on a target.
-
-    Attributes:
-        fresh_tokens: Prompt tokens to prefill.
-        held_tokens: Memory it takes up.
-        sent_ms: When it was dispatched.
-        band: Band of the prompt's length.
-        prefill_ms: Predicted time of the engine for the fresh tokens.
-        is_long: Whether its prefill holds up the answers beside it.
-        pause_class: Class of the pause that its answer bears.
-        is_writing: Whether the answer is written here; else this target only
-            reads part of the prompt.
-        has_first_token: Whether its prefill has ended.
-    """
-
-    fresh_tokens: int
-    held_tokens: int
-    sent_ms: float
-    band: int
-    prefill_ms: float = 0.0
-    is_long: bool = False
-    pause_class: int = pause_class.CLASSES - 1
-    is_writing: bool = True
-    has_first_token: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Totals:
-    """Sums over own work, kept so that a decision need not add them up."""
-
-    open_tokens: list[int] = dataclasses.field(
-        default_factory=lambda: [0] * length_band.BANDS
-    )
-    all_open_tokens: int = 0
-    held_tokens: int = 0
-    streams: int = 0
-
-    def add(
-        self, band: int, open_tokens: int, held_tokens: int, streams: int
-    ) -> None:
-        self.open_tokens[band] += open_tokens
-        self.all_open_tokens += open_tokens
-        self.held_tokens += held_tokens
-        self.streams += streams
-
-
 class Estimate:
     """One target's believed load; owned by the scheduler task.
 
@@ -126,9 +78,9 @@
         self._report: load_report.LoadReport | None = None
         self._report_ms = 0.0
         self._others_streams = 0
-        self._own: dict[str, OwnWork] = {}
-        self._totals = _Totals()
-        self._since = _Totals()
+        self._own: dict[str, own_work.OwnWork] = {}
+        self._totals = own_work.Totals()
+        self._since = own_work.Totals()
         self._peer = dispatched.Dispatched(target.target_id, (), 0, 0)
         self._peer_ms = float("-inf")
         self._prefixes: dict[str, int] = {}
@@ -145,7 +97,7 @@
             and self.target.condition is condition.Condition.LIVE
         )
 
-    def begin(self, attempt_id: str, work: OwnWork) -> None:
+    def begin(self, attempt_id: str, work: own_work.OwnWork) -> None:
         """Notes an attempt of this VM."""
         self._own[attempt_id] = work
         self._count(work, work.fresh_tokens, work.held_tokens, 1)
@@ -175,7 +127,11 @@
         self._count(work, -open_tokens, -work.held_tokens, -1)
 
     def _count(
-        self, work: OwnWork, open_tokens: int, held_tokens: int, streams: int
+        self,
+        work: own_work.OwnWork,
+        open_tokens: int,
+        held_tokens: int,
+        streams: int,
     ) -> None:
         self._totals.add(work.band, open_tokens, held_tokens, streams)
         if self._report is not None and work.sent_ms > self._report_ms:
@@ -228,7 +184,7 @@
         self._report_ms = taken_ms
         own_then = sum(1 for w in self._own.values() if w.sent_ms <= taken_ms)
         self._others_streams = max(0, report.running - own_then)
-        self._since = _Totals()
+        self._since = own_work.Totals()
         for work in self._own.values():
             if work.sent_ms > taken_ms:
                 fresh = 0 if work.has_first_token else work.fresh_tokens
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -21,6 +21,7 @@
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import retry_loans
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import source_peers
 from ruddergate.entry import source_sync
 from ruddergate.entry import status
 from ruddergate.entry import tools as tool_types
@@ -171,7 +172,7 @@
             view,
             scheduler,
             gateway_config.pace,
-            source_sync.Peers(
+            source_peers.SourcePeers(
                 self._peers.rank_hall,
                 str(gateway_config.peers.listen),
                 self._peers.questions.ask_news,
--- a/src/ruddergate/entry/seating.py
+++ b/src/ruddergate/entry/seating.py
@@ -9,6 +9,7 @@
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import gangs
 from ruddergate.decisions import length_band
+from ruddergate.decisions import own_work
 from ruddergate.decisions import pause_class
 from ruddergate.decisions.routing import policy as policies
 from ruddergate.entry import placement
@@ -155,7 +156,7 @@
         band = length_band.find_band(asked.route.prompt_tokens)
         is_long = costs.is_long(chosen.pool, fresh_tokens * parts)
         prefill_ms = costs.predict_prefill_ms(chosen.pool, fresh_tokens * parts)
-        work = estimates.OwnWork(
+        work = own_work.OwnWork(
             fresh_tokens,
             held_tokens,
             now_ms,
--- /dev/null
+++ b/src/ruddergate/entry/source_peers.py
@@ -0,0 +1,27 @@
+"""What a VM asks its peers of the store."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+
+from ruddergate.entry import settings_exchange
+from ruddergate.messages import news
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourcePeers:
+    """What is asked of peers.
+
+    Attributes:
+        rank_hall: Returns this hall's VMs in the order of readers, this one
+            among them.
+        own: Name of this VM there.
+        ask: Asks one for news since a position; None without an answer.
+        ask_settings: Asks one for a part of a revision of the settings.
+    """
+
+    rank_hall: Callable[[], Sequence[str]]
+    own: str
+    ask: Callable[[str, int], Awaitable[news.News | None]]
+    ask_settings: settings_exchange.AskPart
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -9,8 +9,6 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
@@ -19,6 +17,7 @@
 from ruddergate.decisions import proof
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import settings_exchange
+from ruddergate.entry import source_peers
 from ruddergate.entry import target_list
 from ruddergate.entry import view as views
 from ruddergate.messages import news
@@ -29,6 +28,11 @@
 BEHIND_LEAST_MS = 2_500.0
 # A turn never follows at once: what is left of a pause may round to nothing.
 _PAUSE_LEAST_MS = 1.0
+# Peers asked in one turn: a reader, and another VM if that one has no news.
+PEERS_ASKED = 2
+# Without news from peers they are asked again after this time, while the store
+# is not asked yet again.
+PEERS_AGAIN_MS = 300.0
 # Each pause between tries is so much longer than the one before.
 _RETRY_GROWTH = 1.3
 # While the store is away, the log says so again after this time.
@@ -66,31 +70,6 @@
     outage_ms: float = BEHIND_LEAST_MS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peers:
-    """What is asked of peers.
-
-    Attributes:
-        rank_hall: Returns this hall's VMs in the order of readers, this one
-            among them.
-        own: Name of this VM there.
-        ask: Asks one for news since a position; None without an answer.
-        ask_settings: Asks one for a part of a revision of the settings.
-    """
-
-    rank_hall: Callable[[], Sequence[str]]
-    own: str
-    ask: Callable[[str, int], Awaitable[news.News | None]]
-    ask_settings: settings_exchange.AskPart
-
-
-# Peers asked in one turn: a reader, and another VM if that one has no news.
-PEERS_ASKED = 2
-# Without news from peers they are asked again after this time, while the store
-# is not asked yet again.
-PEERS_AGAIN_MS = 300.0
-
-
 class SourceSync:
     """Keeps the view up to date from a store, or from peers that read it.
 
@@ -105,7 +84,7 @@
         view: views.View,
         scheduler: schedulers.Scheduler,
         pace: Pace,
-        peers: Peers,
+        peers: source_peers.SourcePeers,
     ) -> None:
         self._peers = peers
         self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
--- a/standins/decision_cost.py
+++ b/standins/decision_cost.py
@@ -4,6 +4,7 @@
 import time
 
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import own_work
 from ruddergate.decisions.routing import by_name
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.fleet import load_report
@@ -34,7 +35,7 @@
 def _make_busy(size: int) -> list[estimates.Estimate]:
     known = paper_table.make_estimates(size)
     for number, each in enumerate(known):
-        work = estimates.OwnWork(1_000 + number, 2_000, 5.0, 0)
+        work = own_work.OwnWork(1_000 + number, 2_000, 5.0, 0)
         each.begin("a", work)
         report = load_report.LoadReport(
             each.target.target_id, "g", 3, 2_000, 9_000, False, 0.0
--- a/standins/paper_table.py
+++ b/standins/paper_table.py
@@ -13,6 +13,7 @@
 
 from ruddergate import environment
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import own_work
 from ruddergate.decisions.routing import by_name
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.experiments import summary
@@ -96,7 +97,7 @@
             _note(known[index], str(done), now_ms, failed, fault_guard)
         chosen = policy.choose(_JOB, known, now_ms, chance)
         index = known.index(chosen)
-        chosen.begin(str(number), estimates.OwnWork(1, 1, now_ms, 0))
+        chosen.begin(str(number), own_work.OwnWork(1, 1, now_ms, 0))
         end_ms, failed = servers[index].serve(now_ms, chance, fast_failures)
         heapq.heappush(open_, (end_ms, number, index, now_ms, failed))
     return times, failures
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,22 @@
+"""The examples run as they stand."""
+
+import contextlib
+import io
+import pathlib
+import runpy
+import unittest
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_routing_is_embedded(self) -> None:
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed):
+            runpy.run_path(
+                str(_EXAMPLES / "embed_routing.py"), run_name="__main__"
+            )
+        lines = printed.getvalue().splitlines()
+        self.assertEqual(len(lines), 2)
+        # The short prompt keeps off the engine that reads the archive.
+        self.assertNotEqual(lines[0].split()[-1], lines[1].split()[-1])
--- a/tests/test_hanging_engine.py
+++ b/tests/test_hanging_engine.py
@@ -7,6 +7,7 @@
 
 from ruddergate import environment
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import own_work
 from ruddergate.decisions.routing import boundary
 from ruddergate.fleet import condition
 from ruddergate.fleet import target as targets
@@ -30,7 +31,7 @@
 class OverdueTest(unittest.TestCase):
     def test_prefill_that_is_overdue_lasts_on(self) -> None:
         found = _make_estimate()
-        found.begin("a", estimates.OwnWork(5_000, 5_000, 0.0, 1, 30.0))
+        found.begin("a", own_work.OwnWork(5_000, 5_000, 0.0, 1, 30.0))
         self.assertEqual(found.prefilling_ms(0.0), 30.0)
         self.assertEqual(found.prefilling_ms(30.0), 15.0)
         self.assertEqual(found.prefilling_ms(730.0), 500.0)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from ruddergate import environment
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import own_work
 from ruddergate.decisions import queueing
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.decisions.routing import policy as policies
@@ -179,7 +180,7 @@
     def test_reading_counts_as_reading_only(self) -> None:
         pool = _make_view().index.find_pool("engines")
         estimate = estimates.Estimate(_TARGET, pool)
-        work = estimates.OwnWork(
+        work = own_work.OwnWork(
             1_000, 0, 0.0, 0, prefill_ms=300.0, is_long=True, is_writing=False
         )
         estimate.begin("a", work)
