Stand-in: what is on its way outlives its sender

Cause: an empty context is false, so `context or copy_context()` gave callbacks of the network to the process that was running. A killed process took along what it had sent, and nothing could be timed behind its end. Ruled out: the replica's own start (it was never called). Change: an absent context is told by None. The new test fails before ([] for [b'last words']).

--- a/standins/virtual_process.py
+++ b/standins/virtual_process.py
@@ -98,7 +98,8 @@
 
     def call_soon(self, callback, *args, context=None):  # noqa: ANN001, ANN002, ANN201
         """Schedules a callback for its process."""
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         process = context.get(_CURRENT)
         if process is None:
             return super().call_soon(callback, *args, context=context)
@@ -110,7 +111,8 @@
 
     def call_at(self, when, callback, *args, context=None):  # noqa: ANN001, ANN002, ANN201
         """Schedules a callback for its process at a time."""
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         process = context.get(_CURRENT)
         if process is None:
             return super().call_at(when, callback, *args, context=context)
--- a/tests/test_virtual_network.py
+++ b/tests/test_virtual_network.py
@@ -30,3 +30,39 @@
 
         virtual_process.run(run)
         self.assertEqual(got, [b"news"])
+
+
+class NeutralTest(unittest.TestCase):
+    """What is on its way belongs to no process, and outlives its sender.
+
+    An empty context counts as false, so callbacks in the network's context were
+    taken for the sender's: a process that ended took along what it had sent,
+    and a replica that was to start again after its end never did.
+    """
+
+    def test_what_was_sent_arrives_after_the_sender_has_ended(self) -> None:
+        got: list[bytes] = []
+
+        async def run() -> None:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            sender = virtual_process.VirtualProcess("vm-1", "h")
+            receiver = virtual_process.VirtualProcess("vm-0", "h")
+            await network.make_environment(receiver, 1).bind(
+                got.append, _ADDRESS
+            )
+            outside = network.make_environment(sender, 1)
+            port = await outside.bind(
+                got.append, environment.Address("vm-1", 1)
+            )
+
+            async def send() -> None:
+                port.send(b"last words", _ADDRESS)
+
+            await sender.start(send)
+            sender.kill()
+            await asyncio.sleep(0.1)
+
+        virtual_process.run(run)
+        self.assertEqual(got, [b"last words"])
