Tell which calls ask for the same thing, and when a target ended under one

Change: a failed attempt names its content (keyed digest of workspace, host, path and body). When a target loses a call midway it is asked once for a sign of life; a refused connection or a younger life is told in a line for each call, with the answers it was writing, and counted (ruddergate_targets_ended_total). No decision goes by it yet.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -13,6 +13,7 @@
 from ruddergate.decisions import retries
 from ruddergate.entry import canceller as cancellers
 from ruddergate.entry import config as configs
+from ruddergate.entry import life_watch
 from ruddergate.entry import open_calls
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import peer_questions
@@ -134,10 +135,14 @@
             metrics=metric_types.EntryMetrics(),
             tracer=tracer,
             secure_retry=lambda is_great: self._loans.secure(is_great),
+            note_lost=lambda lost: self._lives.post(lost),
         )
         self._keeper = reservation_keeper.ReservationKeeper(
             outside, platform.orders
         )
+        self._lives = life_watch.LifeWatch(
+            self._keeper.ask_sign, self.tools.metrics
+        )
         self._handler = relay_handler.RelayHandler(
             self.tools,
             platform.door,
--- /dev/null
+++ b/src/ruddergate/entry/life_watch.py
@@ -0,0 +1,82 @@
+"""The tasks that find out whether targets have ended under calls.
+
+A connection that breaks off says little: answers get lost and connections are
+reset while their targets live. Where nobody listens any more, or a younger life
+does, the life that had the call is over.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+from ruddergate.entry import lost_call
+from ruddergate.fleet import life as lives
+from ruddergate.fleet import target as targets
+from ruddergate.relay import orders
+from ruddergate.telemetry import logs
+from ruddergate.telemetry import metrics as metric_types
+
+
+@dataclasses.dataclass(slots=True)
+class _Question:
+    """A target that is being asked, and the calls that wait to know."""
+
+    task: asyncio.Task
+    lost: list[lost_call.LostCall]
+
+
+class LifeWatch:
+    """Asks each target once for all the calls that it lost together.
+
+    Args:
+        ask_sign: Asks a target for a sign of life.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        ask_sign: Callable[[targets.Target], Awaitable[orders.Told]],
+        metrics: metric_types.EntryMetrics,
+    ) -> None:
+        self._ask_sign = ask_sign
+        self._metrics = metrics
+        self._questions: dict[lives.Life, _Question] = {}
+        self._log = logs.make_logger("attempt")
+
+    def post(self, lost: lost_call.LostCall) -> None:
+        """Has it found out whether a call's target has ended."""
+        life = lost.target.life
+        question = self._questions.get(life)
+        if question is not None:
+            question.lost.append(lost)
+            return
+        task = asyncio.ensure_future(self._find_out(lost.target))
+        self._questions[life] = _Question(task, [lost])
+
+    async def _find_out(self, target: targets.Target) -> None:
+        told = await self._ask_sign(target)
+        question = self._questions.pop(target.life)
+        if not _has_ended(target.life, told):
+            return
+        self._metrics.targets_ended.inc({})
+        streams = max(each.streams for each in question.lost)
+        streams = max(streams, float(len(question.lost)))
+        for each in question.lost:
+            self._log.warning(
+                "Target {} has ended under a call.",
+                target.target_id,
+                request_id=each.request_id,
+                content=each.content,
+                born_ms=target.born_ms,
+                streams=streams,
+                hall=target.hall,
+            )
+
+
+def _has_ended(life: lives.Life, told: orders.Told) -> bool:
+    """Returns whether a life is certainly over."""
+    if told.sign is orders.Sign.GONE:
+        return True
+    is_younger = told.born_ms > life.born_ms > lives.BORN_UNKNOWN
+    return told.sign is orders.Sign.ALIVE and is_younger
--- /dev/null
+++ b/src/ruddergate/entry/lost_call.py
@@ -0,0 +1,22 @@
+"""A call that its target lost midway."""
+
+import dataclasses
+
+from ruddergate.fleet import target as targets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostCall:
+    """What is known of it as it breaks off.
+
+    Attributes:
+        request_id: The call.
+        content: Name of what it asked for.
+        target: The target that was to answer.
+        streams: Answers that the target was writing, this one included.
+    """
+
+    request_id: str
+    content: str
+    target: targets.Target
+    streams: float
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -7,6 +7,8 @@
 from ruddergate import outcomes
 from ruddergate import request as requests
 from ruddergate.decisions import length_band
+from ruddergate.entry import contents
+from ruddergate.entry import lost_call
 from ruddergate.entry import placement
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
@@ -229,11 +231,22 @@
             return
         writer = self._seats[0].target.target_id
         self._at_fault.add(writer)
+        if ended.reason is outcomes.Reason.TARGET_LOST:
+            self._tools.note_lost(self._describe_lost())
         if ended.reason is outcomes.Reason.TARGET_UNREACHABLE:
             self._out_of_reach.add(writer)
         if ended.reason in _GONE_REASONS:
             self._gone.add(writer)
 
+    def _describe_lost(self) -> lost_call.LostCall:
+        target = self._seats[0].target
+        return lost_call.LostCall(
+            self._request.request_id,
+            contents.name_request(self._request),
+            target,
+            self._tools.scheduler.count_streams(target.target_id),
+        )
+
     def _note_first(self) -> None:
         if self._has_first:
             return
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -13,6 +13,7 @@
 from ruddergate.decisions import queueing
 from ruddergate.decisions import retries
 from ruddergate.decisions.routing import job as jobs
+from ruddergate.entry import contents
 from ruddergate.entry import model_run
 from ruddergate.entry import placement
 from ruddergate.entry import relay_attempt
@@ -108,7 +109,7 @@
         raise AssertionError("an attempt ended without an outcome")
     route = request.payload.route
     seat = placed.seats[0]
-    _log_attempt(request, seat, ended, progress, tools)
+    _log_failure(request, seat, ended, progress, tools)
     tools.metrics.attempts.inc({"result": ended.reason.value})
     progress.ran = model_run.worse(progress.ran, ended.ran)
     if ended.reason not in _NOTHING_SENT:
@@ -177,7 +178,7 @@
     return None
 
 
-def _log_attempt(
+def _log_failure(
     request: requests.Request,
     seat: placement.Seat,
     ended: outcomes.NotServed,
@@ -191,6 +192,7 @@
         ended.detail,
         request_id=request.request_id,
         target=seat.target.target_id,
+        content=contents.name_request(request),
         route=request.payload.route.name,
         sent=progress.sent,
         blamed=progress.blamed,
--- a/src/ruddergate/entry/reservation_keeper.py
+++ b/src/ruddergate/entry/reservation_keeper.py
@@ -115,14 +115,16 @@
         self, asked: Sequence[targets.Target]
     ) -> tuple[orders.Sign, ...]:
         """Returns the signs of life that targets give at once, in order."""
-        return tuple(await asyncio.gather(*map(self._ask_sign, asked)))
+        told = await asyncio.gather(*map(self.ask_sign, asked))
+        return tuple(each.sign for each in told)
 
-    async def _ask_sign(self, target: targets.Target) -> orders.Sign:
+    async def ask_sign(self, target: targets.Target) -> orders.Told:
+        """Returns the sign of life that a target gives at once."""
         try:
             async with asyncio.timeout(SIGN_WAIT_MS / 1000.0):
                 return await self._orders.ask_sign(target)
         except TimeoutError:
-            return orders.Sign.SILENT
+            return orders.Told(orders.Sign.SILENT)
 
     async def wait_for_silence(self, target: targets.Target) -> None:
         """Returns when a target does not answer any more.
@@ -133,8 +135,8 @@
         silent = 0
         while silent < SILENT_MOST:
             await asyncio.sleep(RENEW_MS / 1000.0)
-            sign = await self._orders.ask_sign(target)
-            silent = 0 if sign is orders.Sign.ALIVE else silent + 1
+            told = await self._orders.ask_sign(target)
+            silent = 0 if told.sign is orders.Sign.ALIVE else silent + 1
         self._log.warning("Target {} is silent.", target.target_id)
 
     def _keep(self, held: orders.Reservation) -> None:
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -145,6 +145,13 @@
                 total[name] = total.get(name, 0.0) + cost_ms
         return total
 
+    def count_streams(self, target_id: str) -> float:
+        """Returns how many answers a target is believed to be writing."""
+        estimate = self._estimates.get(target_id)
+        if estimate is None:
+            return 0.0
+        return estimate.recent_streams(self._outside.now_ms())
+
     def believed_loads(self) -> list[estimates.Estimate]:
         """Returns the believed load of each target, for the status page."""
         return list(self._estimates.values())
--- a/src/ruddergate/entry/tools.py
+++ b/src/ruddergate/entry/tools.py
@@ -8,12 +8,17 @@
 from ruddergate.decisions import retries
 from ruddergate.entry import canceller
 from ruddergate.entry import config as configs
+from ruddergate.entry import lost_call
 from ruddergate.entry import scheduler
 from ruddergate.entry import view as views
 from ruddergate.telemetry import metrics
 from ruddergate.telemetry import traces
 
 
+def _note_nothing(lost: lost_call.LostCall) -> None:
+    """Stands where it is not asked what became of targets."""
+
+
 async def _lend_nothing(is_great: bool) -> bool:
     """Stands where there are no peers that lend retries."""
     return False
@@ -37,6 +42,7 @@
         secure_retry: Sees to it that a retry can be made, by borrowing one
             where that is possible; told whether it is for a prompt worth many
             short ones. Returns whether one can be made.
+        note_lost: Has it found out whether the target that lost a call ended.
     """
 
     outside: environment.Environment
@@ -50,6 +56,7 @@
     metrics: metrics.EntryMetrics
     tracer: traces.Tracer
     secure_retry: Callable[[bool], Awaitable[bool]] = _lend_nothing
+    note_lost: Callable[[lost_call.LostCall], None] = _note_nothing
 
     @property
     def owner(self) -> str:
--- a/src/ruddergate/fleet/target.py
+++ b/src/ruddergate/fleet/target.py
@@ -4,6 +4,7 @@
 
 from ruddergate import environment
 from ruddergate.fleet import condition
+from ruddergate.fleet import life as lives
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +18,7 @@
         address: Where it serves requests.
         condition: Live or leaving.
         streams_max: Requests it works on at once; 0 when it does not tell.
+        born_ms: When it started, see `life.Life`.
     """
 
     target_id: str
@@ -25,3 +27,9 @@
     address: environment.Address
     condition: condition.Condition
     streams_max: int = 0
+    born_ms: int = lives.BORN_UNKNOWN
+
+    @property
+    def life(self) -> lives.Life:
+        """The life that this entry is of."""
+        return lives.Life(self.target_id, self.born_ms)
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -3,6 +3,7 @@
 from ruddergate import environment
 from ruddergate.fleet import target as targets
 from ruddergate.http import client
+from ruddergate.platform import targets as target_entries
 from ruddergate.relay import orders
 
 _PATH = "/api/order"
@@ -32,17 +33,19 @@
         document = {"op": "release", "id": held.name}
         return await _order(outside, held, document, limits)
 
-    async def ask_sign(target: targets.Target) -> orders.Sign:
+    async def ask_sign(target: targets.Target) -> orders.Told:
         request = client.make_json_request("GET", _REPORT_PATH)
         answer = await client.fetch_within(
             outside, target.address, request, limits
         )
         if not isinstance(answer, client.Fault):
-            return orders.Sign.ALIVE
+            born_ms = target_entries.read_born_ms(answer.json())
+            return orders.Told(orders.Sign.ALIVE, born_ms)
         if answer.timed_out:
-            return orders.Sign.SILENT
+            return orders.Told(orders.Sign.SILENT)
         # A target with too many connections resets more of them.
-        return orders.Sign.ALIVE if answer.sent else orders.Sign.GONE
+        is_there = answer.sent
+        return orders.Told(orders.Sign.ALIVE if is_there else orders.Sign.GONE)
 
     return orders.Orders(reserve, release, ask_sign)
 
--- a/src/ruddergate/platform/targets.py
+++ b/src/ruddergate/platform/targets.py
@@ -3,6 +3,7 @@
 from ruddergate import environment
 from ruddergate.adapters import _private
 from ruddergate.fleet import condition
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
 
 # Entries stand under this prefix and the target's incarnation.
@@ -10,6 +11,12 @@
 _LIVE = "ready"
 
 
+def read_born_ms(document: object) -> int:
+    """Returns when a target started, as it says in whatever it publishes."""
+    born_ms = _private.get(document, "born", int, lives.BORN_UNKNOWN)
+    return max(lives.BORN_UNKNOWN, born_ms)
+
+
 def read_target(target_id: str, document: object) -> targets.Target | str:
     """Returns the target, or a sentence that says what is wrong."""
     address = _private.get(document, "address", str, "")
@@ -31,4 +38,5 @@
         if is_live
         else condition.Condition.LEAVING,
         streams_max=_private.get(document, "slots", int, 0),
+        born_ms=read_born_ms(document),
     )
--- a/src/ruddergate/relay/orders.py
+++ b/src/ruddergate/relay/orders.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
 
 
@@ -49,6 +50,19 @@
     SILENT = "silent"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a target told when it was asked for a sign of life.
+
+    Attributes:
+        sign: What came back.
+        born_ms: When it started, as in `life.Life`, if it told.
+    """
+
+    sign: Sign
+    born_ms: int = lives.BORN_UNKNOWN
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Orders:
     """Orders that a platform's targets take.
@@ -61,4 +75,4 @@
 
     reserve: Callable[[Reservation, float], Awaitable[Answer]]
     release: Callable[[Reservation], Awaitable[Answer]]
-    ask_sign: Callable[[targets.Target], Awaitable[Sign]]
+    ask_sign: Callable[[targets.Target], Awaitable[Told]]
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -52,6 +52,10 @@
         self.attempts = self._counter(
             "ruddergate_attempts_total", "Attempts on targets, by result."
         )
+        self.targets_ended = self._counter(
+            "ruddergate_targets_ended_total",
+            "Targets found to have ended while they had calls of this VM.",
+        )
         self.tokens = self._counter(
             "ruddergate_tokens_total", "Tokens delivered."
         )
