--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -25,6 +25,7 @@
         key: The caller's key.
         time_limit_ms: How long the caller waits.
         leaves_after_ms: When the caller leaves; None to stay.
+        body: What is asked.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     key: str = gateway_cluster.KEY
     time_limit_ms: float = 10_000.0
     leaves_after_ms: float | None = None
+    body: bytes = b"prompt"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +156,6 @@
         "POST",
         f"/{call.route}/x",
         headers,
-        b"prompt",
+        call.body,
         gateway_cluster.HOST,
     )
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -34,6 +34,9 @@
 KEY = "key-of-w1"
 REVOKE_MS = 5_000.0
 _HEARTBEAT_S = 1.2
+# A replica that crashed is off the list after this time, and back after this.
+CRASH_LAPSE_S = 2.5
+CRASH_DOWN_S = 4.0
 RETRY_SLACK = 54.0
 
 
@@ -51,6 +54,8 @@
         connections_max: Callers' connections that a gateway serves at once.
         figures: Of the engines.
         aim_scale: By which all aims and pauses of routes are stretched.
+        keeps_names: Whether a replica that starts again has the name that it
+            had, and tells when it started.
     """
 
     vms: int = 3
@@ -62,6 +67,7 @@
     connections_max: int = 3_000
     figures: pass_engine.Figures = pass_engine.Figures()
     aim_scale: float = 1.0
+    keeps_names: bool = False
 
 
 _LAYOUT = Layout()
@@ -119,6 +125,7 @@
         revision: Revision of the configuration last published.
         keys: Keys by workspace, as the next revision publishes them.
         disturbances: Times in which VMs could not answer.
+        fatal: Bodies of calls that end the replicas that answer them.
     """
 
     def __init__(self, layout: Layout) -> None:
@@ -133,6 +140,7 @@
         self.revision = 0
         self.keys = {"w1": [KEY]}
         self.disturbances: list[Disturbance] = []
+        self.fatal: set[bytes] = set()
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
 
     async def start(self) -> None:
@@ -225,9 +233,14 @@
         outside = self.network.make_environment(node.process, node.starts)
         is_engine = node.name.startswith("engine")
         figures = self.layout.figures if is_engine else None
+        keeps_name = self.layout.keeps_names
+        start = 1 if keeps_name else node.starts
         replica = platform_replica.PlatformReplica(
-            f"{node.name}.{node.starts}", outside, figures, self._engines
+            f"{node.name}.{start}", outside, figures, self._engines
         )
+        replica.born_ms = int(outside.wall_ms()) if keeps_name else 0
+        replica.fatal = self.fatal
+        replica.crash = lambda: self.crash_target(node)
         node.replica = replica
         self.all_replicas.append(replica)
         address = environment.Address(node.name, _REPLICA_PORT)
@@ -239,6 +252,22 @@
             node.process.start(replica.engine.run)
         node.process.start(lambda: self._keep_listed(node, replica))
 
+    def crash_target(self, node: Node) -> None:
+        """Ends a replica at once; it lapses, and is back after a while."""
+        replica = node.replica
+        self.kill(node)
+        loop = asyncio.get_running_loop()
+        context = self.network.neutral
+
+        def lapse() -> None:
+            if node.replica is replica:
+                self.unlist_target(node)
+
+        loop.call_later(CRASH_LAPSE_S, lapse, context=context)
+        loop.call_later(
+            CRASH_DOWN_S, lambda: self.start_target(node), context=context
+        )
+
     async def serve_stranger(self, node: Node) -> None:
         """Has a replica that is not listed take over a replica's address."""
         node.starts += 1
@@ -279,6 +308,7 @@
                 "slots": self.layout.figures.slots if is_engine else 6,
                 "state": state,
                 "sequence": number,
+                **replica.tell_born(),
             },
         )
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 
@@ -28,6 +29,8 @@
         workspace: As it was told.
         resumed_after: The event behind which it went on; 0 for the start.
         at_ms: When it began.
+        body: The caller's body.
+        at_s: When it began, on the loop's clock.
     """
 
     request_id: str
@@ -35,6 +38,8 @@
     workspace: str
     resumed_after: int
     at_ms: float
+    body: bytes = b""
+    at_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +80,9 @@
         runs: Every run it began.
         wrong: What it does wrong.
         tickets: Memory set aside, by name, with the time at which it lapses.
+        born_ms: When it started, in Unix milliseconds; 0 to say nothing of it.
+        fatal: Bodies of calls that end it once it begins to answer them.
+        crash: Ends it at once.
     """
 
     def __init__(
@@ -89,6 +97,9 @@
         self.wrong = Misbehaviour()
         self.tickets: dict[str, tuple[int, float]] = {}
         self.engine = pass_engine.PassEngine(figures) if figures else None
+        self.born_ms = 0
+        self.fatal: set[bytes] = set()
+        self.crash: Callable[[], None] = lambda: None
         self._outside = outside
         self._peers = peers
         self._count = 0
@@ -104,7 +115,8 @@
         if incoming.path == "/api/order":
             return self._take_order(orjson.loads(incoming.body))
         if incoming.path == "/api/report":
-            return message.make_json_response(200, {"stage": "both"})
+            report = {"stage": "both", **self.tell_born()}
+            return message.make_json_response(200, report)
         if self.wrong.mute or self._draw(self.wrong.hang):
             await asyncio.sleep(3_600.0)
         expected = incoming.headers.get("x-expect-replica", self.name)
@@ -142,6 +154,10 @@
         held[order["id"]] = (order["token-count"], lapses_ms)
         return message.make_json_response(200, {"free": memory - used})
 
+    def tell_born(self) -> dict[str, int]:
+        """Returns the field that tells when it started, if it does."""
+        return {"born": self.born_ms} if self.born_ms else {}
+
     def held_tokens(self) -> int:
         """Returns the memory that is set aside now."""
         now_ms = self._outside.now_ms()
@@ -158,6 +174,8 @@
             found.get("x-tenant-id", ""),
             after,
             self._outside.now_ms(),
+            incoming.body,
+            asyncio.get_running_loop().time(),
         )
         self.runs.append(run)
         self._working += 1
@@ -170,6 +188,8 @@
                 return message.Response(200, headers, _break_off(()))
             helpers = found.get("helpers", "")
             await self._read_prompt(prompt, helpers)
+            if incoming.body in self.fatal:
+                self.crash()
             return message.Response(
                 200, headers, self._write(run, prompt, output)
             )
