Go by a clock that counts the time of a suspension

Cause: ages, proofs, deadlines and timers went by the monotonic clock, which stands still while a VM is suspended; after it, what had been overtaken looked as young as before. The model of proofs handed on breaks with such a clock, and holds with one that counts (a suspension is then a tick in which nobody acts). Ruled out: a check of timers at use alone; the loop's own timers would be late by the suspension, so the loop goes by the same clock. Change: CLOCK_BOOTTIME in one place (clock.py), also under the event loop; systems without it fall back to the monotonic clock.

--- a/src/ruddergate/cli/_private.py
+++ b/src/ruddergate/cli/_private.py
@@ -13,6 +13,7 @@
 import cyclopts
 
 from ruddergate import environment
+from ruddergate import event_loop
 
 USAGE_STATUS = 2
 # What the names of all variables with settings begin with.
@@ -91,4 +92,5 @@
             loop.add_signal_handler(signal_, stop.set)
         await serve(stop)
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=event_loop.make_event_loop) as runner:
+        runner.run(run())
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -15,6 +15,8 @@
 import time
 from typing import TypeAlias
 
+from ruddergate import clock
+
 StreamPair: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 TakeDatagram: TypeAlias = Callable[[bytes], None]
 StreamHandler: TypeAlias = Callable[
@@ -65,7 +67,8 @@
     """The outside world as one process sees it.
 
     Attributes:
-        now_ms: Monotonic clock in milliseconds.
+        now_ms: Clock in milliseconds that never goes back and that counts the
+            time of a suspension, see `clock`.
         wall_ms: Wall clock in milliseconds; orders incarnations, no more.
         random: Source of chance for jitter, sampling and identifiers.
         connect: Opens a stream; raises OSError when it cannot.
@@ -136,7 +139,7 @@
         )
 
     return Environment(
-        now_ms=lambda: time.monotonic() * 1000.0,
+        now_ms=lambda: clock.read_s() * 1000.0,
         wall_ms=lambda: time.time() * 1000.0,
         random=random.Random(os.urandom(16)),
         connect=connect,
--- a/standins/proof_model.py
+++ b/standins/proof_model.py
@@ -62,6 +62,8 @@
         under_way: Answers under way.
         follower: What the follower knows.
         starts: How often the follower started again.
+        follower_slept: Ticks that the follower's clock did not count.
+        reader_slept: Ticks that the reader's clock did not count.
     """
 
     now: int = 0
@@ -74,16 +76,30 @@
     under_way: tuple[Answer, ...] = ()
     follower: Held = Held(0, 0)
     starts: int = 0
+    follower_slept: int = 0
+    reader_slept: int = 0
+
+    def follower_clock(self) -> int:
+        """Returns what the follower's clock shows."""
+        return self.now - self.follower_slept
+
+    def reader_clock(self) -> int:
+        """Returns what the reader's clock shows."""
+        return self.now + _CLOCK_AHEAD - self.reader_slept
 
 
 def is_true(state: ProofState) -> bool:
     """Returns whether nothing newer was published than the follower claims."""
-    newest = sum(at < state.follower.proven for at in state.published)
+    claimed = state.follower.proven + state.follower_slept
+    newest = sum(at < claimed for at in state.published)
     return newest <= state.follower.revision
 
 
 def steps(
-    state: ProofState, find_proven: FindProven, matches_questions: bool = True
+    state: ProofState,
+    find_proven: FindProven,
+    matches_questions: bool = True,
+    counts_sleep: bool = True,
 ) -> Iterator[explore.Step[ProofState]]:
     """Yields all that can happen next.
 
@@ -92,11 +108,15 @@
         find_proven: The decision: what an answer proves, from when it was
             asked for and the age that it tells.
         matches_questions: Whether an answer must fit the open question.
+        counts_sleep: Whether the VMs' clocks count the time for which they
+            are suspended; if they do, that is a tick like any other.
     """
     if state.now < _TICKS:
         yield explore.Step(
             "tick", dataclasses.replace(state, now=state.now + 1)
         )
+    if state.now < _TICKS and not counts_sleep:
+        yield from _sleep(state)
     if len(state.published) < _CHANGES:
         published = (*state.published, state.now)
         yield explore.Step(
@@ -113,16 +133,34 @@
             yield from _take(arrived, answer, find_proven)
     if state.starts == 0 and state.now > 0:
         # It reads the store as it starts.
-        fresh = Held(len(state.published), state.now)
+        fresh = Held(len(state.published), state.follower_clock())
         yield explore.Step(
             "restart",
             dataclasses.replace(state, follower=fresh, is_open=False, starts=1),
         )
 
 
+def _sleep(state: ProofState) -> Iterator[explore.Step[ProofState]]:
+    """A VM is suspended for a tick, and its clock stands still."""
+    yield explore.Step(
+        "follower sleeps",
+        dataclasses.replace(
+            state,
+            now=state.now + 1,
+            follower_slept=state.follower_slept + 1,
+        ),
+    )
+    yield explore.Step(
+        "reader sleeps",
+        dataclasses.replace(
+            state, now=state.now + 1, reader_slept=state.reader_slept + 1
+        ),
+    )
+
+
 def _read_store(state: ProofState) -> Iterator[explore.Step[ProofState]]:
     """The reader's call begins, and its answer comes at any time later."""
-    clock = state.now + _CLOCK_AHEAD
+    clock = state.reader_clock()
     if not state.calls:
         call = (clock, len(state.published))
         yield explore.Step(
@@ -143,7 +181,7 @@
             "ask",
             dataclasses.replace(
                 state,
-                asked=(*state.asked, state.now),
+                asked=(*state.asked, state.follower_clock()),
                 is_open=True,
                 heard=(*state.heard, len(state.asked)),
             ),
@@ -153,7 +191,7 @@
 
 
 def _answer(state: ProofState) -> Iterator[explore.Step[ProofState]]:
-    clock = state.now + _CLOCK_AHEAD
+    clock = state.reader_clock()
     for index, question in enumerate(state.heard):
         rest = state.heard[:index] + state.heard[index + 1 :]
         age = clock - state.reader.proven
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -153,12 +153,15 @@
         thin_links: Bytes a second of a node's link, by the node's name; each
             stream has them by itself. Other links carry all at once.
         neutral: The context in which nothing belongs to a node.
+        counts_sleep: Whether processes' clocks count the time for which they
+            stand still.
     """
 
     def __init__(self, seed: int, latency: Latency) -> None:
         self.cuts: list[Cut] = []
         self.thin_links: dict[str, float] = {}
         self.neutral = processes.contextvars.Context()
+        self.counts_sleep = True
         self._seed = seed
         self._latency = latency
         self._listeners: dict[environment.Address, tuple] = {}
@@ -231,8 +234,12 @@
                 lambda: self._unbind(process, address),
             )
 
+        def now_ms() -> float:
+            slept_s = 0.0 if self.counts_sleep else process.slept_s
+            return (loop.time() - slept_s) * 1000.0 + offset_ms
+
         return environment.Environment(
-            now_ms=lambda: loop.time() * 1000.0 + offset_ms,
+            now_ms=now_ms,
             wall_ms=lambda: loop.time() * 1000.0 + skew_ms,
             random=chance,
             connect=connect,
--- a/standins/virtual_process.py
+++ b/standins/virtual_process.py
@@ -28,6 +28,7 @@
         hall: Data hall of the node.
         is_dead: Whether it was killed.
         is_frozen: Whether it stands still.
+        slept_s: For how long it stood still, in all.
     """
 
     def __init__(self, name: str, hall: str) -> None:
@@ -35,6 +36,8 @@
         self.hall = hall
         self.is_dead = False
         self.is_frozen = False
+        self.slept_s = 0.0
+        self._froze_s = 0.0
         self._tasks: set[asyncio.Task] = set()
         self._parked: list[_Call] = []
 
@@ -54,12 +57,14 @@
     def freeze(self) -> None:
         """Stops the process, as SIGSTOP does."""
         self.is_frozen = True
+        self._froze_s = asyncio.get_running_loop().time()
 
     def wake(self) -> None:
         """Lets the process go on, as SIGCONT does."""
         self.is_frozen = False
-        parked, self._parked = self._parked, []
         loop = asyncio.get_running_loop()
+        self.slept_s += loop.time() - self._froze_s
+        parked, self._parked = self._parked, []
         for call in parked:
             contextvars.Context().run(loop.call_soon, self._run_late, call)
 
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -49,6 +49,10 @@
         found = self.explore(lambda asked_ms, age_ms: asked_ms - age_ms + 1.0)
         self.assertTrue(found.trail)
 
+    def test_clock_that_stands_still_in_a_suspension_would(self) -> None:
+        found = self.explore(proof.find_proven_ms, counts_sleep=False)
+        self.assertIn("sleeps", " ".join(found.trail))
+
     def test_ages_that_cannot_be_true(self) -> None:
         for age_ms in (-1.0, math.nan, math.inf):
             self.assertIsNone(proof.find_proven_ms(0.0, age_ms))
