Believe things of a life of a target, and refuse entries of other writers

Cause: what was believed of a target was kept by its name. One that was ever seen leaving stayed so, in the list of targets and again where lists are merged, so a service that drained and came back under its names was never used again (503 on every VM in the emulator); failures, reports, losses told by peers and memory set aside passed from one life to the next. Entries of other writers: an unknown state read as leaving, a missing hall or number of places as empty and 0; and one unreadable entry kept a whole answer of the store from confirming the settings, so keys were refused on all VMs for as long as it changed. Change: Life (name and start) is what leavings, estimates, losses, reports, memory and quarantines are kept by; an older life, or one of which a peer of an earlier release does not tell the start, changes nothing. An entry must have the fields it is gone by, of their types and meanings; else it names no target, its target is kept for 1.5 s as a lapsed one is, and settings are as certain as before. An entry is no problem of the settings any more.

--- a/src/ruddergate/decisions/change_log.py
+++ b/src/ruddergate/decisions/change_log.py
@@ -28,6 +28,7 @@
             are to read it for themselves.
         listed: Entries of targets, in order.
         gone: Names of targets that went off the list.
+        spoilt: Names whose entry is none of a target.
     """
 
     since: int
@@ -35,6 +36,7 @@
     is_unreadable: bool
     listed: tuple[targets.Target, ...] = ()
     gone: tuple[str, ...] = ()
+    spoilt: tuple[str, ...] = ()
 
 
 class ChangeLog:
@@ -73,17 +75,26 @@
         if any(each.is_unreadable for each in wanted):
             return None
         rows = tuple(row for each in wanted for row in each.listed)
-        gone = _find_gone(wanted)
-        if len(rows) + len(gone) > ROWS_MOST:
+        gone, spoilt = _find_ends(wanted)
+        if len(rows) + len(gone) + len(spoilt) > ROWS_MOST:
             return None
-        return Step(position, until, False, rows, gone)
+        return Step(position, until, False, rows, gone, spoilt)
 
 
-def _find_gone(steps: list[Step]) -> tuple[str, ...]:
-    """Returns the targets that are off the list after all steps."""
+def _find_ends(
+    steps: list[Step],
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Returns the names that are off the list, or spoilt, after all steps."""
     gone: dict[str, None] = {}
+    spoilt: dict[str, None] = {}
     for each in steps:
         for row in each.listed:
             gone.pop(row.target_id, None)
-        gone.update(dict.fromkeys(each.gone))
-    return tuple(gone)
+            spoilt.pop(row.target_id, None)
+        for target_id in each.gone:
+            gone[target_id] = None
+            spoilt.pop(target_id, None)
+        for target_id in each.spoilt:
+            spoilt[target_id] = None
+            gone.pop(target_id, None)
+    return tuple(gone), tuple(spoilt)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -146,7 +146,7 @@
             note_lost=lambda lost: self._lives.post(lost),
         )
         self._keeper = reservation_keeper.ReservationKeeper(
-            outside, platform.orders
+            outside, platform.orders, view.is_over
         )
         self._lives = life_watch.LifeWatch(
             self._keeper.ask_sign,
@@ -314,6 +314,7 @@
         metrics.reservations.set({}, len(self._keeper))
         quarantined = self.tools.suspects.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
+        metrics.entries_refused.set({}, self._sync.count_refused())
         metrics.log_lines_left_out.set({}, logs.count_left_out())
         return metric_types.render(metrics.registry)
 
--- a/src/ruddergate/entry/reservation_keeper.py
+++ b/src/ruddergate/entry/reservation_keeper.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
 from ruddergate import environment
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
 from ruddergate.relay import orders
 from ruddergate.telemetry import logs
@@ -50,13 +52,18 @@
     Args:
         outside: Clock.
         given: Orders that targets take.
+        is_over: Returns whether a life is known to be over.
     """
 
     def __init__(
-        self, outside: environment.Environment, given: orders.Orders
+        self,
+        outside: environment.Environment,
+        given: orders.Orders,
+        is_over: Callable[[lives.Life], bool] = lambda life: False,
     ) -> None:
         self._outside = outside
         self._orders = given
+        self._is_over = is_over
         self._kept: dict[str, _Kept] = {}
         self._log = logs.make_logger("memory")
 
@@ -154,6 +161,10 @@
         step would end without the release.
         """
         while not await _is_set_within(is_over, RENEW_MS):
+            if self._is_over(held.target.life):
+                # The next life holds nothing: to renew there would set memory
+                # aside for nobody.
+                return
             answer = await self._orders.reserve(held, HOLD_MS)
             if answer is orders.Answer.REFUSED:
                 self._log.warning("Memory lost at {}.", held.target.target_id)
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -22,6 +22,7 @@
 from ruddergate.entry import view as views
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import load_report
 from ruddergate.fleet import target as targets
 from ruddergate.messages import loads as load_messages
@@ -224,16 +225,29 @@
             if isinstance(placed, placement.Placed):
                 self._release(placed)
 
+    def _find_estimate(
+        self, target: targets.Target
+    ) -> estimates.Estimate | None:
+        """Returns what is believed of a target, if that is of the same life.
+
+        A target that has started again knows nothing of what was sent before,
+        and what comes late of its former life says nothing of it.
+        """
+        estimate = self._estimates.get(target.target_id)
+        if estimate is None or estimate.target.life != target.life:
+            return None
+        return estimate
+
     def _release(self, placed: placement.Placed) -> None:
         for seat in placed.seats:
-            estimate = self._estimates.get(seat.target.target_id)
+            estimate = self._find_estimate(seat.target)
             if estimate is not None:
                 estimate.end(seat.attempt_id)
 
     def _take_first_token(
         self, message: placement.FirstToken, now_ms: float
     ) -> None:
-        estimate = self._estimates.get(message.seat.target.target_id)
+        estimate = self._find_estimate(message.seat.target)
         if estimate is None:
             return
         if estimate.first_token(message.seat.attempt_id, now_ms):
@@ -242,22 +256,22 @@
             estimate.note_prefix(message.prefix, message.prefix_tokens)
 
     def _take_ended(self, message: placement.Ended, now_ms: float) -> None:
-        estimate = self._estimates.get(message.seat.target.target_id)
+        target = message.seat.target
+        estimate = self._find_estimate(target)
         if estimate is None:
             return
         estimate.end(message.seat.attempt_id)
-        target = message.seat.target
         if message.unreachable:
             self._note_missed(target, now_ms)
         if message.unreachable or message.gone:
             self._losses.note_lost(
-                target.hall, target.target_id, message.unreachable, now_ms
+                target.hall, target.life, message.unreachable, now_ms
             )
         if message.failed:
             estimate.note_fault(now_ms)
         elif message.answered:
             self._reachability.note_reached(target.hall)
-            self._losses.note_reached(target.hall, target.target_id, now_ms)
+            self._losses.note_reached(target.hall, target.life, now_ms)
             estimate.answered_ms = now_ms
         self._note_change()
 
@@ -274,7 +288,7 @@
             return
         now_ms = self._outside.now_ms()
         for name in (*told.gone, *told.silent):
-            estimate = self._estimates.get(name)
+            estimate = self._find_told(lives.parse_life(name))
             if estimate is not None:
                 pause_ms = self._outside.random.uniform(*losses_found.PAUSE_MS)
                 estimate.note_told_lost(now_ms, pause_ms)
@@ -282,12 +296,24 @@
             if self._reachability.note_told(hall, now_ms):
                 self._log.warning("Hall {} is out of reach of peers.", hall)
 
+    def _find_told(self, life: lives.Life) -> estimates.Estimate | None:
+        """Returns what is believed of a target that a peer has told of.
+
+        Peers of an earlier release name no life.
+        """
+        estimate = self._estimates.get(life.target_id)
+        if estimate is None:
+            return None
+        is_same = life.born_ms in (lives.BORN_UNKNOWN, estimate.target.born_ms)
+        return estimate if is_same else None
+
     def _take_report(
         self, report: load_report.LoadReport, now_ms: float
     ) -> None:
         estimate = self._estimates.get(report.target_id)
-        if estimate is not None:
-            estimate.take_report(report, now_ms)
+        if estimate is None or report.born_ms != estimate.target.born_ms:
+            return
+        estimate.take_report(report, now_ms)
 
     def _take_loads(self, loads: load_messages.Loads, now_ms: float) -> None:
         for report in loads.reports:
@@ -318,7 +344,7 @@
             if pool is None:
                 continue
             known = self._estimates.get(target.target_id)
-            if known is None or known.target.address != target.address:
+            if known is None or not _is_same(known.target, target):
                 known = estimates.Estimate(target, pool)
                 self._estimates[target.target_id] = known
             known.target = target
@@ -419,3 +445,8 @@
     return outcomes.refuse(
         outcomes.Reason.NO_TARGET, f"pool {pool} has no target", _GONE_RETRY_MS
     )
+
+
+def _is_same(one: targets.Target, other: targets.Target) -> bool:
+    """Returns whether two entries are of the same life at the same place."""
+    return one.life == other.life and one.address == other.address
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -116,6 +116,10 @@
             pause_ms -= self._outside.now_ms() - began_ms
             await asyncio.sleep(max(_PAUSE_LEAST_MS, pause_ms) / 1000.0)
 
+    def count_refused(self) -> int:
+        """Returns how many entries were none of a target, in all."""
+        return self._targets.refused
+
     def answer_news(self, wanted: news.NewsWanted) -> news.News | None:
         """Returns what this VM knows, for a peer that follows it."""
         position = self._position
@@ -133,6 +137,7 @@
             self._view.catalog.revision,
             step.listed,
             step.gone,
+            step.spoilt,
         )
 
     async def _take_turn(self) -> float:
@@ -227,7 +232,7 @@
             The changes, or None if the store is to be read for them: more has
             changed than a datagram holds, or the settings can't be had.
         """
-        if not found.is_whole:
+        if not found.is_whole or any(map(self._targets.is_vague, found.listed)):
             return None
         catalog, document = None, b""
         if found.settings_revision > self._view.catalog.revision:
@@ -245,6 +250,10 @@
             found.gone,
             (),
             document,
+            tuple(
+                published.Spoilt(each, f"a peer could not read it: {peer}")
+                for each in found.spoilt
+            ),
         )
 
     async def _ask_store(
@@ -345,6 +354,7 @@
                 bool(changes.problems),
                 changes.targets,
                 changes.gone,
+                tuple(each.target_id for each in changes.spoilt),
             )
         )
 
@@ -368,13 +378,18 @@
         self, changes: published.Changes, is_all: bool, asked_ms: float
     ) -> None:
         now_ms = self._outside.now_ms()
-        grace_until_ms = self._outage_ended_ms + self._pace.lapse_grace_ms
-        is_any_kept = self._targets.take(
-            changes.targets, changes.gone, is_all, now_ms, grace_until_ms
+        kept_until_ms = self._targets.take(
+            changes,
+            is_all,
+            now_ms,
+            target_list.Grace(
+                self._outage_ended_ms + self._pace.lapse_grace_ms,
+                now_ms + self._pace.lapse_grace_ms,
+            ),
         )
-        if is_any_kept:
+        if kept_until_ms is not None:
             loop = asyncio.get_running_loop()
-            grace_ms = grace_until_ms - now_ms
+            grace_ms = kept_until_ms - now_ms
             loop.call_later(max(0.0, grace_ms) / 1000.0, self._end_grace)
         self._view.take_targets(self._targets.listed(), asked_ms)
         self._scheduler.post(schedulers.ViewChanged())
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -1,25 +1,54 @@
 """The targets that the store lists, with what must outlast its answers.
 
-A target that was ever seen leaving stays so, and one that went off the list
+A life of a target that was ever seen leaving stays so; the target may start
+again under its name, and is then another life. A target that went off the list
 while the store was out of reach is kept for a moment, since those that live are
-listed again soon.
+listed again soon; so is one whose entry another writer has spoilt.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
 from ruddergate.fleet import condition
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
+from ruddergate.relay import published
 from ruddergate.telemetry import logs
 
+# Names of which the log tells again only what changes; more are told each time.
+_TOLD_MOST = 1_024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grace:
+    """Until when targets are kept that are not listed.
+
+    Attributes:
+        lapsed_ms: Those that went off the list.
+        spoilt_ms: Those whose entry is none of a target any more. A target
+            writes its own again within a heartbeat.
+    """
+
+    lapsed_ms: float
+    spoilt_ms: float
+
 
 class TargetList:
-    """Targets by name; owned by one task."""
+    """Targets by name; owned by one task.
+
+    Attributes:
+        refused: Entries that were none of a target, in all.
+    """
 
     def __init__(self) -> None:
+        self.refused = 0
         self._targets: dict[str, targets.Target] = {}
-        self._lapsed_until_ms: dict[str, float] = {}
-        self._leaving: set[str] = set()
+        self._kept_until_ms: dict[str, float] = {}
+        # The youngest life of each target that was seen leaving, and the
+        # youngest that was seen at all.
+        self._leaving_born_ms: dict[str, int] = {}
+        self._born_ms: dict[str, int] = {}
+        self._told: dict[str, str] = {}
         self._log = logs.make_logger("store")
 
     def listed(self) -> tuple[targets.Target, ...]:
@@ -28,71 +57,114 @@
 
     def take(
         self,
-        found: Iterable[targets.Target],
-        gone: Iterable[str],
+        changes: published.Changes,
         is_all: bool,
         now_ms: float,
-        grace_until_ms: float,
-    ) -> bool:
-        """Takes in entries and names that went off the list.
+        grace: Grace,
+    ) -> float | None:
+        """Takes in what the store tells of targets.
 
         Args:
-            found: Entries in order, also those that others have replaced.
-            gone: Names that are not listed any more.
-            is_all: Whether everything that is listed was found.
-            now_ms: Monotonic time.
-            grace_until_ms: Until when targets that went off are kept.
+            changes: Entries in order, and names that are off the list.
+            is_all: Whether everything that is listed is in it.
+            now_ms: Time.
+            grace: Until when targets are kept that are not listed.
 
         Returns:
-            Whether any is kept for that time.
+            Until when any of them is kept, or None.
         """
-        off = set(gone)
-        listed: dict[str, targets.Target] = {}
-        for each in found:
-            if each.condition is condition.Condition.LEAVING:
-                self._leaving.add(each.target_id)
-            if each.target_id not in off:
-                listed[each.target_id] = each
+        off = set(changes.gone)
+        spoilt = {each.target_id for each in changes.spoilt}
+        listed = self._find_newest(changes.targets)
+        for each in changes.spoilt:
+            self._tell_spoilt(each)
         if is_all:
-            off |= self._targets.keys() - listed.keys()
+            off |= self._targets.keys() - listed.keys() - spoilt
         for target_id in off & self._targets.keys():
-            if grace_until_ms > now_ms:
-                self._lapsed_until_ms.setdefault(target_id, grace_until_ms)
-            else:
-                self._forget(target_id)
-        for each in listed.values():
-            self._put(each)
+            self._keep_until(target_id, grace.lapsed_ms, now_ms)
+        for target_id in spoilt & self._targets.keys():
+            self._keep_until(target_id, grace.spoilt_ms, now_ms)
+        for target_id, each in listed.items():
+            if target_id not in off | spoilt:
+                self._put(each)
         self.forget_lapsed(now_ms)
-        return bool(self._lapsed_until_ms)
+        return max(self._kept_until_ms.values(), default=None)
+
+    def is_vague(self, target: targets.Target) -> bool:
+        """Returns whether an entry does not say which life it is of.
+
+        A peer of an earlier release hands entries on without it.
+        """
+        is_untold = target.born_ms == lives.BORN_UNKNOWN
+        return is_untold and self._born_ms.get(target.target_id, 0) > 0
 
     def forget_lapsed(self, now_ms: float) -> None:
         """Takes off targets that have not come back in time."""
-        for target_id, until_ms in list(self._lapsed_until_ms.items()):
+        for target_id, until_ms in list(self._kept_until_ms.items()):
             if now_ms >= until_ms:
                 self._forget(target_id)
 
-    def _put(self, target: targets.Target) -> None:
-        """Lists a target, leaving if it ever was: late news can't undo it.
+    def _find_newest(
+        self, found: Iterable[targets.Target]
+    ) -> dict[str, targets.Target]:
+        """Returns the last entry of the youngest life of each target.
 
-        A target that starts again has a new name.
+        Leavings are noted of all of them: one may have been replaced since.
         """
-        self._lapsed_until_ms.pop(target.target_id, None)
-        if target.target_id in self._leaving:
+        newest: dict[str, targets.Target] = {}
+        for each in found:
+            name = each.target_id
+            if each.born_ms < self._born_ms.get(name, each.born_ms):
+                self._tell_once(name, f"Target {name}: older life dropped.")
+                continue
+            self._born_ms[name] = each.born_ms
+            if each.condition is condition.Condition.LEAVING:
+                self._leaving_born_ms[name] = each.born_ms
+            newest[name] = each
+        return newest
+
+    def _put(self, target: targets.Target) -> None:
+        """Lists a target, leaving if this life ever was."""
+        name = target.target_id
+        self._kept_until_ms.pop(name, None)
+        self._told.pop(name, None)
+        if self._leaving_born_ms.get(name) == target.born_ms:
             target = dataclasses.replace(
                 target, condition=condition.Condition.LEAVING
             )
-        if self._targets.get(target.target_id) != target:
+        if self._targets.get(name) != target:
             self._log.info(
                 "Target {} is {}.",
-                target.target_id,
+                name,
                 target.condition.value,
                 pool=target.pool,
                 hall=target.hall,
                 address=str(target.address),
+                born_ms=target.born_ms,
             )
-        self._targets[target.target_id] = target
+        self._targets[name] = target
+
+    def _keep_until(
+        self, target_id: str, until_ms: float, now_ms: float
+    ) -> None:
+        if until_ms > now_ms:
+            self._kept_until_ms.setdefault(target_id, until_ms)
+        else:
+            self._forget(target_id)
 
     def _forget(self, target_id: str) -> None:
-        self._lapsed_until_ms.pop(target_id, None)
+        self._kept_until_ms.pop(target_id, None)
         del self._targets[target_id]
         self._log.info("Target {} is off the list.", target_id)
+
+    def _tell_spoilt(self, entry: published.Spoilt) -> None:
+        self.refused += 1
+        self._tell_once(entry.target_id, f"Entry refused. {entry.detail}")
+
+    def _tell_once(self, name: str, sentence: str) -> None:
+        """Logs a sentence unless it was the last one of that name."""
+        if self._told.get(name) == sentence:
+            return
+        if len(self._told) < _TOLD_MOST:
+            self._told[name] = sentence
+        self._log.warning("{}", sentence)
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -6,6 +6,7 @@
 
 from ruddergate.decisions import adoption
 from ruddergate.fleet import condition
+from ruddergate.fleet import life as lives
 from ruddergate.fleet import listing as listings
 from ruddergate.fleet import target as targets
 from ruddergate.messages import fleet_view
@@ -79,6 +80,13 @@
         self.listing = listings.merge(self.listing, offered)
         self._confirmed_ms = max(self._confirmed_ms, asked_ms)
 
+    def is_over(self, life: lives.Life) -> bool:
+        """Returns whether a younger life of the same target is listed."""
+        return any(
+            each.target_id == life.target_id and each.born_ms > life.born_ms
+            for each in self.listing.targets
+        )
+
     def confirm_settings(self, asked_ms: float) -> None:
         """Notes that nothing newer was in force at `asked_ms`."""
         self._settings_confirmed_ms = max(self._settings_confirmed_ms, asked_ms)
--- a/src/ruddergate/fleet/bad_news.py
+++ b/src/ruddergate/fleet/bad_news.py
@@ -7,6 +7,8 @@
 class BadNews:
     """Hints for placing work; no promise rests on them.
 
+    Targets are named as `life.format_life` does it.
+
     Attributes:
         gone: Targets in whose place nobody or another one answered; that is so
             for whoever asks.
--- a/src/ruddergate/fleet/life.py
+++ b/src/ruddergate/fleet/life.py
@@ -19,3 +19,22 @@
 
     target_id: str
     born_ms: int = BORN_UNKNOWN
+
+
+def format_life(life: Life) -> str:
+    """Returns a life as one word, in digests and logs.
+
+    Where the start is unknown it is the target's name, which is all that VMs of
+    earlier releases tell and understand.
+    """
+    if life.born_ms == BORN_UNKNOWN:
+        return life.target_id
+    return f"{life.target_id}@{life.born_ms}"
+
+
+def parse_life(text: str) -> Life:
+    """Returns the life that `format_life` wrote as a word."""
+    target_id, separator, born = text.rpartition("@")
+    if not separator or not born.isdecimal():
+        return Life(text)
+    return Life(target_id, int(born))
--- a/src/ruddergate/fleet/listing.py
+++ b/src/ruddergate/fleet/listing.py
@@ -28,20 +28,20 @@
 def merge(current: Listing, offered: Listing) -> Listing:
     """Returns the newer list, in which leaving is never undone.
 
-    A target that the current list shows as leaving stays so for as long as
-    it is listed under the same address: an older or reverted list can't bring
-    it back to work.
+    A life of a target that the current list shows as leaving stays so for as
+    long as it is listed under the same address: an older or reverted list can't
+    bring it back to work.
     """
     if offered.version < current.version:
         return current
     gone = {
-        (each.target_id, each.address)
+        (each.life, each.address)
         for each in current.targets
         if each.condition is condition.Condition.LEAVING
     }
     kept = tuple(
         dataclasses.replace(each, condition=condition.Condition.LEAVING)
-        if (each.target_id, each.address) in gone
+        if (each.life, each.address) in gone
         else each
         for each in offered.targets
     )
--- a/src/ruddergate/fleet/load_report.py
+++ b/src/ruddergate/fleet/load_report.py
@@ -15,6 +15,7 @@
         held_tokens: Memory in use, in tokens.
         draining: Whether the target says that it takes no new work.
         age_ms: How old the account was when it was read.
+        born_ms: The life that tells it, see `life.Life`.
     """
 
     target_id: str
@@ -24,3 +25,4 @@
     held_tokens: int
     draining: bool
     age_ms: float
+    born_ms: int = 0
--- a/src/ruddergate/messages/news.py
+++ b/src/ruddergate/messages/news.py
@@ -35,6 +35,7 @@
         settings_revision: Revision of the settings that the answerer goes by.
         listed: Entries of targets in order, as in `published.Changes`.
         gone: Names of targets that are not listed any more.
+        spoilt: Names whose entry is none of a target.
     """
 
     question: str
@@ -44,3 +45,4 @@
     settings_revision: int = 0
     listed: tuple[targets.Target, ...] = ()
     gone: tuple[str, ...] = ()
+    spoilt: tuple[str, ...] = ()
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -119,23 +119,58 @@
     return document
 
 
+@dataclasses.dataclass(slots=True)
+class _Entries:
+    """Entries of targets, read in order.
+
+    Attributes:
+        listed: Every sound one.
+        gone: Names whose entry was removed last.
+        spoilt: Names whose last entry is none of a target, with the reason.
+    """
+
+    listed: list[targets.Target] = dataclasses.field(default_factory=list)
+    gone: dict[str, None] = dataclasses.field(default_factory=dict)
+    spoilt: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def take(self, target_id: str, item: object) -> None:
+        """Reads the next item; what it replaces says nothing any more."""
+        self.gone.pop(target_id, None)
+        self.spoilt.pop(target_id, None)
+        if _private.get(item, "gone", bool, False):
+            self.gone[target_id] = None
+            return
+        read = _read_value(
+            item, lambda value: target_entries.read_target(target_id, value)
+        )
+        if isinstance(read, str):
+            self.spoilt[target_id] = read
+        else:
+            self.listed.append(read)
+
+
 def _read_items(
     items: Iterable[object], at: int, read_catalog: ReadCatalog
 ) -> published.Changes:
     """Reads items in order of revision; the last of a key stands."""
     configurations: list[object] = []
-    listed: list[targets.Target] = []
-    gone: dict[str, None] = {}
+    entries = _Entries()
     problems: list[str] = []
     for item in items:
         key = _private.get(item, "key", str, "")
         if key == configuration.KEY:
             configurations.append(item)
         elif key.startswith(target_entries.PREFIX):
-            _read_target_item(item, key, listed, gone, problems)
+            entries.take(key.removeprefix(target_entries.PREFIX), item)
     catalog, document = _read_newest(configurations, read_catalog, problems)
     return published.Changes(
-        at, catalog, tuple(listed), tuple(gone), tuple(problems), document
+        at,
+        catalog,
+        tuple(entries.listed),
+        tuple(entries.gone),
+        tuple(problems),
+        document,
+        tuple(published.Spoilt(*each) for each in entries.spoilt.items()),
     )
 
 
@@ -162,27 +197,6 @@
     return None, b""
 
 
-def _read_target_item(
-    item: object,
-    key: str,
-    listed: list[targets.Target],
-    gone: dict[str, None],
-    problems: list[str],
-) -> None:
-    target_id = key.removeprefix(target_entries.PREFIX)
-    if _private.get(item, "gone", bool, False):
-        gone[target_id] = None
-        return
-    read = _read_value(
-        item, lambda value: target_entries.read_target(target_id, value)
-    )
-    if isinstance(read, str):
-        problems.append(read)
-        return
-    gone.pop(target_id, None)
-    listed.append(read)
-
-
 def _read_value(item: object, read: Callable[[object], object]) -> object:
     """Decodes an item's value and reads it, or says what is wrong."""
     document = _decode_value(item)
--- a/src/ruddergate/relay/published.py
+++ b/src/ruddergate/relay/published.py
@@ -8,6 +8,19 @@
 from ruddergate.settings import catalog as catalogs
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spoilt:
+    """An entry of a target that is none: it names no target to be used.
+
+    Attributes:
+        target_id: The name under which it stands.
+        detail: What is wrong, a sentence for logs.
+    """
+
+    target_id: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
     """What the store holds, or what has changed in it.
@@ -18,8 +31,9 @@
         targets: Every entry of a target in order, also those that others of
             the same target have replaced since.
         gone: Names of targets that are not listed any more.
-        problems: What could not be read, a sentence each.
+        problems: What could not be read of the settings, a sentence each.
         document: The settings as published; empty if they are not in this.
+        spoilt: Entries that stand where targets' do and are none.
     """
 
     position: int
@@ -28,6 +42,7 @@
     gone: tuple[str, ...]
     problems: tuple[str, ...]
     document: bytes = b""
+    spoilt: tuple[Spoilt, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -76,6 +76,10 @@
             "ruddergate_quarantined_contents",
             "Contents that are sent to no target, since they end targets.",
         )
+        self.entries_refused = self._gauge(
+            "ruddergate_entries_refused",
+            "Entries in the list of targets that are none of a target, in all.",
+        )
         self.reservations = self._gauge(
             "ruddergate_reservations", "Reservations held on engines."
         )
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,186 @@
+"""Entries that another writer has put where targets have theirs.
+
+Any unknown state counted as leaving, and a leaving stuck to its name for ever;
+a missing hall or number of places passed as empty and 0. One entry that could
+not be read kept a whole answer of the store from proving that settings are
+fresh, so that keys were refused on every VM while it changed.
+"""
+
+import asyncio
+import base64
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import loguru
+import orjson
+
+from ruddergate.entry import target_list
+from ruddergate.fleet import condition
+from ruddergate.platform import store
+from ruddergate.relay import published
+from tests import gateway_scene
+
+_NAMES = ("a", "b", "c", "d")
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**63 - 1)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=6,
+)
+
+
+def _make_entry(name: str, **fields: object) -> dict[str, object]:
+    return {
+        "service": "engines",
+        "address": f"10.0.0.{1 + _NAMES.index(name)}:80",
+        "zone": "h",
+        "config-version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+        **fields,
+    }
+
+
+def _make_item(name: str, value: object) -> dict[str, object]:
+    data = value if isinstance(value, bytes) else orjson.dumps(value)
+    text = base64.b64encode(data).decode()
+    return {"key": f"servers/{name}", "value": text, "revision": 1}
+
+
+def _read(items: list[object]) -> published.Changes:
+    return store._read_items(items, 9, lambda document: "no settings")
+
+
+# Ways to spoil an entry: a field taken away, one of another kind, one of a
+# meaning that there is not, or something else altogether.
+_SPOILT = strategies.one_of(
+    strategies.sampled_from(
+        ("service", "address", "zone", "slots", "state")
+    ).map(
+        lambda name: {
+            key: value for key, value in _make_entry("a").items() if key != name
+        }
+    ),
+    strategies.tuples(
+        strategies.sampled_from(
+            ("service", "address", "zone", "slots", "state", "born", "sequence")
+        ),
+        strategies.sampled_from((None, True, -1, 1.5, [], {}, "")),
+    ).map(lambda pair: {**_make_entry("a"), pair[0]: pair[1]}),
+    strategies.text(max_size=8).map(
+        lambda state: {**_make_entry("a"), "state": state + "?"}
+    ),
+    _JSON,
+    strategies.binary(max_size=12).map(lambda data: b"\xff" + data),
+)
+
+
+class AnswerTest(unittest.TestCase):
+    @hypothesis.given(_SPOILT, strategies.integers(0, 3))
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    def test_one_spoilt_entry_leaves_the_others_as_they_were(
+        self, value: object, place: int
+    ) -> None:
+        items = [_make_item(name, _make_entry(name)) for name in _NAMES]
+        whole = _read(items)
+        items[place] = _make_item(_NAMES[place], value)
+        found = _read(items)
+        others = [
+            each for each in whole.targets if each.target_id != _NAMES[place]
+        ]
+        self.assertEqual(list(found.targets), others)
+        spoilt = [each.target_id for each in found.spoilt]
+        self.assertEqual(spoilt, [_NAMES[place]])
+        self.assertEqual((found.gone, found.problems), ((), ()))
+
+    @hypothesis.given(strategies.lists(_JSON, max_size=6))
+    @hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+    def test_any_items_are_borne(self, items: list[object]) -> None:
+        self.assertEqual(_read(items).targets, ())
+
+    def test_what_follows_in_the_same_answer_stands(self) -> None:
+        sound = _make_item("a", _make_entry("a"))
+        bad = _make_item("a", b"\xff")
+        self.assertEqual(_read([bad, sound]).spoilt, ())
+        self.assertEqual(len(_read([sound, bad]).spoilt), 1)
+        # What a sound entry said before it holds, such as that it leaves.
+        leaving = _make_item("a", _make_entry("a", state="draining"))
+        found = _read([leaving, bad]).targets
+        self.assertIs(found[0].condition, condition.Condition.LEAVING)
+
+
+class TargetListTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def setUp(self) -> None:
+        self.list = target_list.TargetList()
+
+    def _take(self, items: list[object], now_ms: float, is_all=False) -> None:
+        grace = target_list.Grace(float("-inf"), now_ms + 1_500.0)
+        self.list.take(_read(items), is_all, now_ms, grace)
+
+    def _names(self) -> list[str]:
+        return [each.target_id for each in self.list.listed()]
+
+    def test_spoilt_target_is_kept_until_it_writes_again(self) -> None:
+        sound = [_make_item(name, _make_entry(name)) for name in "ab"]
+        self._take(sound, 0.0, is_all=True)
+        self._take([_make_item("a", b"?")], 100.0)
+        self.assertEqual(self._names(), ["a", "b"])
+        self._take(sound[:1], 1_200.0)
+        self.list.forget_lapsed(9_000.0)
+        self.assertEqual(self._names(), ["a", "b"])
+
+    def test_entry_that_stays_spoilt_names_no_target(self) -> None:
+        sound = [_make_item(name, _make_entry(name)) for name in "ab"]
+        self._take(sound, 0.0, is_all=True)
+        self._take([_make_item("a", b"?"), sound[1]], 100.0, is_all=True)
+        self.list.forget_lapsed(1_700.0)
+        self.assertEqual(self._names(), ["b"])
+
+    def test_each_refused_entry_is_told_once(self) -> None:
+        lines: list[str] = []
+        sink = loguru.logger.add(lambda line: lines.append(str(line)))
+        try:
+            for _ in range(5):
+                self._take([_make_item("a", b"?")], 0.0)
+            self._take([_make_item("a", {})], 0.0)
+        finally:
+            loguru.logger.remove(sink)
+        self.assertEqual(len(lines), 2)
+        self.assertEqual(self.list.refused, 6)
+
+
+class FleetTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_writer_of_nonsense_costs_nobody_a_call(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            chance = random.Random(3)
+            cluster = scene.cluster
+            names = [node.replica.name for node in cluster.targets.values()]
+            statuses = []
+            for number in range(60):
+                name = chance.choice((*names, "nobody"))
+                entry = {"service": "engines", "state": f"s{number}"}
+                cluster.store.put(f"servers/{name}", entry)
+                got = await scene.call("short", f"vm-{number % 3}")
+                statuses.append(got.status)
+                await asyncio.sleep(0.1)
+            self.assertEqual(set(statuses), {200})
+
+        gateway_scene.play(scene, engines=6)
