--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -7,6 +7,8 @@
 from ruddergate import outcomes
 from ruddergate import request as requests
 from ruddergate.decisions import length_band
+from ruddergate.entry import attempt_log
+from ruddergate.entry import first_event
 from ruddergate.entry import lost_call
 from ruddergate.entry import placement
 from ruddergate.entry import relay_progress
@@ -16,7 +18,6 @@
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
-from ruddergate.telemetry import logs
 
 # A connection to a target in reach is up in a few milliseconds; packets lost
 # on the way are sent again after a second, which is too late to wait for. A
@@ -83,7 +84,9 @@
         """Yields what the caller is to get, and at last how it ended."""
         reservations = self._make_reservations()
         self._progress.blamed = ()
-        _log_start(self._request, self._seats, self._progress, self._tools)
+        attempt_log.log_start(
+            self._request, self._seats, self._progress, self._tools
+        )
         try:
             signs = await self._ask_signs()
             if any(sign is not orders.Sign.ALIVE for sign in signs):
@@ -159,32 +162,19 @@
         are its helpers, without which there won't be any.
         """
         async with contextlib.aclosing(self._send(errand)) as events:
-            if is_watched or errand.helpers:
-                first = await self._await_first(events, is_watched)
+            hopeless = []
+            if errand.helpers:
+                hopeless.append(self._wait_for_helpers_end())
+            if is_watched:
+                hopeless.append(self._wait_for_silence())
+            if hopeless:
+                first = await first_event.await_first(events, hopeless)
                 yield first
                 if isinstance(first, outcomes.NotServed):
                     return
             async for event in events:
                 yield event
 
-    async def _await_first(
-        self, events: AsyncIterator[answers.Event], is_watched: bool
-    ) -> answers.Event:
-        reading = asyncio.ensure_future(anext(events))
-        watching = [asyncio.ensure_future(self._wait_for_helpers_end())]
-        if is_watched:
-            watching.append(asyncio.ensure_future(self._wait_for_silence()))
-        try:
-            await asyncio.wait(
-                {reading, *watching}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if reading.done():
-                return reading.result()
-            return next(each for each in watching if each.done()).result()
-        finally:
-            for each in (reading, *watching):
-                await _end(each)
-
     async def _wait_for_silence(self) -> outcomes.NotServed:
         """Returns how the attempt ends when the target is silent."""
         await self._keeper.wait_for_silence(self._seats[0].target)
@@ -370,13 +360,6 @@
         return await self._tools.secure_retry(is_great)
 
 
-async def _end(task: asyncio.Future) -> None:
-    """Cancels a task unless it has ended, and waits for its end."""
-    if not task.done():
-        task.cancel()
-        await asyncio.wait({task})
-
-
 def _make_helper(
     seat: placement.Seat, reservations: dict[str, orders.Reservation]
 ) -> errands.Helper:
@@ -389,31 +372,3 @@
 def _find_urgency(request: requests.Request) -> int:
     """Lets shorter prompts in before longer ones."""
     return _URGENCY_FIRST + length_band.find_band(request.prompt_tokens)
-
-
-def _log_start(
-    request: requests.Request,
-    seats: tuple[placement.Seat, ...],
-    progress: relay_progress.Progress,
-    tools: tool_types.Tools,
-) -> None:
-    now_ms = tools.outside.now_ms()
-    seat = seats[0]
-    tools.metrics.note_wait(request.prompt_tokens, now_ms - request.arrived_ms)
-    logs.make_logger("attempt").info(
-        "Attempt begins at {}.",
-        seat.target.target_id,
-        request_id=request.request_id,
-        route=request.payload.route.name,
-        pool=seat.target.pool,
-        hall=seat.target.hall,
-        prompt_tokens=request.prompt_tokens,
-        helpers=[each.target.target_id for each in seats[1:]],
-        believed=seat.believed,
-        resume_after=progress.last_id,
-        sent=progress.sent,
-        waited_ms=round(now_ms - request.arrived_ms),
-        left_ms=round(request.remaining_ms(now_ms)),
-        revision=request.workload.revision,
-        view_age_ms=round(tools.view.age_ms(now_ms)),
-    )
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -13,16 +13,15 @@
 from ruddergate.decisions import queueing
 from ruddergate.decisions import retries
 from ruddergate.decisions.routing import job as jobs
+from ruddergate.entry import attempt_log
 from ruddergate.entry import model_run
 from ruddergate.entry import placement
 from ruddergate.entry import relay_attempt
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
-from ruddergate.entry import suspects
 from ruddergate.entry import tools as tool_types
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
-from ruddergate.telemetry import logs
 
 # Targets tried for a connection, besides those that were sent the call.
 UNREACHABLE_MAX = 8
@@ -116,7 +115,7 @@
         raise AssertionError("an attempt ended without an outcome")
     route = request.payload.route
     seat = placed.seats[0]
-    _log_failure(request, seat, ended, progress, tools)
+    attempt_log.log_failure(request, seat, ended, progress, tools)
     tools.metrics.attempts.inc({"result": ended.reason.value})
     progress.ran = model_run.worse(progress.ran, ended.ran)
     if ended.reason not in _NOTHING_SENT:
@@ -188,29 +187,6 @@
     return None
 
 
-def _log_failure(
-    request: requests.Request,
-    seat: placement.Seat,
-    ended: outcomes.NotServed,
-    progress: relay_progress.Progress,
-    tools: tool_types.Tools,
-) -> None:
-    logs.make_logger("attempt").info(
-        "Attempt failed: {} ({}). {}",
-        ended.reason.value,
-        ended.ran.value,
-        ended.detail,
-        request_id=request.request_id,
-        target=seat.target.target_id,
-        content=suspects.name_content(request),
-        route=request.payload.route.name,
-        sent=progress.sent,
-        blamed=progress.blamed,
-        last_event=progress.last_id,
-        waited_ms=round(tools.outside.now_ms() - request.arrived_ms),
-    )
-
-
 def _conclude(
     ended: outcomes.NotServed, progress: relay_progress.Progress
 ) -> answers.WholeAnswer | outcomes.NotServed:
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -12,14 +12,12 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.decisions import estimate as estimates
-from ruddergate.decisions import losses_found
 from ruddergate.decisions import queueing
-from ruddergate.decisions import reachability
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
-from ruddergate.entry import life_ends
 from ruddergate.entry import placement
 from ruddergate.entry import seating as seatings
+from ruddergate.entry import target_losses
 from ruddergate.entry import view as views
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
@@ -91,8 +89,8 @@
         self._collect_peers = collect_peers
         self._is_blind = is_blind
         self._collect_lost = collect_lost
-        self._losses = losses_found.LossesFound()
-        self.ends = life_ends.LifeEnds()
+        self._losses = target_losses.TargetLosses(outside.random)
+        self.ends = self._losses.ends
         self._outside = outside
         self._config = config
         self._view = view
@@ -109,7 +107,6 @@
         self._by_pool: dict[str, list[estimates.Estimate]] = {}
         self._ticked_ms = outside.now_ms()
         self._held_until_ms = 0.0
-        self._reachability = reachability.Reachability()
         self._log = logs.make_logger("scheduler")
         self._lane_rests_until_ms: dict[queueing.Lane, float] = {}
 
@@ -271,16 +268,13 @@
             return
         estimate.end(message.seat.attempt_id)
         if message.unreachable:
-            self._note_missed(target, now_ms)
-        if message.unreachable:
-            self._losses.note_lost(target.hall, target.life, True, now_ms)
+            self._losses.note_silent(target, now_ms)
         elif message.gone:
-            self._note_gone(target, now_ms)
+            self._losses.note_gone(target, now_ms)
         if message.failed:
             estimate.note_fault(now_ms)
         elif message.answered:
-            self._reachability.note_reached(target.hall)
-            self._losses.note_reached(target.hall, target.life, now_ms)
+            self._losses.note_answered(target, now_ms)
             estimate.answered_ms = now_ms
         self._note_change()
 
@@ -288,35 +282,13 @@
         estimate = self._find_estimate(target)
         if estimate is not None:
             estimate.note_fault(now_ms)
-            self._note_gone(target, now_ms)
+            self._losses.note_gone(target, now_ms)
             self._note_change()
 
-    def _note_gone(self, target: targets.Target, now_ms: float) -> None:
-        self._losses.note_lost(target.hall, target.life, False, now_ms)
-        self.ends.note(target.life)
-
-    def _note_missed(self, target: targets.Target, now_ms: float) -> None:
-        if self._reachability.note_missed(
-            target.hall, target.target_id, now_ms
-        ):
-            self._log.warning("Hall {} is out of reach.", target.hall)
-            self._losses.note_hall_lost(target.hall, now_ms)
-
     def _take_lost(self, told: bad_news.BadNews) -> None:
-        """Passes over for a moment what peers found out of reach."""
-        if told is bad_news.NOTHING:
-            return
-        now_ms = self._outside.now_ms()
-        for name in told.gone:
-            self.ends.note(lives.parse_life(name))
-        for name in (*told.gone, *told.silent):
-            estimate = self._find_told(lives.parse_life(name))
-            if estimate is not None:
-                pause_ms = self._outside.random.uniform(*losses_found.PAUSE_MS)
-                estimate.note_told_lost(now_ms, pause_ms)
-        for hall in told.halls:
-            if self._reachability.note_told(hall, now_ms):
-                self._log.warning("Hall {} is out of reach of peers.", hall)
+        if told is not bad_news.NOTHING:
+            now_ms = self._outside.now_ms()
+            self._losses.take_told(told, self._find_told, now_ms)
 
     def _find_told(self, life: lives.Life) -> estimates.Estimate | None:
         """Returns what is believed of a target that a peer has told of.
@@ -449,7 +421,7 @@
             each
             for each in known
             if each.is_usable(now_ms)
-            and not self._reachability.is_suspect(each.target.hall, now_ms)
+            and not self._losses.is_suspect(each.target.hall, now_ms)
         ]
         if good or not self._config.tries_all:
             return good
--- a/tests/test_losses_found.py
+++ b/tests/test_losses_found.py
@@ -106,9 +106,7 @@
             gateway = scene.cluster.vms["vm-2"].gateway
             scheduler = gateway.tools.scheduler
             now_ms = gateway.tools.outside.now_ms()
-            self.assertFalse(
-                scheduler._reachability.is_suspect("hall-1", now_ms)
-            )
+            self.assertFalse(scheduler._losses.is_suspect("hall-1", now_ms))
 
         loguru.logger.remove()
         gateway_scene.play(scene, vms=6, halls=3, engines=9)
