--- /dev/null
+++ b/standins/fatal_schedules.py
@@ -0,0 +1,226 @@
+"""Random schedules in which some calls end the engines that run them.
+
+`python -m standins.fatal_schedules --first 1 --count 100` plays many: fatal
+contents come again and again at any VM, among other calls and faults of VMs,
+the store, halls and targets, some of which start again under their names. It
+prints the seeds in which a fatal content was sent on for too long, another one
+was refused for it, or a promise was broken.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import dataclasses
+import random
+import sys
+
+import cyclopts
+import loguru
+
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import gateway_promises
+from standins import gateway_schedules
+from standins import platform_replica
+from standins import virtual_process
+
+_FATAL = (b"fatal 0", b"fatal 1")
+_CALLS = 80
+_TRIES = 8
+_FAULTS = 6
+_DURATION_S = 20.0
+# A caller comes back once, after this time.
+_RETRY_S = 0.3
+# A VM that was undisturbed for so long knows what the others know.
+TOUCH_S = 3.0
+# A run begins so long before the end that it brings about, at most.
+_END_S = 0.3
+# Sends that are borne after that: as many as a fleet that starts anew needs.
+LATE_MOST = 3
+
+
+def play(seed: int) -> tuple[list[str], dict[int, int]]:
+    """Plays one schedule; returns what went wrong and counts of statuses."""
+    chance = random.Random(f"fatal {seed}")
+    layout = gateway_cluster.Layout(
+        vms=chance.choice((2, 4, 6, 9, 20)),
+        halls=chance.choice((1, 3)),
+        engines=chance.choice((6, 12, 18)),
+        seed=seed,
+        keeps_names=chance.random() < 0.5,
+    )
+    return virtual_process.run(lambda: _play(layout, chance))
+
+
+async def _play(
+    layout: gateway_cluster.Layout, chance: random.Random
+) -> tuple[list[str], dict[int, int]]:
+    cluster = gateway_cluster.GatewayCluster(layout)
+    cluster.fatal.update(_FATAL)
+    await cluster.start()
+    caller = gateway_caller.Caller(cluster)
+    faults = [
+        asyncio.ensure_future(_play_fault(cluster, chance))
+        for _ in range(_FAULTS)
+    ]
+    calls = [_call_later(cluster, caller, chance, n) for n in range(_CALLS)]
+    fatal = [
+        _try_later(cluster, caller, chance, body, n)
+        for body in _FATAL
+        for n in range(_TRIES)
+    ]
+    got = await asyncio.gather(*calls)
+    tries = [each for one in await asyncio.gather(*fatal) for each in one]
+    for fault in faults:
+        fault.cancel()
+    # What was set aside for the last calls must lapse by itself.
+    await asyncio.sleep(4.0)
+    counts: dict[int, int] = {}
+    for each in got:
+        counts[each.status] = counts.get(each.status, 0) + 1
+    broken = gateway_promises.find_broken(cluster, [*got, *tries])
+    broken += _find_blamed(got)
+    for body in _FATAL:
+        broken += _find_late(cluster, body, tries)
+    return broken, counts
+
+
+async def _call_later(
+    cluster: gateway_cluster.GatewayCluster,
+    caller: gateway_caller.Caller,
+    chance: random.Random,
+    number: int,
+) -> gateway_caller.Got:
+    call = gateway_schedules.make_call(chance, cluster, number)
+    call = dataclasses.replace(call, body=b"call %d" % number)
+    await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
+    return await caller.send(call)
+
+
+async def _try_later(
+    cluster: gateway_cluster.GatewayCluster,
+    caller: gateway_caller.Caller,
+    chance: random.Random,
+    body: bytes,
+    number: int,
+) -> list[gateway_caller.Got]:
+    """Sends a fatal call, and once more after it has failed."""
+    await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
+    got = []
+    for attempt in range(2):
+        call = gateway_caller.Call(
+            request_id=f"{body.decode()} {number} {attempt}",
+            route="short",
+            vm=chance.choice(sorted(cluster.vms)),
+            prompt_tokens=5_000,
+            output_tokens=400,
+            body=body,
+        )
+        got.append(await caller.send(call))
+        await asyncio.sleep(_RETRY_S)
+    return got
+
+
+async def _play_fault(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
+    kinds = (*gateway_schedules.FAULT_KINDS, _crash_target, _write_nonsense)
+    await chance.choice(kinds)(cluster, chance)
+
+
+async def _crash_target(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.targets[chance.choice(sorted(cluster.targets))]
+    if not node.process.is_dead:
+        cluster.crash_target(node)
+
+
+async def _write_nonsense(
+    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+) -> None:
+    node = cluster.targets[chance.choice(sorted(cluster.targets))]
+    nonsense = chance.choice((b"\xff", b"[]", b'{"state":"gone"}'))
+    cluster.store.put_bytes(f"servers/{node.replica.name}", nonsense)
+
+
+def _find_blamed(got: Iterable[gateway_caller.Got]) -> list[str]:
+    return [
+        f"{each.call.request_id} is refused for what others did"
+        for each in got
+        if b"quarantined" in each.body
+    ]
+
+
+def _find_late(
+    cluster: gateway_cluster.GatewayCluster,
+    body: bytes,
+    tries: Iterable[gateway_caller.Got],
+) -> list[str]:
+    """Returns whether a fatal content was sent for too long."""
+    vms = {each.call.request_id: each.call.vm for each in tries}
+    runs = _list_runs(cluster, body)
+    if len(runs) < 3:
+        return []
+    known_s = runs[2].at_s + _END_S + TOUCH_S
+    late = [
+        run
+        for run in runs
+        if run.at_s > known_s
+        and _is_in_touch(cluster, vms[run.request_id], run.at_s)
+    ]
+    if len(late) <= LATE_MOST:
+        return []
+    return [f"{body.decode()} was sent {len(late)} times too late"]
+
+
+def _list_runs(
+    cluster: gateway_cluster.GatewayCluster, body: bytes
+) -> list[platform_replica.Run]:
+    runs = [
+        run
+        for replica in cluster.all_replicas
+        for run in replica.runs
+        if run.body == body
+    ]
+    return sorted(runs, key=lambda each: each.at_s)
+
+
+def _is_in_touch(
+    cluster: gateway_cluster.GatewayCluster, vm: str, at_s: float
+) -> bool:
+    """Returns whether a VM was undisturbed for long enough before a time."""
+    began_s = at_s - TOUCH_S
+    if any(began_s < start_s < at_s for start_s in cluster.vm_starts[vm]):
+        return False
+    names = (vm, cluster.vms[vm].hall)
+    return not any(
+        each.name in names and each.from_s < at_s and began_s < each.to_s
+        for each in cluster.disturbances
+    )
+
+
+def main(*, first: int = 1, count: int = 20) -> int:
+    """Plays many schedules.
+
+    Args:
+        first: First seed.
+        count: Number of seeds.
+    """
+    loguru.logger.remove()
+    failed = 0
+    total: dict[int, int] = {}
+    for seed in range(first, first + count):
+        broken, counts = play(seed)
+        failed += bool(broken)
+        for status, number in counts.items():
+            total[status] = total.get(status, 0) + number
+        for each in broken:
+            print(f"seed {seed}: {each}")
+    print(f"{count} seeds; other calls: {dict(sorted(total.items()))}")
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(cyclopts.run(main))
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -126,6 +126,7 @@
         keys: Keys by workspace, as the next revision publishes them.
         disturbances: Times in which VMs could not answer.
         fatal: Bodies of calls that end the replicas that answer them.
+        vm_starts: When each VM was started, on the loop's clock.
     """
 
     def __init__(self, layout: Layout) -> None:
@@ -141,6 +142,7 @@
         self.keys = {"w1": [KEY]}
         self.disturbances: list[Disturbance] = []
         self.fatal: set[bytes] = set()
+        self.vm_starts: dict[str, list[float]] = {}
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
 
     async def start(self) -> None:
@@ -170,6 +172,8 @@
     def start_vm(self, node: Node) -> None:
         """Starts a gateway's process, for the first time or again."""
         node.starts += 1
+        starts = self.vm_starts.setdefault(node.name, [])
+        starts.append(asyncio.get_running_loop().time())
         node.process = _make_process(node.name, node.hall)
         outside = self.network.make_environment(node.process, node.starts)
         config = configs.EntryConfig(
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -75,7 +75,7 @@
     ]
     calls = [
         asyncio.ensure_future(
-            _send_later(caller, _make_call(chance, cluster, n), chance)
+            _send_later(caller, make_call(chance, cluster, n), chance)
         )
         for n in range(_CALLS)
     ]
@@ -90,11 +90,12 @@
     return gateway_promises.find_broken(cluster, got), counts
 
 
-def _make_call(
+def make_call(
     chance: random.Random,
     cluster: gateway_cluster.GatewayCluster,
     number: int,
 ) -> gateway_caller.Call:
+    """Draws a call to any VM."""
     route = chance.choice(_ROUTES)
     prompt = {"short": 5_000, "once": 3_000, "long": 0}.get(route)
     if route == "long":
@@ -124,7 +125,7 @@
     cluster: gateway_cluster.GatewayCluster, chance: random.Random
 ) -> None:
     await asyncio.sleep(chance.uniform(0.0, _DURATION_S))
-    fault = chance.choice(_FAULT_KINDS)
+    fault = chance.choice(FAULT_KINDS)
     await fault(cluster, chance)
 
 
@@ -221,7 +222,7 @@
     cluster.store.forget_history()
 
 
-_FAULT_KINDS: tuple[Callable, ...] = (
+FAULT_KINDS: tuple[Callable, ...] = (
     _kill_vm,
     _freeze_vm,
     _stop_vm,
