--- a/standins/fatal_schedules.py
+++ b/standins/fatal_schedules.py
@@ -31,7 +31,7 @@
 # A caller comes back once, after this time.
 _RETRY_S = 0.3
 # A VM that was undisturbed for so long knows what the others know.
-TOUCH_S = 3.0
+HEARD_S = 3.0
 # A run begins so long before the end that it brings about, at most.
 _END_S = 0.3
 # Sends that are borne after that: as many as a fleet that starts anew needs.
@@ -162,12 +162,12 @@
     runs = _list_runs(cluster, body)
     if len(runs) < 3:
         return []
-    known_s = runs[2].at_s + _END_S + TOUCH_S
+    known_s = runs[2].at_s + _END_S + HEARD_S
     late = [
         run
         for run in runs
         if run.at_s > known_s
-        and _is_in_touch(cluster, vms[run.request_id], run.at_s)
+        and _is_undisturbed(cluster, vms[run.request_id], run.at_s)
     ]
     if len(late) <= LATE_MOST:
         return []
@@ -186,11 +186,11 @@
     return sorted(runs, key=lambda each: each.at_s)
 
 
-def _is_in_touch(
+def _is_undisturbed(
     cluster: gateway_cluster.GatewayCluster, vm: str, at_s: float
 ) -> bool:
     """Returns whether a VM was undisturbed for long enough before a time."""
-    began_s = at_s - TOUCH_S
+    began_s = at_s - HEARD_S
     if any(began_s < start_s < at_s for start_s in cluster.vm_starts[vm]):
         return False
     names = (vm, cluster.vms[vm].hall)
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -17,8 +17,8 @@
 _ENDED_MOST = 3
 # A caller's tries: the first and one retry.
 _TRIES = 2
-# Within this time a VM that is in reach must know what the others know.
-_TOUCH_S = 3.0
+# Within this time a VM that is in reach has heard what the others know.
+_HEARD_S = 3.0
 _ENGINES = [f"engine-{number}" for number in range(16)]
 
 
@@ -87,9 +87,9 @@
                         for vm in scene.cluster.vms
                     )
                 )
-                await asyncio.sleep(_TOUCH_S)
+                await asyncio.sleep(_HEARD_S)
             sends = _find_sends(scene.cluster, _FATAL)
-            late = [run for run in sends if run.at_s > sends[2].at_s + _TOUCH_S]
+            late = [run for run in sends if run.at_s > sends[2].at_s + _HEARD_S]
             self.assertEqual(late, [])
             self.assertLessEqual(len(sends), 2 * len(scene.cluster.vms))
 
@@ -171,7 +171,7 @@
             known = len(_find_sends(cluster, _FATAL))
             await asyncio.sleep(3.0)
             cluster.network.cuts.remove(cut)
-            await asyncio.sleep(_TOUCH_S)
+            await asyncio.sleep(_HEARD_S)
             for vm, node in cluster.vms.items():
                 if node.hall == "hall-2":
                     got = await scene.call("short", vm, body=_FATAL)
