Read and log what targets say of themselves in any answer

Cause: logs could not tell whether a target had said in an answer that it leaves. Ruled out: nothing yet, this changes no decision. Change: one place reads it from the head of each answer (calls, orders, signs of life) into a typed statement about the life that was asked, and one line tells each change; what has no meaning counts in ruddergate_statements_unread_total. A second copy of 'tell changes only' (target list) uses the same class now.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -147,8 +147,10 @@
     )
     platform = gateways.Platform(
         door=callers.make_door(),
-        send=replicas.make_send(outside),
-        orders=orders.make_orders(outside, _ORDER_LIMITS),
+        make_send=lambda hear: replicas.make_send(outside, hear),
+        make_orders=lambda hear: orders.make_orders(
+            outside, _ORDER_LIMITS, hear
+        ),
         source=store.make_source(
             outside,
             environment.parse_address(store_address),
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from ruddergate import _private
@@ -27,6 +28,7 @@
 from ruddergate.entry import source_sync
 from ruddergate.entry import status
 from ruddergate.entry import suspect_exchange
+from ruddergate.entry import target_notices
 from ruddergate.entry import tools as tool_types
 from ruddergate.entry import view as views
 from ruddergate.http import message
@@ -38,6 +40,7 @@
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
 from ruddergate.relay import published
+from ruddergate.relay import statement as statements
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
 from ruddergate.telemetry import traces
@@ -86,14 +89,15 @@
 
     Attributes:
         door: How callers are understood and answered.
-        send: Sends a call to a target.
-        orders: Orders that targets take.
+        make_send: Returns what sends a call to a target, given what is to
+            hear whatever targets say of themselves.
+        make_orders: Returns the orders that targets take, given the same.
         source: Calls of the store.
     """
 
     door: doors.Door
-    send: errands.Send
-    orders: orders.Orders
+    make_send: Callable[[statements.Hear], errands.Send]
+    make_orders: Callable[[statements.Hear], orders.Orders]
     source: published.Source
 
 
@@ -146,9 +150,10 @@
             secure_retry=lambda is_great: self._loans.secure(is_great),
             note_lost=lambda lost: self._lives.post(lost),
         )
+        self._notices = target_notices.TargetNotices(self.tools.metrics)
         self._keeper = reservation_keeper.ReservationKeeper(
             outside,
-            platform.orders,
+            platform.make_orders(self._notices.hear),
             view.is_over,
             lambda target: scheduler.post(placement.LifeEnded(target)),
         )
@@ -161,7 +166,7 @@
         self._handler = relay_handler.RelayHandler(
             self.tools,
             platform.door,
-            platform.send,
+            platform.make_send(self._notices.hear),
             self._keeper,
             relay_admit.Trust(
                 gateway_config.settings_age_max_ms,
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -14,9 +14,7 @@
 from ruddergate.fleet import target as targets
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
-
-# Names of which the log tells again only what changes; more are told each time.
-_TOLD_MOST = 1_024
+from ruddergate.telemetry import told_once
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +46,7 @@
         # youngest that was seen at all.
         self._leaving_born_ms: dict[str, int] = {}
         self._born_ms: dict[str, int] = {}
-        self._told: dict[str, str] = {}
+        self._told = told_once.ToldOnce()
         self._log = logs.make_logger("store")
 
     def listed(self) -> tuple[targets.Target, ...]:
@@ -127,7 +125,7 @@
         """Lists a target, leaving if this life ever was."""
         name = target.target_id
         self._kept_until_ms.pop(name, None)
-        self._told.pop(name, None)
+        self._told.forget(name)
         if self._leaving_born_ms.get(name) == target.born_ms:
             target = dataclasses.replace(
                 target, condition=condition.Condition.LEAVING
@@ -163,8 +161,5 @@
 
     def _tell_once(self, name: str, sentence: str) -> None:
         """Logs a sentence unless it was the last one of that name."""
-        if self._told.get(name) == sentence:
-            return
-        if len(self._told) < _TOLD_MOST:
-            self._told[name] = sentence
-        self._log.warning("{}", sentence)
+        if self._told.is_new(name, sentence):
+            self._log.warning("{}", sentence)
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -48,11 +48,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WholeAnswer:
-    """An answer read to its end."""
+    """An answer read to its end.
+
+    Attributes:
+        status: HTTP status.
+        headers: Values by lower-case name; the last of equal names.
+        body: Whole body.
+        fields: Every header line in order, names in lower case.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    fields: message.Fields = ()
 
     def json(self) -> object | None:
         """Returns the body as JSON, or None if it is not JSON."""
@@ -225,7 +233,9 @@
         return Fault(True, True, f"no answer from {address} in time")
     finally:
         exchange.close()
-    return WholeAnswer(exchange.status, exchange.headers, bytes(body))
+    return WholeAnswer(
+        exchange.status, exchange.headers, bytes(body), exchange.fields
+    )
 
 
 def make_json_request(
--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -32,7 +32,10 @@
 AT_FAULT = "at-server"
 # Calls running, calls waiting, places, separated by commas.
 LOAD = "x-replica-load"
+# In a target's refusal: seconds for which it wants nothing from this VM.
 RETRY_AFTER = "retry-after"
+# In all answers of a target that takes no new work any more: 1.
+LEAVING = "server-leaving"
 
 _ONE_HOP = frozenset(
     {
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -3,8 +3,11 @@
 from ruddergate import environment
 from ruddergate.fleet import target as targets
 from ruddergate.http import client
+from ruddergate.http import message
+from ruddergate.platform import statements
 from ruddergate.platform import targets as target_entries
 from ruddergate.relay import orders
+from ruddergate.relay import statement as statement_types
 
 _PATH = "/api/order"
 _REPORT_PATH = "/api/report"
@@ -14,9 +17,31 @@
 
 
 def make_orders(
-    outside: environment.Environment, limits: client.TimeLimits
+    outside: environment.Environment,
+    limits: client.TimeLimits,
+    hear: statement_types.Hear,
 ) -> orders.Orders:
-    """Returns the orders; each is given up after these times."""
+    """Returns the orders.
+
+    Args:
+        outside: Clock and streams.
+        limits: After these times an order is given up.
+        hear: Takes what targets say of themselves in their answers.
+    """
+
+    async def ask(
+        target: targets.Target, request: message.OutgoingRequest
+    ) -> client.WholeAnswer | client.Fault:
+        answer = await client.fetch_within(
+            outside, target.address, request, limits
+        )
+        if isinstance(answer, client.WholeAnswer):
+            said = statements.read_statement(
+                target, answer.status, answer.fields, answer.json()
+            )
+            if said:
+                hear(said)
+        return answer
 
     async def reserve(
         wanted: orders.Reservation, hold_ms: float
@@ -27,17 +52,15 @@
             "token-count": wanted.tokens,
             "hold-ms": round(hold_ms),
         }
-        return await _order(outside, wanted, document, limits)
+        return _read_answer(await ask(wanted.target, _make_order(document)))
 
     async def release(held: orders.Reservation) -> orders.Answer:
         document = {"op": "release", "id": held.name}
-        return await _order(outside, held, document, limits)
+        return _read_answer(await ask(held.target, _make_order(document)))
 
     async def ask_sign(target: targets.Target) -> orders.Told:
         request = client.make_json_request("GET", _REPORT_PATH)
-        answer = await client.fetch_within(
-            outside, target.address, request, limits
-        )
+        answer = await ask(target, request)
         if not isinstance(answer, client.Fault):
             born_ms = target_entries.read_born_ms(answer.json())
             return orders.Told(orders.Sign.ALIVE, born_ms)
@@ -50,16 +73,11 @@
     return orders.Orders(reserve, release, ask_sign)
 
 
-async def _order(
-    outside: environment.Environment,
-    reservation: orders.Reservation,
-    document: dict[str, object],
-    limits: client.TimeLimits,
-) -> orders.Answer:
-    request = client.make_json_request("POST", _PATH, document)
-    answer = await client.fetch_within(
-        outside, reservation.target.address, request, limits
-    )
+def _make_order(document: dict[str, object]) -> message.OutgoingRequest:
+    return client.make_json_request("POST", _PATH, document)
+
+
+def _read_answer(answer: client.WholeAnswer | client.Fault) -> orders.Answer:
     if isinstance(answer, client.Fault):
         if answer.sent:
             return orders.Answer.UNKNOWN
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -13,9 +13,11 @@
 from ruddergate.http import client
 from ruddergate.http import message
 from ruddergate.platform import headers
+from ruddergate.platform import statements
 from ruddergate.relay import answer as answers
 from ruddergate.relay import errand as errands
 from ruddergate.relay import event_splitter
+from ruddergate.relay import statement as statement_types
 
 _MISDIRECTED = 421
 _REDIRECTION = 300
@@ -31,8 +33,15 @@
 T = TypeVar("T")
 
 
-def make_send(outside: environment.Environment) -> errands.Send:
-    """Returns the function that sends a call to a target."""
+def make_send(
+    outside: environment.Environment, hear: statement_types.Hear
+) -> errands.Send:
+    """Returns the function that sends a call to a target.
+
+    Args:
+        outside: Clock and streams.
+        hear: Takes what targets say of themselves in their answers.
+    """
 
     async def send(errand: errands.Errand) -> AsyncIterator[answers.Event]:
         exchange = await client.start(
@@ -45,7 +54,7 @@
             yield _make_lost(exchange)
             return
         try:
-            async for event in _read(outside, errand, exchange):
+            async for event in _read(outside, errand, exchange, hear):
                 yield event
         finally:
             exchange.close()
@@ -89,6 +98,7 @@
     outside: environment.Environment,
     errand: errands.Errand,
     exchange: client.Exchange,
+    hear: statement_types.Hear,
 ) -> AsyncIterator[answers.Event]:
     until_ms = min(
         errand.deadline_ms, outside.now_ms() + errand.patience.first_ms
@@ -97,6 +107,9 @@
     if fault is not None:
         yield _make_lost(fault) if isinstance(fault, client.Fault) else fault
         return
+    said = _read_statement(errand, exchange)
+    if said:
+        hear(said)
     told = _read_load(errand, exchange)
     if told is not None:
         yield told
@@ -185,6 +198,21 @@
     )
 
 
+def _read_statement(
+    errand: errands.Errand, exchange: client.Exchange
+) -> statement_types.Statement:
+    return statements.read_statement(
+        errand.target,
+        exchange.status,
+        exchange.fields,
+        request_id=_find_request_id(errand),
+    )
+
+
+def _find_request_id(errand: errands.Errand) -> str:
+    return dict(errand.payload.fields).get(headers.REQUEST_ID, "")
+
+
 def _read_load(
     errand: errands.Errand, exchange: client.Exchange
 ) -> answers.LoadTold | None:
@@ -234,7 +262,7 @@
             f"the target refused with {exchange.status}",
             _RETRY_MS,
         )
-    sent_id = dict(errand.payload.fields).get(headers.REQUEST_ID)
+    sent_id = _find_request_id(errand)
     echoed_id = found.get(headers.REQUEST_ID)
     if echoed_id is not None and echoed_id != sent_id:
         return _make_broken("the answer belongs to another call")
--- /dev/null
+++ b/src/ruddergate/platform/statements.py
@@ -0,0 +1,92 @@
+"""Reads what a target says of itself in the head of any answer."""
+
+import re
+
+from ruddergate.fleet import life as lives
+from ruddergate.fleet import target as targets
+from ruddergate.http import message
+from ruddergate.platform import headers
+from ruddergate.platform import targets as target_entries
+from ruddergate.relay import statement as statements
+
+# Another target serves at that address; what it says is not of the one asked.
+_MISDIRECTED = 421
+# Statuses with which a target turns work away.
+_REFUSALS = frozenset({429, 503})
+_LEAVES = "1"
+_STAYS = "0"
+# Seconds, fractions too; dates and signs are no number of seconds.
+_SECONDS = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
+# The longest time for which a target is believed to want no calls: an hour. One
+# that says a year is asked again after it, rather than lost to this VM.
+QUIET_MOST_MS = 3_600_000.0
+
+
+def read_statement(
+    target: targets.Target,
+    status: int,
+    fields: message.Fields,
+    document: object = None,
+    request_id: str = "",
+) -> statements.Statement:
+    """Returns what the target says of itself.
+
+    Args:
+        target: Who was asked, as it was known then.
+        status: HTTP status of the answer.
+        fields: Header lines of the answer, names in lower case.
+        document: The answer's body, where it is read as JSON.
+        request_id: The call that was answered, or empty.
+    """
+    life = _find_life(target, document)
+    if status == _MISDIRECTED:
+        return statements.Statement(life)
+    is_leaving, wrong_word = _read_leaving(_find_words(fields, headers.LEAVING))
+    quiet_ms, wrong_time = None, ""
+    if status in _REFUSALS:
+        times = _find_words(fields, headers.RETRY_AFTER, separator="")
+        quiet_ms, wrong_time = _read_quiet_ms(times)
+    unread = tuple(filter(None, (wrong_word, wrong_time)))
+    return statements.Statement(life, is_leaving, quiet_ms, unread, request_id)
+
+
+def _find_life(target: targets.Target, document: object) -> lives.Life:
+    """Returns whose statement it is.
+
+    An answer that tells another start than was known comes from another life;
+    where starts were not known, the name stands for the life.
+    """
+    born_ms = target_entries.read_born_ms(document)
+    if lives.BORN_UNKNOWN in (born_ms, target.born_ms):
+        return target.life
+    return lives.Life(target.target_id, born_ms)
+
+
+def _find_words(
+    fields: message.Fields, name: str, separator: str = ","
+) -> list[str]:
+    """Returns all values of a header, which may stand more than once."""
+    values = [value for found, value in fields if found == name]
+    if separator:
+        values = [word for each in values for word in each.split(separator)]
+    return [each.strip() for each in values]
+
+
+def _read_leaving(words: list[str]) -> tuple[bool, str]:
+    """Returns whether it leaves, and what is wrong with what it says."""
+    wrong = [word for word in words if word not in (_LEAVES, _STAYS)]
+    detail = f"leaving is {wrong[0]!r:.40}" if wrong else ""
+    return _LEAVES in words, detail
+
+
+def _read_quiet_ms(times: list[str]) -> tuple[float | None, str]:
+    """Returns the longest time told, and what is wrong with what is told."""
+    sound = [float(each) for each in times if _SECONDS.fullmatch(each)]
+    wrong = [each for each in times if not _SECONDS.fullmatch(each)]
+    detail = f"a time to wait is {wrong[0]!r:.40}" if wrong else ""
+    told_ms = max(sound, default=0.0) * 1_000.0
+    if told_ms > QUIET_MOST_MS:
+        detail = f"a time to wait is {told_ms / 1_000.0:.0f} s"
+    if not sound:
+        return None, detail
+    return min(told_ms, QUIET_MOST_MS), detail
--- /dev/null
+++ b/src/ruddergate/relay/statement.py
@@ -0,0 +1,40 @@
+"""What a target says of itself beside an answer's result."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import TypeAlias
+
+from ruddergate.fleet import life as lives
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """Said in one answer: to a call, an order or a question.
+
+    Attributes:
+        life: The life that answered, as known when it was asked; where the
+            answer itself tells when the target started, the life it tells of.
+        is_leaving: Whether it takes no new work.
+        quiet_ms: For how long it wants no calls of this VM; None if it does
+            not say.
+        unread: What it said that has no meaning, a sentence each.
+        request_id: The call that it answered, or empty.
+    """
+
+    life: lives.Life
+    is_leaving: bool = False
+    quiet_ms: float | None = None
+    unread: tuple[str, ...] = ()
+    request_id: str = ""
+
+    def __bool__(self) -> bool:
+        """Returns whether anything was said."""
+        return self.is_leaving or self.quiet_ms is not None or bool(self.unread)
+
+
+Hear: TypeAlias = Callable[[Statement], None]
+"""Takes a statement in; called before anyone sees the answer it came with."""
+
+
+def ignore(said: Statement) -> None:
+    """Stands where nobody hears what targets say."""
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -80,6 +80,10 @@
             "ruddergate_entries_refused",
             "Entries in the list of targets that are none of a target, in all.",
         )
+        self.statements_unread = self._counter(
+            "ruddergate_statements_unread_total",
+            "What targets said of themselves that has no meaning.",
+        )
         self.reservations = self._gauge(
             "ruddergate_reservations", "Reservations held on engines."
         )
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -338,8 +338,10 @@
 def _make_platform(outside: environment.Environment) -> gateways.Platform:
     return gateways.Platform(
         door=callers.make_door(),
-        send=replicas.make_send(outside),
-        orders=orders.make_orders(outside, _ORDER_LIMITS),
+        make_send=lambda hear: replicas.make_send(outside, hear),
+        make_orders=lambda hear: orders.make_orders(
+            outside, _ORDER_LIMITS, hear
+        ),
         source=stores.make_source(outside, _STORE, _STORE_LIMITS),
     )
 
--- /dev/null
+++ b/tests/test_statements.py
@@ -0,0 +1,126 @@
+"""What targets say of themselves beside an answer's result."""
+
+import math
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from ruddergate import environment
+from ruddergate.fleet import condition
+from ruddergate.fleet import life as lives
+from ruddergate.fleet import target as targets
+from ruddergate.platform import statements
+
+
+def _make_target(born_ms: int = 5) -> targets.Target:
+    return targets.Target(
+        "i-1",
+        "p",
+        "h",
+        environment.Address("i-1", 1),
+        condition.Condition.LIVE,
+        8,
+        born_ms,
+    )
+
+
+def _read(status: int, *fields: tuple[str, str], document: object = None):
+    return statements.read_statement(_make_target(), status, fields, document)
+
+
+class LeavingTest(unittest.TestCase):
+    def test_any_answer_tells_it(self) -> None:
+        for status in (200, 202, 400, 409, 429, 500, 503, 504):
+            said = _read(status, ("server-leaving", "1"))
+            self.assertTrue(said.is_leaving)
+            self.assertEqual(said.life, lives.Life("i-1", 5))
+
+    def test_another_target_at_the_address_tells_nothing(self) -> None:
+        self.assertFalse(_read(421, ("server-leaving", "1")))
+
+    def test_an_answer_that_says_nothing_is_no_statement(self) -> None:
+        self.assertFalse(_read(200, ("x-replica-load", "1,0,8")))
+        self.assertFalse(_read(200, ("server-leaving", "0")))
+        self.assertFalse(_read(200, ("retry-after", "3")))
+
+    def test_one_sound_word_is_enough(self) -> None:
+        for words in (["1", "1"], ["1, 1"], ["0", "1"], [" 1 "]):
+            said = _read(200, *(("server-leaving", each) for each in words))
+            self.assertTrue(said.is_leaving)
+            self.assertEqual(said.unread, ())
+
+    def test_other_words_have_no_meaning(self) -> None:
+        for word in ("", "2", "true", "01", "-1", "1.0", "\u0661"):
+            said = _read(200, ("server-leaving", word))
+            self.assertFalse(said.is_leaving)
+            self.assertEqual(len(said.unread), 1)
+
+    def test_document_that_tells_the_start_tells_whose_word_it_is(self) -> None:
+        said = _read(200, ("server-leaving", "1"), document={"born": 6})
+        self.assertEqual(said.life, lives.Life("i-1", 6))
+        for document in ({"born": "6"}, {"born": -6}, {"born": True}, [], None):
+            said = _read(200, ("server-leaving", "1"), document=document)
+            self.assertEqual(said.life, lives.Life("i-1", 5))
+
+    def test_name_stands_for_a_life_where_starts_are_not_known(self) -> None:
+        said = statements.read_statement(
+            _make_target(0), 200, (("server-leaving", "1"),), {"born": 6}
+        )
+        self.assertEqual(said.life, lives.Life("i-1", 0))
+
+
+class QuietTest(unittest.TestCase):
+    def test_refusals_tell_for_how_long(self) -> None:
+        for status in (429, 503):
+            for text, told_ms in (("2", 2_000.0), ("0.25", 250.0), ("0", 0.0)):
+                said = _read(status, ("retry-after", text))
+                self.assertEqual(said.quiet_ms, told_ms)
+                self.assertEqual(said.unread, ())
+
+    def test_the_longest_of_several_holds(self) -> None:
+        said = _read(503, ("retry-after", "2"), ("retry-after", "3"))
+        self.assertEqual(said.quiet_ms, 3_000.0)
+
+    def test_what_is_no_time_is_none(self) -> None:
+        for text in (
+            "",
+            "-1",
+            "nan",
+            "inf",
+            "1e9",
+            "soon",
+            "+1",
+            "1_0",
+            "Wed, 21 Oct 2026 07:28:00 GMT",
+            "1,2",
+        ):
+            said = _read(503, ("retry-after", text))
+            self.assertIsNone(said.quiet_ms)
+            self.assertEqual(len(said.unread), 1)
+
+    def test_a_year_is_believed_for_an_hour(self) -> None:
+        said = _read(503, ("retry-after", "31536000"))
+        self.assertEqual(said.quiet_ms, 3_600_000.0)
+        self.assertEqual(len(said.unread), 1)
+
+    @hypothesis.given(
+        strategies.integers(100, 599),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["server-leaving", "retry-after", "x"]),
+                strategies.text(max_size=60),
+            ),
+            max_size=6,
+        ),
+    )
+    def test_whatever_stands_there_is_read_without_harm(
+        self, status: int, fields: list[tuple[str, str]]
+    ) -> None:
+        said = _read(status, *fields)
+        if said.quiet_ms is not None:
+            self.assertTrue(math.isfinite(said.quiet_ms))
+            self.assertGreaterEqual(said.quiet_ms, 0.0)
+            self.assertLessEqual(said.quiet_ms, statements.QUIET_MOST_MS)
+        for detail in said.unread:
+            self.assertLess(len(detail), 100)
