--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -42,6 +42,19 @@
     at_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A call that came to a replica.
+
+    Attributes:
+        request_id: The caller's name for it.
+        at_s: When it came, on the loop's clock.
+    """
+
+    request_id: str
+    at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Misbehaviour:
     """What a replica does wrong; chances are drawn for each request.
@@ -58,6 +71,7 @@
         silent_s: How long answers stop after their third event, with the
             connection left open.
         helps_nobody: Whether others that name it as a helper refuse for it.
+        retry_after: What stands in a refusal as the time to come back.
     """
 
     refuse: float = 0.0
@@ -70,6 +84,7 @@
     hang: float = 0.0
     silent_s: float = 0.0
     helps_nobody: bool = False
+    retry_after: str = ""
 
 
 class PlatformReplica:
@@ -83,6 +98,8 @@
         born_ms: When it started, in Unix milliseconds; 0 to say nothing of it.
         fatal: Bodies of calls that end it once it begins to answer them.
         crash: Ends it at once.
+        leaving: What it says in all answers of leaving; empty while it stays.
+        arrivals: Every call that came, also those that it turned away.
     """
 
     def __init__(
@@ -100,6 +117,8 @@
         self.born_ms = 0
         self.fatal: set[bytes] = set()
         self.crash: Callable[[], None] = lambda: None
+        self.leaving = ""
+        self.arrivals: list[Arrival] = []
         self._outside = outside
         self._peers = peers
         self._count = 0
@@ -111,6 +130,15 @@
 
     async def _handle(
         self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        answer = await self._answer(incoming)
+        if not self.leaving:
+            return answer
+        said = (("Server-Leaving", self.leaving),)
+        return dataclasses.replace(answer, fields=answer.fields + said)
+
+    async def _answer(
+        self, incoming: message.IncomingRequest
     ) -> message.Response:
         if incoming.path == "/api/order":
             return self._take_order(orjson.loads(incoming.body))
@@ -122,8 +150,17 @@
         expected = incoming.headers.get("x-expect-replica", self.name)
         if expected != self.name:
             return message.Response(421, {"X-Replica-Id": self.name}, b"")
+        self.arrivals.append(
+            Arrival(
+                incoming.headers.get("x-attempt-id", ""),
+                asyncio.get_running_loop().time(),
+            )
+        )
         if self._draw(self.wrong.refuse):
-            return message.Response(503, {"X-Not-Executed": "1"}, b"")
+            fields = {"X-Not-Executed": "1"}
+            if self.wrong.retry_after:
+                fields["Retry-After"] = self.wrong.retry_after
+            return message.Response(503, fields, b"")
         blamed = self._find_unfit_helper(incoming.headers.get("helpers", ""))
         if blamed is not None:
             fields = {"X-Not-Executed": "1", "At-Server": blamed}
