Hold what targets say in their answers, on every way to a target

Cause: the only way to the belief that a target leaves was the store's list. What an answer says was decoded for load and blame alone, and a time to come back beside a refusal was handed on to callers and not gone by. Change: one typed belief by life (decisions/withdrawals.py), written by the list, by answers and by peers' digests, never taken back; quiet times for this VM. What no target takes before its wait ends is refused at once, with the time of the first one; after a quiet time a VM has one call at a target until one was answered.

--- /dev/null
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -0,0 +1,127 @@
+"""Lives of targets that take no calls: for good, or of this VM for a while.
+
+A target that leaves says so in the store's list and in each of its answers, and
+peers pass on what they heard. Whichever tells first, it holds for that life and
+is never taken back: an older entry, a peer that has not heard of it or a list
+after an outage may still say otherwise. A time for which a target wants no
+calls is said to one VM only; a later answer may prolong it, and nothing
+shortens it.
+"""
+
+from ruddergate.fleet import life as lives
+
+# Lives that are remembered to have left, the oldest are forgotten first: before
+# 12,000 replicas each of them, and all of them again after a release.
+LEFT_MOST = 24_000
+# Lives that are remembered to want no calls; a VM has calls on fewer targets.
+QUIET_MOST = 4_096
+# A leaving that was heard in an answer is told to peers for so long: a hall
+# that was cut off for 5 s still hears of it twice.
+TOLD_MS = 10_000.0
+# Leavings told at once, the latest; a word takes about 30 bytes.
+TOLD_MOST = 16
+
+_NEVER_MS = float("inf")
+
+
+class Withdrawals:
+    """What this VM knows of targets that take no calls; owned by one process.
+
+    It is asked where targets are chosen and again in the step that sends.
+    """
+
+    def __init__(self) -> None:
+        self._left: dict[lives.Life, None] = {}
+        # When leavings were heard that peers are to be told.
+        self._heard_ms: dict[lives.Life, float] = {}
+        self._quiet_until_ms: dict[lives.Life, float] = {}
+
+    def note_published(self, life: lives.Life) -> None:
+        """Notes that the list says that a target leaves; peers read it, too."""
+        self._note_left(life)
+        self._heard_ms.pop(life, None)
+
+    def note_answered(self, life: lives.Life, now_ms: float) -> bool:
+        """Notes that a target said it in an answer; returns whether it is new.
+
+        While the store is away this is the only way to know, so peers are told.
+        """
+        if not self._note_left(life):
+            return False
+        self._heard_ms[life] = now_ms
+        return True
+
+    def note_told(self, life: lives.Life) -> bool:
+        """Notes that a peer has heard it; returns whether it is new."""
+        return self._note_left(life)
+
+    def note_quiet(self, life: lives.Life, until_ms: float) -> bool:
+        """Notes that a target wants no calls for a time.
+
+        Returns:
+            Whether that is longer than was known.
+        """
+        if until_ms <= self._quiet_until_ms.get(life, 0.0):
+            return False
+        self._quiet_until_ms.pop(life, None)
+        self._quiet_until_ms[life] = until_ms
+        _drop_oldest(self._quiet_until_ms, QUIET_MOST)
+        return True
+
+    def note_served(self, life: lives.Life, now_ms: float) -> None:
+        """Notes that a target has done what it was asked.
+
+        What was sent before it wanted quiet says nothing of what comes after.
+        """
+        if self._quiet_until_ms.get(life, _NEVER_MS) <= now_ms:
+            del self._quiet_until_ms[life]
+
+    def has_left(self, life: lives.Life) -> bool:
+        """Returns whether a life was found to leave, by whichever way."""
+        return life in self._left
+
+    def find_until_ms(self, life: lives.Life, now_ms: float) -> float:
+        """Returns until when a target takes no calls.
+
+        Returns:
+            Infinity where it leaves; a time not after now where it takes some.
+        """
+        if life in self._left:
+            return _NEVER_MS
+        return self._quiet_until_ms.get(life, now_ms)
+
+    def takes_calls(self, life: lives.Life, now_ms: float) -> bool:
+        """Returns whether a target may be sent calls now."""
+        return self.find_until_ms(life, now_ms) <= now_ms
+
+    def is_on_trial(self, life: lives.Life) -> bool:
+        """Returns whether it wanted quiet and has not served since.
+
+        It had too much to do; what waited for it must not all come back in the
+        moment in which its time ends.
+        """
+        return life in self._quiet_until_ms
+
+    def count_quiet(self, now_ms: float) -> int:
+        """Returns how many targets want no calls now."""
+        return sum(until > now_ms for until in self._quiet_until_ms.values())
+
+    def summarize(self, now_ms: float) -> tuple[str, ...]:
+        """Returns the leavings that peers are to be told now, as words."""
+        for life, heard_ms in list(self._heard_ms.items()):
+            if now_ms - heard_ms > TOLD_MS:
+                del self._heard_ms[life]
+        latest = list(self._heard_ms)[-TOLD_MOST:]
+        return tuple(map(lives.format_life, latest))
+
+    def _note_left(self, life: lives.Life) -> bool:
+        if life in self._left:
+            return False
+        self._left[life] = None
+        _drop_oldest(self._left, LEFT_MOST)
+        return True
+
+
+def _drop_oldest(found: dict, most: int) -> None:
+    if len(found) > most:
+        del found[next(iter(found))]
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -12,6 +12,7 @@
 from ruddergate import _private
 from ruddergate import environment
 from ruddergate.decisions import retries
+from ruddergate.decisions import withdrawals
 from ruddergate.entry import canceller as cancellers
 from ruddergate.entry import config as configs
 from ruddergate.entry import life_watch
@@ -120,6 +121,7 @@
         self._connections = http_server.Connections()
         self._open = open_calls.OpenCalls(platform.door.write_failure)
         view = views.View()
+        known = withdrawals.Withdrawals()
         scheduler = schedulers.Scheduler(
             outside,
             config,
@@ -128,6 +130,7 @@
             lambda: self._peers.collect_sums(),
             lambda: self._peers.is_blind(),
             lambda: self._peers.loads.collect_lost(),
+            known,
         )
         self._suspects = suspect_exchange.SuspectExchange(
             outside,
@@ -135,6 +138,10 @@
             lambda: self._peers.loads.names(),
             lambda told, peers: self._peers.tell_suspects(told, peers),
         )
+        metrics = metric_types.EntryMetrics()
+        self._notices = target_notices.TargetNotices(
+            outside, known, metrics, self._note_leaving
+        )
         self.tools = tool_types.Tools(
             outside=outside,
             config=config,
@@ -144,13 +151,13 @@
             scheduler=scheduler,
             canceller=cancellers.Canceller(outside, view),
             budget=retries.Budget(gateway_config.retry_share, 0.0, 0.0),
-            metrics=metric_types.EntryMetrics(),
+            metrics=metrics,
             tracer=tracer,
             suspects=self._suspects.table,
             secure_retry=lambda is_great: self._loans.secure(is_great),
             note_lost=lambda lost: self._lives.post(lost),
+            refuse_send=self._notices.refuse_send,
         )
-        self._notices = target_notices.TargetNotices(self.tools.metrics)
         self._keeper = reservation_keeper.ReservationKeeper(
             outside,
             platform.make_orders(self._notices.hear),
@@ -184,6 +191,8 @@
             scheduler.summarize_lost,
             self._suspects.take,
             self._suspects.greet,
+            self._notices.summarize,
+            self._notices.take_told,
         )
         self._loans = retry_loans.RetryLoans(
             outside,
@@ -205,6 +214,7 @@
                 self._peers.questions.ask_news,
                 self._peers.questions.ask_settings,
             ),
+            known,
         )
 
     def _answer_peer(
@@ -221,6 +231,11 @@
                 )
                 return retry_loan.RetriesLent(question.question, lent)
 
+    def _note_leaving(self) -> None:
+        """Has a target that was found to leave marked, and peers told."""
+        self._sync.mark_leaving()
+        self._peers.note_change()
+
     def _divide_retries(self, peers: int) -> None:
         """Sizes this VM's part of the fleet's second sends."""
         self._vms_most = max(self._vms_most, peers + 1)
@@ -325,6 +340,7 @@
         quarantined = self.tools.suspects.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
         metrics.entries_refused.set({}, self._sync.count_refused())
+        metrics.quiet_targets.set({}, self._notices.count_quiet())
         metrics.log_lines_left_out.set({}, logs.count_left_out())
         return metric_types.render(metrics.registry)
 
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -92,6 +92,8 @@
         summarize_lost: Returns what this VM has found out of reach.
         take_suspects: Takes what a peer tells of contents.
         greet: Is told of each run of a VM that is heard of for the first time.
+        summarize_leaving: Returns targets that this VM has heard to leave.
+        take_leaving: Takes those of a peer, and the peer's name.
 
     Attributes:
         loads: What is known of peers.
@@ -114,6 +116,10 @@
             [suspect_messages.Suspects], None
         ] = lambda told: None,
         greet: Callable[[str], None] = lambda peer: None,
+        summarize_leaving: Callable[[], tuple[str, ...]] = lambda: (),
+        take_leaving: Callable[
+            [Sequence[str], str], None
+        ] = lambda words, peer: None,
     ) -> None:
         self._outside = outside
         self._config = config
@@ -123,6 +129,8 @@
         self._summarize_lost = summarize_lost
         self._take_suspects = take_suspects
         self._greet = greet
+        self._summarize_leaving = summarize_leaving
+        self._take_leaving = take_leaving
         self._report_peers = note_peers
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
@@ -253,6 +261,7 @@
             number=self._number,
             rows=self._summarize(),
             lost=self._summarize_lost(),
+            leaving=self._summarize_leaving(),
         )
 
     def _tell_seeds(
@@ -313,6 +322,8 @@
                 continue
             if is_new_run:
                 self._greet(digest.sender)
+            if digest.leaving:
+                self._take_leaving(digest.leaving, digest.sender)
             if passed_on is not None:
                 passed_on[digest.sender] = digest
                 self._pass_on_soon()
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -40,6 +40,9 @@
 )
 _NOT_THE_TARGETS_FAULT = (
     outcomes.Reason.TIME_LIMIT,
+    outcomes.Reason.QUARANTINED,
+    outcomes.Reason.TARGET_LEAVING,
+    outcomes.Reason.TARGET_QUIET,
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
 )
@@ -93,16 +96,16 @@
             if any(sign is not orders.Sign.ALIVE for sign in signs):
                 yield self._give_up_unsent(signs)
                 return
+            refusal = self._refuse_send()
+            if refusal is not None:
+                yield refusal
+                return
             missing = await self._keeper.take(
                 tuple(reservations.values()), self._request.request_id
             )
             if missing:
                 yield self._give_up_memory(missing)
                 return
-            refusal = self._tools.suspects.refuse(self._request)
-            if refusal is not None:
-                yield refusal
-                return
             self._sent_ms = self._tools.outside.now_ms()
             errand = self._make_errand(reservations)
             traceparent = self._request.traceparent
@@ -117,6 +120,13 @@
             self._keeper.give_back(tuple(reservations.values()))
             self._post_ends()
 
+    def _refuse_send(self) -> outcomes.NotServed | None:
+        """Returns why nothing may be sent to these targets now, if so."""
+        refusal = self._tools.suspects.refuse(self._request)
+        if refusal is not None:
+            return refusal
+        return self._tools.refuse_send([seat.target for seat in self._seats])
+
     async def _ask_signs(self) -> tuple[orders.Sign, ...]:
         """Returns signs of life of this attempt's targets, once one has failed.
 
@@ -333,6 +343,7 @@
                 _make_helper(seat, reservations) for seat in self._seats[1:]
             ),
             patience=self._find_patience(),
+            refuse=self._refuse_send,
         )
 
     def _find_patience(self) -> errands.Patience:
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -27,18 +27,28 @@
 UNREACHABLE_MAX = 8
 # Times that a call goes to the same target again because of one of its helpers.
 HELPERS_FAILED_MAX = 3
+# Any of a call's targets may have withdrawn. Which of them is known where the
+# next ones are chosen, so none has to be excluded.
+_WITHDRAWN = (
+    outcomes.Reason.TARGET_LEAVING,
+    outcomes.Reason.TARGET_QUIET,
+)
 _NOTHING_SENT = (
     outcomes.Reason.TARGET_GONE,
     outcomes.Reason.TARGET_UNREACHABLE,
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
     outcomes.Reason.QUARANTINED,
+    *_WITHDRAWN,
 )
 # Failures of other engines than the one that was to write the answer.
 _NOT_THE_WRITERS = (
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
+    *_WITHDRAWN,
 )
+# After these the engine that refused for a helper is asked again.
+_KEEP_PINNED = (outcomes.Reason.HELPER_UNREACHABLE, *_WITHDRAWN)
 # What a target that fails with its own 5xx says is the answer; from here on a
 # repeatable call is worth another try.
 _SERVER_ERROR = 500
@@ -126,7 +136,7 @@
         progress.pinned = seat.target.target_id
         progress.helpers_failed += 1
         return await _try_again(request, ended, progress, tools)
-    if ended.reason is not outcomes.Reason.HELPER_UNREACHABLE:
+    if ended.reason not in _KEEP_PINNED:
         progress.pinned = ""
     if ended.reason not in _NOT_THE_WRITERS:
         progress.excluded |= {seat.target.target_id}
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -13,6 +13,7 @@
 from ruddergate import outcomes
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import queueing
+from ruddergate.decisions import withdrawals
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
 from ruddergate.entry import placement
@@ -71,6 +72,7 @@
         ] = lambda: (),
         is_blind: Callable[[], bool] = lambda: False,
         collect_lost: Callable[[], bad_news.BadNews] = lambda: bad_news.NOTHING,
+        known: withdrawals.Withdrawals | None = None,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -84,7 +86,9 @@
                 news; asked before places are given out.
             is_blind: Returns whether there are peers of which nothing is known.
             collect_lost: Returns what peers have newly found out of reach.
+            known: Which lives of targets take no calls.
         """
+        self._known = known or withdrawals.Withdrawals()
         self._note_change = note_change
         self._collect_peers = collect_peers
         self._is_blind = is_blind
@@ -161,6 +165,13 @@
         """Returns the believed load of each target, for the status page."""
         return list(self._estimates.values())
 
+    def is_usable(self, estimate: estimates.Estimate) -> bool:
+        """Returns whether a target may be sent work now and had better be."""
+        now_ms = self._outside.now_ms()
+        return self._takes_calls(estimate, now_ms) and estimate.is_usable(
+            now_ms
+        )
+
     async def run(self) -> None:
         """Serves the inbox until cancelled."""
         while True:
@@ -216,6 +227,10 @@
         if not self._by_pool.get(asked.pool.name):
             _answer(asked, _refuse_no_target(asked.pool.name))
             return
+        first_ms = self._find_first_ms(asked.pool.name, now_ms)
+        if first_ms > asked.job.deadline_ms:
+            _answer(asked, _refuse_until(asked.pool.name, first_ms, now_ms))
+            return
         refusal = queue.offer(asked.job, now_ms)
         if refusal is not None:
             _answer(asked, refusal)
@@ -256,6 +271,7 @@
         estimate = self._find_estimate(message.seat.target)
         if estimate is None:
             return
+        self._known.note_served(estimate.target.life, now_ms)
         if estimate.first_token(message.seat.attempt_id, now_ms):
             self._note_change()
         if message.prefix:
@@ -274,6 +290,7 @@
         if message.failed:
             estimate.note_fault(now_ms)
         elif message.answered:
+            self._known.note_served(target.life, now_ms)
             self._losses.note_answered(target, now_ms)
             estimate.answered_ms = now_ms
         self._note_change()
@@ -356,7 +373,10 @@
         def drain_rate() -> float:
             now_ms = self._outside.now_ms()
             known = self._by_pool.get(pool, [])
-            usable = sum(each.is_usable(now_ms) for each in known)
+            usable = sum(
+                each.is_usable(now_ms) and self._takes_calls(each, now_ms)
+                for each in known
+            )
             return usable / self._view.live_vms()
 
         return drain_rate
@@ -389,6 +409,8 @@
             if now_ms < until_ms
         }
         usable = self._find_usable(pool, now_ms)
+        if not usable:
+            self._refuse_hopeless(pool, queue, now_ms)
         while usable and (job := queue.take(now_ms, closed)) is not None:
             asked = self._asked[job.job_id]
             seats = self._seating.seat(asked, usable, now_ms, self._is_blind())
@@ -399,6 +421,8 @@
                 self._lane_rests_until_ms[job.lane] = now_ms + rest_ms
                 continue
             del self._asked[job.job_id]
+            if any(self._known.is_on_trial(each.target.life) for each in seats):
+                usable = self._find_usable(pool, now_ms)
             placed = placement.Placed(seats)
             if asked.reply.done():
                 # Given up in this moment; its withdrawal is still under way.
@@ -406,6 +430,45 @@
             else:
                 asked.reply.set_result(placed)
 
+    def _takes_calls(self, each: estimates.Estimate, now_ms: float) -> bool:
+        """Returns whether a target takes calls, however it fares.
+
+        One whose quiet time has ended takes one call of this VM first: when six
+        VMs had thirty calls waiting, all went at once otherwise.
+        """
+        life = each.target.life
+        return (
+            each.may_take_work()
+            and self._known.takes_calls(life, now_ms)
+            and not (self._known.is_on_trial(life) and each.own_streams())
+        )
+
+    def _find_first_ms(self, pool: str, now_ms: float) -> float:
+        """Returns when the first target of a pool takes calls.
+
+        Returns:
+            A time not after now where one does; infinity where all leave.
+        """
+        return min(
+            (
+                self._known.find_until_ms(each.target.life, now_ms)
+                for each in self._by_pool.get(pool, [])
+                if each.may_take_work()
+            ),
+            default=float("inf"),
+        )
+
+    def _refuse_hopeless(
+        self, pool: str, queue: queueing.Queue, now_ms: float
+    ) -> None:
+        """Refuses at once what can't have a target before its time is up."""
+        first_ms = self._find_first_ms(pool, now_ms)
+        hopeless = [job for job in queue.jobs() if first_ms > job.deadline_ms]
+        for job in hopeless:
+            queue.withdraw(job)
+            asked = self._asked.pop(job.job_id)
+            _answer(asked, _refuse_until(pool, first_ms, now_ms))
+
     def _find_usable(
         self, pool: str, now_ms: float
     ) -> list[estimates.Estimate]:
@@ -415,7 +478,9 @@
         any that may take work is better than none.
         """
         known = [
-            each for each in self._by_pool.get(pool, []) if each.may_take_work()
+            each
+            for each in self._by_pool.get(pool, [])
+            if self._takes_calls(each, now_ms)
         ]
         good = [
             each
@@ -441,6 +506,23 @@
     )
 
 
+def _refuse_until(
+    pool: str, first_ms: float, now_ms: float
+) -> outcomes.NotServed:
+    """Returns the refusal of what no target takes before that time."""
+    if first_ms == float("inf"):
+        return outcomes.refuse(
+            outcomes.Reason.NO_TARGET,
+            f"all targets of pool {pool} leave",
+            _GONE_RETRY_MS,
+        )
+    return outcomes.refuse(
+        outcomes.Reason.CANNOT_FINISH_IN_TIME,
+        f"no target of pool {pool} wants calls now",
+        first_ms - now_ms,
+    )
+
+
 def _is_same(one: targets.Target, other: targets.Target) -> bool:
     """Returns whether two entries are of the same life at the same place."""
     return one.life == other.life and one.address == other.address
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -15,6 +15,7 @@
 from ruddergate import environment
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
+from ruddergate.decisions import withdrawals
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import settings_exchange
 from ruddergate.entry import source_peers
@@ -85,6 +86,7 @@
         scheduler: schedulers.Scheduler,
         pace: Pace,
         peers: source_peers.SourcePeers,
+        known: withdrawals.Withdrawals,
     ) -> None:
         self._peers = peers
         self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
@@ -94,7 +96,7 @@
         self._scheduler = scheduler
         self._pace = pace
         self._position: int | None = None
-        self._targets = target_list.TargetList()
+        self._targets = target_list.TargetList(known)
         # When what is known was last proven to be the newest; at first, when
         # this VM began.
         self._proven_ms = outside.now_ms()
@@ -391,8 +393,11 @@
             loop = asyncio.get_running_loop()
             grace_ms = kept_until_ms - now_ms
             loop.call_later(max(0.0, grace_ms) / 1000.0, self._end_grace)
-        self._view.take_targets(self._targets.listed(), asked_ms)
-        self._scheduler.post(schedulers.ViewChanged())
+        self._publish(asked_ms)
+
+    def mark_leaving(self) -> None:
+        """Marks targets in the view that other ways told to leave."""
+        self._publish(self._proven_ms)
 
     def _end_grace(self) -> None:
         """Takes off what has not come back, without waiting for the store.
@@ -401,5 +406,9 @@
         call 2.4 s after that, where 2 s are allowed.
         """
         self._targets.forget_lapsed(self._outside.now_ms())
-        self._view.take_targets(self._targets.listed(), self._proven_ms)
+        self._publish(self._proven_ms)
+
+    def _publish(self, asked_ms: float) -> None:
+        """Has the view and the scheduler go by the list as it is now."""
+        self._view.take_targets(self._targets.listed(), asked_ms)
         self._scheduler.post(schedulers.ViewChanged())
--- a/src/ruddergate/entry/status.py
+++ b/src/ruddergate/entry/status.py
@@ -74,7 +74,7 @@
             "id": each.target.target_id,
             "pool": each.pool.name,
             "hall": each.target.hall,
-            "usable": each.is_usable(now_ms),
+            "usable": tools.scheduler.is_usable(each),
             "waiting_tokens": round(each.waiting_tokens(now_ms)),
             "held_tokens": each.held_tokens(now_ms),
             "streams": each.streams(now_ms),
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -1,14 +1,16 @@
 """The targets that the store lists, with what must outlast its answers.
 
-A life of a target that was ever seen leaving stays so; the target may start
-again under its name, and is then another life. A target that went off the list
-while the store was out of reach is kept for a moment, since those that live are
-listed again soon; so is one whose entry another writer has spoilt.
+A life of a target that was ever found to leave stays so, whichever way told it;
+the target may start again under its name, and is then another life. A target
+that went off the list while the store was out of reach is kept for a moment,
+since those that live are listed again soon; so is one whose entry another
+writer has spoilt.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
+from ruddergate.decisions import withdrawals
 from ruddergate.fleet import condition
 from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
@@ -34,24 +36,26 @@
 class TargetList:
     """Targets by name; owned by one task.
 
+    Args:
+        known: Which lives of targets were found to leave.
+
     Attributes:
         refused: Entries that were none of a target, in all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, known: withdrawals.Withdrawals) -> None:
         self.refused = 0
+        self._known = known
         self._targets: dict[str, targets.Target] = {}
         self._kept_until_ms: dict[str, float] = {}
-        # The youngest life of each target that was seen leaving, and the
-        # youngest that was seen at all.
-        self._leaving_born_ms: dict[str, int] = {}
+        # The youngest life of each target that was seen.
         self._born_ms: dict[str, int] = {}
         self._told = told_once.ToldOnce()
         self._log = logs.make_logger("store")
 
     def listed(self) -> tuple[targets.Target, ...]:
         """Returns the targets that may be used or are leaving."""
-        return tuple(self._targets.values())
+        return tuple(map(self._mark, self._targets.values()))
 
     def take(
         self,
@@ -117,7 +121,7 @@
                 continue
             self._born_ms[name] = each.born_ms
             if each.condition is condition.Condition.LEAVING:
-                self._leaving_born_ms[name] = each.born_ms
+                self._known.note_published(each.life)
             newest[name] = each
         return newest
 
@@ -126,10 +130,7 @@
         name = target.target_id
         self._kept_until_ms.pop(name, None)
         self._told.forget(name)
-        if self._leaving_born_ms.get(name) == target.born_ms:
-            target = dataclasses.replace(
-                target, condition=condition.Condition.LEAVING
-            )
+        target = self._mark(target)
         if self._targets.get(name) != target:
             self._log.info(
                 "Target {} is {}.",
@@ -142,6 +143,14 @@
             )
         self._targets[name] = target
 
+    def _mark(self, target: targets.Target) -> targets.Target:
+        """Returns a target as leaving, if its life was ever found to leave."""
+        if not self._known.has_left(target.life):
+            return target
+        return dataclasses.replace(
+            target, condition=condition.Condition.LEAVING
+        )
+
     def _keep_until(
         self, target_id: str, until_ms: float, now_ms: float
     ) -> None:
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -1,47 +1,154 @@
-"""What targets say of themselves in their answers, as this VM hears it."""
+"""What targets say of themselves in their answers, and what follows from it.
 
+One object of a process hears all answers, before anybody sees what else stands
+in them, and is asked in the step that sends, whatever the way to a target is.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from ruddergate import environment
+from ruddergate import outcomes
+from ruddergate.decisions import withdrawals
 from ruddergate.fleet import life as lives
+from ruddergate.fleet import target as targets
 from ruddergate.relay import statement as statements
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
 from ruddergate.telemetry import told_once
 
+# A time for which a target wants no calls is drawn out by up to this part of
+# it, and by no more than this: VMs that were told the same at once must not all
+# come back together.
+_SPREAD_PART = 0.25
+_SPREAD_MOST_MS = 500.0
+# Longest word that a peer may use for a life: a key of the store has 200 bytes.
+_WORD_MOST = 220
+# What a target that leaves was to do another one can do at once.
+_LEAVING_RETRY_MS = 200.0
+
 
 class TargetNotices:
-    """Hears targets; one a process.
+    """Hears targets, and keeps calls off those that want none; one a process.
 
     Args:
+        outside: Clock and chance.
+        known: Which lives of targets take no calls.
         metrics: Metrics of the process.
+        note_leaving: Is called when a target was newly found to leave.
     """
 
-    def __init__(self, metrics: metric_types.EntryMetrics) -> None:
+    def __init__(
+        self,
+        outside: environment.Environment,
+        known: withdrawals.Withdrawals,
+        metrics: metric_types.EntryMetrics,
+        note_leaving: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._outside = outside
+        self._known = known
         self._metrics = metrics
+        self._note_leaving = note_leaving
         self._told = told_once.ToldOnce()
         self._log = logs.make_logger("target")
 
     def hear(self, said: statements.Statement) -> None:
-        """Takes in what a target said of itself."""
-        name = said.life.target_id
+        """Takes in what a target said of itself in an answer."""
         if said.is_leaving:
-            self._tell(said, "leaving", f"Target {name} says that it leaves.")
+            self._hear_leaving(said)
         if said.quiet_ms is not None:
-            sentence = f"Target {name} wants no calls for a while."
-            self._tell(said, "quiet", sentence)
+            self._hear_quiet(said, said.quiet_ms)
         for detail in said.unread:
-            self._metrics.statements_unread.inc({})
-            sentence = f"Target {name} says what has no meaning: {detail}."
-            self._tell(said, "unread", sentence)
+            self._hear_unread(said, detail)
 
-    def _tell(
-        self, said: statements.Statement, kind: str, sentence: str
-    ) -> None:
-        """Logs a sentence unless it was the last of its kind on that life."""
-        matter = f"{kind} {lives.format_life(said.life)}"
-        if self._told.is_new(matter, sentence):
+    def take_told(self, words: Iterable[str], peer: str) -> None:
+        """Takes in the leavings of which a peer has heard in answers."""
+        is_news = False
+        for word in words:
+            if len(word) > _WORD_MOST:
+                self._log.warning("Leaving dropped, no life.", peer=peer)
+                continue
+            life = lives.parse_life(word)
+            if self._known.note_told(life):
+                is_news = True
+                self._metrics.leavings_heard.inc({"from": "peer"})
+                self._log.info(
+                    "Target {} leaves, as a peer has heard.",
+                    life.target_id,
+                    born_ms=life.born_ms,
+                    peer=peer,
+                )
+        if is_news:
+            self._note_leaving()
+
+    def refuse_send(
+        self, asked: Iterable[targets.Target]
+    ) -> outcomes.NotServed | None:
+        """Returns a refusal if one of these takes no calls now.
+
+        It holds for this moment: an answer may have told so while the call
+        waited for a place, for memory or for a connection.
+        """
+        now_ms = self._outside.now_ms()
+        for target in asked:
+            if self._known.takes_calls(target.life, now_ms):
+                continue
+            if self._known.has_left(target.life):
+                return outcomes.refuse(
+                    outcomes.Reason.TARGET_LEAVING,
+                    f"target {target.target_id} leaves",
+                    _LEAVING_RETRY_MS,
+                )
+            until_ms = self._known.find_until_ms(target.life, now_ms)
+            return outcomes.refuse(
+                outcomes.Reason.TARGET_QUIET,
+                f"target {target.target_id} wants no calls now",
+                until_ms - now_ms,
+            )
+        return None
+
+    def summarize(self) -> tuple[str, ...]:
+        """Returns the leavings that peers are to be told now."""
+        return self._known.summarize(self._outside.now_ms())
+
+    def count_quiet(self) -> int:
+        """Returns how many targets want no calls of this VM now."""
+        return self._known.count_quiet(self._outside.now_ms())
+
+    def _hear_leaving(self, said: statements.Statement) -> None:
+        now_ms = self._outside.now_ms()
+        if not self._known.note_answered(said.life, now_ms):
+            return
+        self._metrics.leavings_heard.inc({"from": "answer"})
+        self._log.info(
+            "Target {} says that it leaves.",
+            said.life.target_id,
+            request_id=said.request_id,
+            born_ms=said.life.born_ms,
+        )
+        self._note_leaving()
+
+    def _hear_quiet(self, said: statements.Statement, quiet_ms: float) -> None:
+        spread_ms = min(_SPREAD_MOST_MS, _SPREAD_PART * quiet_ms)
+        spread_ms = self._outside.random.uniform(0.0, spread_ms)
+        until_ms = self._outside.now_ms() + quiet_ms + spread_ms
+        if self._known.note_quiet(said.life, until_ms):
             self._log.info(
-                "{}",
-                sentence,
+                "Target {} wants no calls for {:.0f} ms.",
+                said.life.target_id,
+                quiet_ms,
+                request_id=said.request_id,
+                born_ms=said.life.born_ms,
+            )
+
+    def _hear_unread(self, said: statements.Statement, detail: str) -> None:
+        self._metrics.statements_unread.inc({})
+        name = lives.format_life(said.life)
+        if self._told.is_new(name, detail):
+            self._log.warning(
+                "Target {} says what has no meaning: {}.",
+                said.life.target_id,
+                detail,
                 request_id=said.request_id,
                 born_ms=said.life.born_ms,
-                quiet_ms=said.quiet_ms,
             )
--- a/src/ruddergate/entry/tools.py
+++ b/src/ruddergate/entry/tools.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from ruddergate import environment
+from ruddergate import outcomes
 from ruddergate.decisions import retries
 from ruddergate.entry import canceller
 from ruddergate.entry import config as configs
@@ -12,6 +14,7 @@
 from ruddergate.entry import scheduler
 from ruddergate.entry import suspects as suspect_tables
 from ruddergate.entry import view as views
+from ruddergate.fleet import target as targets
 from ruddergate.telemetry import metrics
 from ruddergate.telemetry import traces
 
@@ -20,6 +23,13 @@
     """Stands where it is not asked what became of targets."""
 
 
+def _refuse_nothing(
+    asked: Iterable[targets.Target],
+) -> outcomes.NotServed | None:
+    """Stands where targets do not say in answers what they take."""
+    return None
+
+
 async def _lend_nothing(is_great: bool) -> bool:
     """Stands where there are no peers that lend retries."""
     return False
@@ -45,6 +55,8 @@
             where that is possible; told whether it is for a prompt worth many
             short ones. Returns whether one can be made.
         note_lost: Has it found out whether the target that lost a call ended.
+        refuse_send: Returns a refusal if one of some targets takes no calls at
+            this moment; asked in the step that sends.
     """
 
     outside: environment.Environment
@@ -60,6 +72,9 @@
     suspects: suspect_tables.Suspects
     secure_retry: Callable[[bool], Awaitable[bool]] = _lend_nothing
     note_lost: Callable[[lost_call.LostCall], None] = _note_nothing
+    refuse_send: Callable[
+        [Iterable[targets.Target]], outcomes.NotServed | None
+    ] = _refuse_nothing
 
     @property
     def owner(self) -> str:
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -110,6 +110,17 @@
             data += self._connection.send(h11.Data(data=request.body))
         self._writer.write(data + self._connection.send(h11.EndOfMessage()))
 
+    def try_send(
+        self, address: environment.Address, request: message.OutgoingRequest
+    ) -> Fault | None:
+        """Sends the whole request; where that breaks off, closes the stream."""
+        try:
+            self.send(address, request)
+        except OSError as error:
+            self.close()
+            return Fault(True, False, f"sending broke off: {error}")
+        return None
+
     async def read_head(self) -> Fault | None:
         """Reads status and headers; returns a fault if they don't come."""
         try:
@@ -170,6 +181,18 @@
     connect_timeout_ms: float,
 ) -> Exchange | Fault:
     """Connects and sends the request; the answer is left to read."""
+    exchange = await connect(outside, address, connect_timeout_ms)
+    if isinstance(exchange, Fault):
+        return exchange
+    return exchange.try_send(address, request) or exchange
+
+
+async def connect(
+    outside: environment.Environment,
+    address: environment.Address,
+    connect_timeout_ms: float,
+) -> Exchange | Fault:
+    """Returns an exchange in which nothing was sent yet."""
     try:
         async with asyncio.timeout(connect_timeout_ms / 1000.0):
             reader, writer = await outside.connect(address)
@@ -177,13 +200,7 @@
         return Fault(False, True, f"no connection to {address} in time")
     except OSError as error:
         return Fault(False, False, f"no connection to {address}: {error}")
-    exchange = Exchange(reader, writer)
-    try:
-        exchange.send(address, request)
-    except OSError as error:
-        exchange.close()
-        return Fault(True, False, f"sending broke off: {error}")
-    return exchange
+    return Exchange(reader, writer)
 
 
 async def fetch(
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -18,6 +18,8 @@
         number: Rises with each digest of an incarnation.
         rows: Its work on targets; targets without any are left out.
         lost: What it has just found out of reach.
+        leaving: Lives of targets that have lately told it in answers that they
+            leave, as `life.format_life` writes them.
     """
 
     sender: str
@@ -27,3 +29,4 @@
     number: int
     rows: tuple[dispatched.Dispatched, ...]
     lost: bad_news.BadNews = bad_news.NOTHING
+    leaving: tuple[str, ...] = ()
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -36,6 +36,8 @@
     HELPER_ENDED = "helper_ended"
     HELPER_UNREACHABLE = "helper_unreachable"
     TARGET_GONE = "target_gone"
+    TARGET_LEAVING = "target_leaving"
+    TARGET_QUIET = "target_quiet"
     TARGET_REPLACED = "target_replaced"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_LOST = "target_lost"
--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -77,6 +77,14 @@
     return _select(fields, _ONE_HOP | length | _named_in(fields))
 
 
+def leave_out_pause(fields: message.Fields) -> message.Fields:
+    """Returns a refusal's header lines without the time to come back.
+
+    That is said to this VM, of one target; others may serve the caller at once.
+    """
+    return _select(fields, {RETRY_AFTER})
+
+
 def _select(fields: message.Fields, left_out: Iterable[str]) -> message.Fields:
     return tuple(
         (name, value) for name, value in fields if name.lower() not in left_out
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -44,16 +44,17 @@
     """
 
     async def send(errand: errands.Errand) -> AsyncIterator[answers.Event]:
-        exchange = await client.start(
-            outside,
-            errand.target.address,
-            _make_outgoing(errand, outside.now_ms()),
-            errand.patience.connect_ms,
+        exchange = await client.connect(
+            outside, errand.target.address, errand.patience.connect_ms
         )
         if isinstance(exchange, client.Fault):
             yield _make_lost(exchange)
             return
         try:
+            unsent = _send_now(outside, errand, exchange)
+            if unsent is not None:
+                yield unsent
+                return
             async for event in _read(outside, errand, exchange, hear):
                 yield event
         finally:
@@ -62,6 +63,20 @@
     return send
 
 
+def _send_now(
+    outside: environment.Environment,
+    errand: errands.Errand,
+    exchange: client.Exchange,
+) -> outcomes.NotServed | None:
+    """Sends the call unless it is refused; nothing may come between the two."""
+    refusal = errand.refuse()
+    if refusal is not None:
+        return refusal
+    outgoing = _make_outgoing(errand, outside.now_ms())
+    fault = exchange.try_send(errand.target.address, outgoing)
+    return None if fault is None else _make_lost(fault)
+
+
 def _make_outgoing(
     errand: errands.Errand, now_ms: float
 ) -> message.OutgoingRequest:
@@ -291,6 +306,8 @@
     if isinstance(body, client.Fault):
         return _make_lost(body)
     fields = headers.select_for_caller(exchange.fields)
+    if exchange.status in statements.REFUSALS:
+        fields = headers.leave_out_pause(fields)
     return answers.WholeAnswer(exchange.status, fields, body)
 
 
--- a/src/ruddergate/platform/statements.py
+++ b/src/ruddergate/platform/statements.py
@@ -12,7 +12,7 @@
 # Another target serves at that address; what it says is not of the one asked.
 _MISDIRECTED = 421
 # Statuses with which a target turns work away.
-_REFUSALS = frozenset({429, 503})
+REFUSALS = frozenset({429, 503})
 _LEAVES = "1"
 _STAYS = "0"
 # Seconds, fractions too; dates and signs are no number of seconds.
@@ -43,7 +43,7 @@
         return statements.Statement(life)
     is_leaving, wrong_word = _read_leaving(_find_words(fields, headers.LEAVING))
     quiet_ms, wrong_time = None, ""
-    if status in _REFUSALS:
+    if status in REFUSALS:
         times = _find_words(fields, headers.RETRY_AFTER, separator="")
         quiet_ms, wrong_time = _read_quiet_ms(times)
     unread = tuple(filter(None, (wrong_word, wrong_time)))
--- a/src/ruddergate/relay/errand.py
+++ b/src/ruddergate/relay/errand.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from ruddergate import environment
+from ruddergate import outcomes
 from ruddergate import payload as payloads
 from ruddergate.fleet import target as targets
 from ruddergate.relay import answer as answers
@@ -31,6 +32,10 @@
     return True
 
 
+def _refuse_nothing() -> outcomes.NotServed | None:
+    return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Patience:
     """How long to wait for a target, in milliseconds.
@@ -62,6 +67,8 @@
         resume_after: Id of the last event the caller has; empty for none.
         helpers: Engines that read parts of the prompt.
         patience: How long to wait.
+        refuse: Asked when all is ready, in the step that sends the first byte:
+            returns why the call is not to be sent after all, if so.
     """
 
     payload: payloads.Payload
@@ -72,6 +79,7 @@
     resume_after: str
     helpers: tuple[Helper, ...]
     patience: Patience
+    refuse: Callable[[], outcomes.NotServed | None] = _refuse_nothing
 
 
 Send: TypeAlias = Callable[[Errand], AsyncIterator[answers.Event]]
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -80,6 +80,14 @@
             "ruddergate_entries_refused",
             "Entries in the list of targets that are none of a target, in all.",
         )
+        self.leavings_heard = self._counter(
+            "ruddergate_leavings_heard_total",
+            "Targets found to leave by other ways than the list, by way.",
+        )
+        self.quiet_targets = self._gauge(
+            "ruddergate_quiet_targets",
+            "Targets that want no calls of this VM for a while.",
+        )
         self.statements_unread = self._counter(
             "ruddergate_statements_unread_total",
             "What targets said of themselves that has no meaning.",
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -100,6 +100,7 @@
         crash: Ends it at once.
         leaving: What it says in all answers of leaving; empty while it stays.
         arrivals: Every call that came, also those that it turned away.
+        helped: How often others named it as a helper.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.crash: Callable[[], None] = lambda: None
         self.leaving = ""
         self.arrivals: list[Arrival] = []
+        self.helped = 0
         self._outside = outside
         self._peers = peers
         self._count = 0
@@ -258,6 +260,8 @@
 
     async def _read_prompt(self, prompt: int, helpers: str) -> None:
         names = _name_helpers(helpers)
+        for name in names:
+            self._peers[name].helped += 1
         others = [self._peers[name].engine for name in names]
         engines = [self.engine, *others]
         piece = prompt / len(engines)
--- a/tests/test_leaving_told.py
+++ b/tests/test_leaving_told.py
@@ -4,8 +4,17 @@
 import unittest
 
 import loguru
+import msgpack
 
+from ruddergate import environment
+from ruddergate.decisions import withdrawals
+from ruddergate.entry import target_notices
+from ruddergate.fleet import life as lives
+from ruddergate.messages import load_digest
+from ruddergate.telemetry import metrics
+from ruddergate.wire import codec
 from standins import gateway_caller
+from standins import gateway_cluster
 from tests import gateway_scene
 
 # A VM that has passed on an answer that says so sends no more after this time.
@@ -74,3 +83,161 @@
         for each in own
         if each.sent_s > bound_s and each.call.request_id in arrived
     ]
+
+
+class WaysTest(unittest.TestCase):
+    """Whoever hears it, and on whatever way a call is."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_peers_hear_of_it(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            cluster.store.trouble = "busy"
+            replica = cluster.targets["service-0"].replica
+            replica.leaving = "1"
+            await scene.call("open", "vm-0")
+            self.assertEqual(len(replica.arrivals), 1)
+            await asyncio.sleep(0.2)
+            for _ in range(8):
+                # Of the same hall, so that this target was nearest.
+                got = await scene.call("open", "vm-3")
+                self.assertEqual(got.status, 200)
+            self.assertEqual(len(replica.arrivals), 1)
+
+        gateway_scene.play(scene, vms=6, is_strict=False)
+
+    def test_vm_that_a_cut_kept_from_its_peers_hears_of_it_after(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            cluster.store.trouble = "busy"
+            replica = cluster.targets["service-0"].replica
+            cut = gateway_cluster.virtual_network.Cut("vm-3", "")
+            cluster.network.cuts.append(cut)
+            replica.leaving = "1"
+            await scene.call("open", "vm-0")
+            await asyncio.sleep(5.0)
+            cluster.network.cuts.remove(cut)
+            await asyncio.sleep(1.5)
+            arrivals = len(replica.arrivals)
+            for _ in range(8):
+                await scene.call("open", "vm-3")
+            self.assertEqual(len(replica.arrivals), arrivals)
+
+        gateway_scene.play(scene, vms=6, is_strict=False)
+
+    def test_helper_that_says_it_to_an_order_is_not_named(self) -> None:
+        # Memory is set aside at helpers first. One that answered the order and
+        # said that it leaves was named to the writer all the same.
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            cluster.store.trouble = "busy"
+            leaving = ("engine-0", "engine-1", "engine-2")
+            for name in leaving:
+                cluster.targets[name].replica.leaving = "1"
+            got = await scene.call(
+                "long", prompt_tokens=600_000, output_tokens=460
+            )
+            self.assertEqual((got.status, got.is_whole), (200, True))
+            for name in leaving:
+                replica = cluster.targets[name].replica
+                self.assertEqual((replica.helped, replica.runs), (0, []))
+
+        gateway_scene.play(scene, engines=6, is_strict=False)
+
+    def test_broken_stream_goes_on_elsewhere(self) -> None:
+        # The other engine refuses, so that the first looks better again.
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            cluster.store.trouble = "busy"
+            scene.spoil("engine", break_off=1.0)
+            first, other = (
+                cluster.targets[f"engine-{number}"].replica for number in (0, 1)
+            )
+            first.leaving = other.leaving = "1"
+            got = await scene.call("short")
+            self.assertFalse(got.is_whole)
+            arrivals = len(first.arrivals) + len(other.arrivals)
+            self.assertLessEqual(arrivals, 2)
+            for _ in range(4):
+                again = await scene.call("short")
+                self.assertEqual(again.status, 503)
+            arrived = len(first.arrivals) + len(other.arrivals)
+            self.assertEqual(arrived, arrivals)
+
+        gateway_scene.play(scene, engines=2, halls=1, is_strict=False)
+
+    def test_younger_life_is_not_bound_by_it(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            node = cluster.targets["service-0"]
+            node.replica.leaving = "1"
+            await scene.call("open")
+            cluster.kill(node)
+            cluster.start_target(node)
+            await asyncio.sleep(1.5)
+            for _ in range(4):
+                await scene.call("open")
+            self.assertGreater(len(node.replica.arrivals), 0)
+
+        gateway_scene.play(scene, keeps_names=True)
+
+    def test_when_all_leave_calls_are_refused_at_once(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            cluster.store.trouble = "busy"
+            for number in range(3):
+                replica = cluster.targets[f"service-{number}"].replica
+                replica.leaving = "1"
+            for vm in cluster.vms:
+                await scene.call("open", vm)
+            await asyncio.sleep(0.2)
+            for vm in cluster.vms:
+                got = await scene.call("open", vm)
+                self.assertEqual((got.status, scene.runs(got)), (503, []))
+                self.assertGreater(float(got.headers["retry-after"]), 0.0)
+                self.assertLess(got.took_ms, 50.0)
+
+        gateway_scene.play(scene, is_strict=False)
+
+    def test_words_without_a_meaning_do_no_harm(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            for word in ("0", "2", "true", "-1"):
+                replica = scene.cluster.targets["service-0"].replica
+                replica.leaving = word
+                arrivals = len(replica.arrivals)
+                for _ in range(3):
+                    got = await scene.call("open")
+                    self.assertEqual(got.status, 200)
+                self.assertEqual(len(replica.arrivals), arrivals + 3)
+
+        gateway_scene.play(scene)
+
+
+class PeersWordTest(unittest.TestCase):
+    """What a peer's digest says of leavings."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_word_that_is_no_life_is_dropped(self) -> None:
+        known = withdrawals.Withdrawals()
+        notices = target_notices.TargetNotices(
+            environment.make_system_environment(),
+            known,
+            metrics.EntryMetrics(),
+        )
+        notices.take_told(["i" * 1_000, "i-1@5"], "peer")
+        self.assertFalse(known.has_left(lives.Life("i" * 1_000)))
+        self.assertTrue(known.has_left(lives.Life("i-1", 5)))
+
+    def test_digest_of_an_earlier_release_says_nothing_of_it(self) -> None:
+        digest = load_digest.LoadDigest("vm:1", "h", 0, "run", 1, ())
+        tag, fields = msgpack.unpackb(codec.encode(digest))
+        self.assertEqual(codec.decode(msgpack.packb((tag, fields))), digest)
+        self.assertEqual(
+            codec.decode(msgpack.packb((tag, fields[:-1]))), digest
+        )
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -12,6 +12,7 @@
 import loguru
 
 from ruddergate import environment
+from ruddergate.decisions import withdrawals
 from ruddergate.entry import config as configs
 from ruddergate.entry import placement
 from ruddergate.entry import reservation_keeper
@@ -68,7 +69,7 @@
         loguru.logger.remove()
 
     def setUp(self) -> None:
-        self.list = target_list.TargetList()
+        self.list = target_list.TargetList(withdrawals.Withdrawals())
 
     def _take(self, *found: targets.Target, gone: tuple[str, ...] = ()) -> None:
         changes = published.Changes(1, None, found, gone, ())
--- a/tests/test_replica_calls.py
+++ b/tests/test_replica_calls.py
@@ -85,6 +85,59 @@
     return await near.start(collect)
 
 
+class GateTest(unittest.TestCase):
+    """The last question before the first byte of a call."""
+
+    def test_nothing_is_sent_when_it_is_refused_after_the_connection(
+        self,
+    ) -> None:
+        asked: list[bool] = []
+        refusal = outcomes.refuse(outcomes.Reason.TARGET_LEAVING, "it leaves")
+        came: list[message.IncomingRequest] = []
+
+        async def handle(
+            incoming: message.IncomingRequest,
+        ) -> message.Response:
+            came.append(incoming)
+            return message.Response(200, {"x-replica-signature": "s"}, b"ok")
+
+        async def run() -> list[answers.Event]:
+            network = virtual_network.VirtualNetwork(
+                1, virtual_network.Latency()
+            )
+            far = virtual_process.VirtualProcess("target", "h")
+            serving = network.make_environment(far, 1)
+            connected: list[bool] = []
+
+            def refuse() -> outcomes.NotServed:
+                asked.append(bool(connected))
+                return refusal
+
+            handler = server.make_stream_handler(handle, server.Limits())
+            await far.start(lambda: serving.serve(handler, _ADDRESS))
+            near = virtual_process.VirtualProcess("vm", "h")
+            plain = network.make_environment(near, 1)
+
+            async def connect(address: environment.Address) -> tuple:
+                streams = await plain.connect(address)
+                connected.append(True)
+                return streams
+
+            outside = dataclasses.replace(plain, connect=connect)
+            send = replicas.make_send(outside, statements.ignore)
+            errand = dataclasses.replace(
+                _make_errand(outside.now_ms()), refuse=refuse
+            )
+
+            async def collect() -> list[answers.Event]:
+                return [event async for event in send(errand)]
+
+            return await near.start(collect)
+
+        self.assertEqual(virtual_process.run(run), [refusal])
+        self.assertEqual((asked, came), ([True], []))
+
+
 class PatienceTest(unittest.TestCase):
     def test_silence_ends_a_call(self) -> None:
         (ended,) = virtual_process.run(lambda: _play(0.0))
