Look quiet targets up only while there are any

Cause: the scheduler asked for each target of a pool in each of its turns. Measured: 0.7 ms of a core for 150 targets (mean of 200, beside other load); now nothing while no target wants quiet, since those that leave are listed so. Quiet times of lives that are off the list are dropped when they are over.

--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -8,6 +8,8 @@
 shortens it.
 """
 
+from collections.abc import Collection
+
 from ruddergate.fleet import life as lives
 
 # Lives that are remembered to have left, the oldest are forgotten first: before
@@ -94,6 +96,18 @@
         """Returns whether a target may be sent calls now."""
         return self.find_until_ms(life, now_ms) <= now_ms
 
+    def has_quiet(self) -> bool:
+        """Returns whether any target wants, or lately wanted, no calls."""
+        return bool(self._quiet_until_ms)
+
+    def forget_quiet(
+        self, listed: Collection[lives.Life], now_ms: float
+    ) -> None:
+        """Drops quiet times that are over, of lives that are not listed."""
+        for life, until_ms in list(self._quiet_until_ms.items()):
+            if until_ms <= now_ms and life not in listed:
+                del self._quiet_until_ms[life]
+
     def is_on_trial(self, life: lives.Life) -> bool:
         """Returns whether it wanted quiet and has not served since.
 
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -349,6 +349,9 @@
         for target_id in list(self._estimates):
             if target_id not in listed:
                 del self._estimates[target_id]
+        if self._known.has_quiet():
+            listed = {each.life for each in self._view.listing.targets}
+            self._known.forget_quiet(listed, now_ms)
         self._by_pool = {}
         for target in self._view.listing.targets:
             pool = self._view.index.find_pool(target.pool)
@@ -436,12 +439,15 @@
         One whose quiet time has ended takes one call of this VM first: when six
         VMs had thirty calls waiting, all went at once otherwise.
         """
+        if not each.may_take_work():
+            return False
+        if not self._known.has_quiet():
+            # Those that leave are listed so. To look 150 targets up took 0.7 ms
+            # of a core (mean of 200), in each turn of the scheduler.
+            return True
         life = each.target.life
-        return (
-            each.may_take_work()
-            and self._known.takes_calls(life, now_ms)
-            and not (self._known.is_on_trial(life) and each.own_streams())
-        )
+        is_busy = self._known.is_on_trial(life) and each.own_streams() > 0
+        return self._known.takes_calls(life, now_ms) and not is_busy
 
     def _find_first_ms(self, pool: str, now_ms: float) -> float:
         """Returns when the first target of a pool takes calls.
@@ -449,11 +455,15 @@
         Returns:
             A time not after now where one does; infinity where all leave.
         """
+        able = (
+            each for each in self._by_pool.get(pool, []) if each.may_take_work()
+        )
+        if not self._known.has_quiet():
+            return now_ms if any(True for _ in able) else float("inf")
         return min(
             (
                 self._known.find_until_ms(each.target.life, now_ms)
-                for each in self._by_pool.get(pool, [])
-                if each.may_take_work()
+                for each in able
             ),
             default=float("inf"),
         )
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -77,6 +77,16 @@
         self.known.note_served(_OLD, 100.0)
         self.assertFalse(self.known.is_on_trial(_OLD))
 
+    def test_it_is_gone_with_the_life(self) -> None:
+        self.known.note_quiet(_OLD, 100.0)
+        self.known.forget_quiet({_YOUNG}, 50.0)
+        # A target that lapsed from the list may come back within its time.
+        self.assertTrue(self.known.has_quiet())
+        self.known.forget_quiet({_OLD}, 100.0)
+        self.assertTrue(self.known.has_quiet())
+        self.known.forget_quiet({_YOUNG}, 100.0)
+        self.assertFalse(self.known.has_quiet())
+
     def test_what_is_kept_is_bounded(self) -> None:
         for number in range(withdrawals.QUIET_MOST + 1):
             self.known.note_quiet(lives.Life(f"i-{number}"), 100.0)
