Refuse settings with times that are none; properties of spoilt settings and reports

Cause: a route with a time limit of 0, or a negative aim, was taken into force and had every call of it refused. Found by the property test, which fails before. Change: such settings are refused as a whole, so those in force stay, as with any other fault in them.

--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -105,7 +105,7 @@
     is_stream = kind == _STREAMS
     is_resumable = _private.get(document, "resumable", bool, False)
     repeatable = kind == _REPEATABLE or (is_stream and is_resumable)
-    return routes.Route(
+    route = routes.Route(
         name=name,
         host=_private.get(document, "hostname", str, "").lower(),
         path_prefix=prefix,
@@ -120,6 +120,10 @@
         targets_max=max(1, _private.get(document, "max-attempts", int, 1)),
         is_open=_private.get(document, "allow-anonymous", bool, False),
     )
+    if route.time_limit_ms <= 0.0 or min(route.aim_ms, route.gap_aim_ms) < 0.0:
+        # By such times every call of the route would be refused.
+        return f"route {name} has a time that is none"
+    return route
 
 
 def _read_shares(document: object) -> Iterator[routes.Share]:
--- /dev/null
+++ b/tests/test_foreign_settings.py
@@ -0,0 +1,92 @@
+"""Settings, reports and heads of answers that hold anything at all.
+
+Other writers may put anything where the settings lie, and a target may say
+anything of its load. Neither may end a VM's task or change what is in force.
+"""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from ruddergate.platform import configuration
+from ruddergate.platform import targets
+from ruddergate.settings import catalog as catalogs
+from ruddergate.settings import route as routes
+from standins import gateway_cluster
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=6,
+)
+_KEYS = {"w1": ["k1"], "w2": ["k2"]}
+
+
+def _list_places(document: object, path: tuple = ()) -> list[tuple]:
+    """Returns the paths of all values within a document."""
+    found = [path] if path else []
+    if isinstance(document, dict):
+        for name, value in document.items():
+            found += _list_places(value, (*path, name))
+    if isinstance(document, list):
+        for index, value in enumerate(document):
+            found += _list_places(value, (*path, index))
+    return found
+
+
+def _replace(document: object, path: tuple, value: object) -> object:
+    if not path:
+        return value
+    copy = dict(document) if isinstance(document, dict) else list(document)
+    copy[path[0]] = _replace(document[path[0]], path[1:], value)
+    return copy
+
+
+_SOUND = gateway_cluster.make_configuration(_KEYS, 7)
+_PLACES = _list_places(_SOUND)
+
+
+class SettingsTest(unittest.TestCase):
+    @hypothesis.given(strategies.sampled_from(_PLACES), _JSON)
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    def test_one_spoilt_value_is_refused_or_can_be_gone_by(
+        self, place: tuple, value: object
+    ) -> None:
+        found = configuration.read_catalog(_replace(_SOUND, place, value))
+        if isinstance(found, str):
+            return
+        self.assertIsInstance(found, catalogs.Catalog)
+        for name in ("short", "unsafe", "open"):
+            route = found.find_route(gateway_cluster.HOST, f"/{name}/x")
+            if route is not None:
+                self._check_route(route)
+
+    def _check_route(self, route: routes.Route) -> None:
+        self.assertGreater(route.time_limit_ms, 0.0)
+        self.assertGreaterEqual(route.aim_ms, 0.0)
+        self.assertGreaterEqual(route.gap_aim_ms, 0.0)
+        self.assertGreaterEqual(route.targets_max, 1)
+        self.assertGreater(len(route.shares), 0)
+
+    @hypothesis.given(_JSON)
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    def test_anything_is_refused_or_read(self, document: object) -> None:
+        found = configuration.read_catalog(document)
+        self.assertIsInstance(found, str | catalogs.Catalog)
+
+
+class ReportTest(unittest.TestCase):
+    @hypothesis.given(_JSON)
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    def test_a_start_is_a_whole_number_or_unknown(self, document) -> None:
+        born_ms = targets.read_born_ms(document)
+        self.assertIs(type(born_ms), int)
+        self.assertGreaterEqual(born_ms, 0)
