--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -42,6 +42,8 @@
         sent: Datagrams it has sent.
         sent_bytes: Their bytes.
         starts: How often it was started.
+        leaving: Lives that it has heard to leave, as it tells them.
+        heard_s: When it was told a life by peers, on the loop's clock.
     """
 
     process: virtual_process.VirtualProcess
@@ -52,6 +54,8 @@
     sent: int = 0
     sent_bytes: int = 0
     starts: int = 1
+    leaving: tuple[str, ...] = ()
+    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def count_told(self) -> int:
         """Returns the streams that peers have, as far as this VM knows."""
@@ -89,6 +93,11 @@
         def summarize() -> tuple[dispatched.Dispatched, ...]:
             return _make_rows(name, self.members[name].own)
 
+        def take_leaving(words: Sequence[str], peer: str) -> None:
+            now_s = asyncio.get_running_loop().time()
+            for word in words:
+                self.members[name].heard_s.setdefault(word, now_s)
+
         exchange = peer_exchange.PeerExchange(
             self._count_sent(outside, name),
             peer_exchange.PeerConfig(
@@ -97,6 +106,8 @@
             hall,
             f"{name}.{starts}",
             summarize,
+            summarize_leaving=lambda: self.members[name].leaving,
+            take_leaving=take_leaving,
         )
         self.members[name] = Member(
             process, exchange, outside.now_ms, starts=starts
@@ -113,6 +124,12 @@
         member.own = streams
         member.exchange.note_change()
 
+    def tell_leaving(self, name: str, word: str) -> None:
+        """Has a VM hear that a target leaves, which it tells."""
+        member = self.members[name]
+        member.leaving = (word,)
+        member.exchange.note_change()
+
     def find_wrong(self) -> list[str]:
         """Returns the living VMs that do not know all others' work."""
         living = {
