Hash a call's content once an attempt, as before

Cause: the gate was also asked before memory is set aside, and a body of 4 MB takes 7 ms to hash while any content is suspect. Change: that first question is about the targets alone.

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -96,7 +96,7 @@
             if any(sign is not orders.Sign.ALIVE for sign in signs):
                 yield self._give_up_unsent(signs)
                 return
-            refusal = self._refuse_send()
+            refusal = self._refuse_withdrawn()
             if refusal is not None:
                 yield refusal
                 return
@@ -121,10 +121,12 @@
             self._post_ends()
 
     def _refuse_send(self) -> outcomes.NotServed | None:
-        """Returns why nothing may be sent to these targets now, if so."""
+        """Returns why the call may not be sent in this moment, if so."""
         refusal = self._tools.suspects.refuse(self._request)
-        if refusal is not None:
-            return refusal
+        return refusal or self._refuse_withdrawn()
+
+    def _refuse_withdrawn(self) -> outcomes.NotServed | None:
+        """Returns a refusal if the target or a helper takes no calls now."""
         return self._tools.refuse_send([seat.target for seat in self._seats])
 
     async def _ask_signs(self) -> tuple[orders.Sign, ...]:
