--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -331,9 +331,10 @@
     def _welcome(self, peer: str) -> None:
         """Tells a VM that has just started what it should know.
 
-        In a small fleet that is this VM's load, too: one of six VMs that started
-        anew under load knew its peers after 0.6 s otherwise, now after 0.1 s
-        (emulated fleet). In a large one each start would have all VMs write.
+        In a small fleet that is this VM's load, too: one of six VMs that
+        started anew under load knew its peers after 0.6 s otherwise, now after
+        0.1 s (emulated fleet). In a large one each start would have all VMs
+        write.
         """
         self._greet(peer)
         if len(self.loads) <= peer_groups.DIRECT_MOST:
