--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -121,7 +121,7 @@
         self._connections = http_server.Connections()
         self._open = open_calls.OpenCalls(platform.door.write_failure)
         view = views.View()
-        known = withdrawals.Withdrawals()
+        withdrawn = withdrawals.Withdrawals()
         scheduler = schedulers.Scheduler(
             outside,
             config,
@@ -130,7 +130,7 @@
             lambda: self._peers.collect_sums(),
             lambda: self._peers.is_blind(),
             lambda: self._peers.loads.collect_lost(),
-            known=known,
+            withdrawn=withdrawn,
         )
         self._suspects = suspect_exchange.SuspectExchange(
             outside,
@@ -140,7 +140,7 @@
         )
         metrics = metric_types.EntryMetrics()
         self._notices = target_notices.TargetNotices(
-            outside, known, metrics, self._note_leaving
+            outside, withdrawn, metrics, self._note_leaving
         )
         self.tools = tool_types.Tools(
             outside=outside,
@@ -214,7 +214,7 @@
                 self._peers.questions.ask_news,
                 self._peers.questions.ask_settings,
             ),
-            known,
+            withdrawn,
         )
 
     def _answer_peer(
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from ruddergate import environment
 from ruddergate import outcomes
@@ -72,7 +73,7 @@
         ] = lambda: (),
         is_blind: Callable[[], bool] = lambda: False,
         collect_lost: Callable[[], bad_news.BadNews] = lambda: bad_news.NOTHING,
-        known: withdrawals.Withdrawals | None = None,
+        withdrawn: withdrawals.Withdrawals | None = None,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -86,9 +87,9 @@
                 news; asked before places are given out.
             is_blind: Returns whether there are peers of which nothing is known.
             collect_lost: Returns what peers have newly found out of reach.
-            known: Which lives of targets take no calls.
+            withdrawn: Which lives of targets take no calls.
         """
-        self._known = known or withdrawals.Withdrawals()
+        self._withdrawn = withdrawn or withdrawals.Withdrawals()
         self._note_change = note_change
         self._collect_peers = collect_peers
         self._is_blind = is_blind
@@ -107,7 +108,7 @@
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._queues: dict[str, queueing.Queue] = {}
         self._asked: dict[str, placement.Place] = {}
-        self._table = target_table.TargetTable(view, self._known)
+        self._table = target_table.TargetTable(view, self._withdrawn)
         self._ticked_ms = outside.now_ms()
         self._held_until_ms = 0.0
         self._log = logs.make_logger("scheduler")
@@ -254,7 +255,7 @@
         estimate = self._table.find(message.seat.target)
         if estimate is None:
             return
-        self._known.note_served(estimate.target.life, now_ms)
+        self._withdrawn.note_served(estimate.target.life, now_ms)
         if estimate.first_token(message.seat.attempt_id, now_ms):
             self._note_change()
         if message.prefix:
@@ -273,7 +274,7 @@
         if message.failed:
             estimate.note_fault(now_ms)
         elif message.answered:
-            self._known.note_served(target.life, now_ms)
+            self._withdrawn.note_served(target.life, now_ms)
             self._losses.note_answered(target, now_ms)
             estimate.answered_ms = now_ms
         self._note_change()
@@ -374,7 +375,9 @@
                 self._lane_rests_until_ms[job.lane] = now_ms + rest_ms
                 continue
             del self._asked[job.job_id]
-            if any(self._known.is_on_trial(each.target.life) for each in seats):
+            if any(
+                self._withdrawn.is_on_trial(each.target.life) for each in seats
+            ):
                 usable = self._find_usable(pool, now_ms)
             placed = placement.Placed(seats)
             if asked.reply.done():
@@ -402,16 +405,16 @@
         When all look bad, this VM is more likely at fault than all of them, and
         any that may take work is better than none.
         """
-        known = self._table.list_taking(pool, now_ms)
+        taking = self._table.list_taking(pool, now_ms)
         good = [
             each
-            for each in known
+            for each in taking
             if each.is_usable(now_ms)
             and not self._losses.is_suspect(each.target.hall, now_ms)
         ]
         if good or not self._config.tries_all:
             return good
-        return known
+        return taking
 
 
 def _answer(
@@ -431,7 +434,7 @@
     pool: str, first_ms: float, now_ms: float
 ) -> outcomes.NotServed:
     """Returns the refusal of what no target takes before that time."""
-    if first_ms == float("inf"):
+    if math.isinf(first_ms):
         return outcomes.refuse(
             outcomes.Reason.NO_TARGET,
             f"all targets of pool {pool} leave",
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -86,7 +86,7 @@
         scheduler: schedulers.Scheduler,
         pace: Pace,
         peers: source_peers.SourcePeers,
-        known: withdrawals.Withdrawals,
+        withdrawn: withdrawals.Withdrawals,
     ) -> None:
         self._peers = peers
         self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
@@ -96,7 +96,7 @@
         self._scheduler = scheduler
         self._pace = pace
         self._position: int | None = None
-        self._targets = target_list.TargetList(known)
+        self._targets = target_list.TargetList(withdrawn)
         # When what is known was last proven to be the newest; at first, when
         # this VM began.
         self._proven_ms = outside.now_ms()
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -37,15 +37,15 @@
     """Targets by name; owned by one task.
 
     Args:
-        known: Which lives of targets were found to leave.
+        withdrawn: Which lives of targets were found to leave.
 
     Attributes:
         refused: Entries that were none of a target, in all.
     """
 
-    def __init__(self, known: withdrawals.Withdrawals) -> None:
+    def __init__(self, withdrawn: withdrawals.Withdrawals) -> None:
         self.refused = 0
-        self._known = known
+        self._withdrawn = withdrawn
         self._targets: dict[str, targets.Target] = {}
         self._kept_until_ms: dict[str, float] = {}
         # The youngest life of each target that was seen.
@@ -121,7 +121,7 @@
                 continue
             self._born_ms[name] = each.born_ms
             if each.condition is condition.Condition.LEAVING:
-                self._known.note_published(each.life)
+                self._withdrawn.note_published(each.life)
             newest[name] = each
         return newest
 
@@ -145,7 +145,7 @@
 
     def _mark(self, target: targets.Target) -> targets.Target:
         """Returns a target as leaving, if its life was ever found to leave."""
-        if not self._known.has_left(target.life):
+        if not self._withdrawn.has_left(target.life):
             return target
         return dataclasses.replace(
             target, condition=condition.Condition.LEAVING
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -33,7 +33,7 @@
 
     Args:
         outside: Clock and chance.
-        known: Which lives of targets take no calls.
+        withdrawn: Which lives of targets take no calls.
         metrics: Metrics of the process.
         note_leaving: Is called when a target was newly found to leave.
     """
@@ -41,12 +41,12 @@
     def __init__(
         self,
         outside: environment.Environment,
-        known: withdrawals.Withdrawals,
+        withdrawn: withdrawals.Withdrawals,
         metrics: metric_types.EntryMetrics,
         note_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         self._outside = outside
-        self._known = known
+        self._withdrawn = withdrawn
         self._metrics = metrics
         self._note_leaving = note_leaving
         self._told = told_once.ToldOnce()
@@ -69,7 +69,7 @@
                 self._log.warning("Leaving dropped, no life.", peer=peer)
                 continue
             life = lives.parse_life(word)
-            if self._known.note_told(life):
+            if self._withdrawn.note_told(life):
                 is_news = True
                 self._metrics.leavings_heard.inc({"from": "peer"})
                 self._log.info(
@@ -91,15 +91,15 @@
         """
         now_ms = self._outside.now_ms()
         for target in asked:
-            if self._known.takes_calls(target.life, now_ms):
+            if self._withdrawn.takes_calls(target.life, now_ms):
                 continue
-            if self._known.has_left(target.life):
+            if self._withdrawn.has_left(target.life):
                 return outcomes.refuse(
                     outcomes.Reason.TARGET_LEAVING,
                     f"target {target.target_id} leaves",
                     _LEAVING_RETRY_MS,
                 )
-            until_ms = self._known.find_until_ms(target.life, now_ms)
+            until_ms = self._withdrawn.find_until_ms(target.life, now_ms)
             return outcomes.refuse(
                 outcomes.Reason.TARGET_QUIET,
                 f"target {target.target_id} wants no calls now",
@@ -109,15 +109,15 @@
 
     def summarize(self) -> tuple[str, ...]:
         """Returns the leavings that peers are to be told now."""
-        return self._known.summarize(self._outside.now_ms())
+        return self._withdrawn.summarize(self._outside.now_ms())
 
     def count_quiet(self) -> int:
         """Returns how many targets want no calls of this VM now."""
-        return self._known.count_quiet(self._outside.now_ms())
+        return self._withdrawn.count_quiet(self._outside.now_ms())
 
     def _hear_leaving(self, said: statements.Statement) -> None:
         now_ms = self._outside.now_ms()
-        if not self._known.note_answered(said.life, now_ms):
+        if not self._withdrawn.note_answered(said.life, now_ms):
             return
         self._metrics.leavings_heard.inc({"from": "answer"})
         self._log.info(
@@ -132,7 +132,7 @@
         spread_ms = min(_SPREAD_MOST_MS, _SPREAD_PART * quiet_ms)
         spread_ms = self._outside.random.uniform(0.0, spread_ms)
         until_ms = self._outside.now_ms() + quiet_ms + spread_ms
-        if self._known.note_quiet(said.life, until_ms):
+        if self._withdrawn.note_quiet(said.life, until_ms):
             self._log.info(
                 "Target {} wants no calls for {:.0f} ms.",
                 said.life.target_id,
--- a/src/ruddergate/entry/target_table.py
+++ b/src/ruddergate/entry/target_table.py
@@ -14,14 +14,14 @@
 
     Args:
         view: The list and the settings of pools.
-        known: Which lives of targets take no calls.
+        withdrawn: Which lives of targets take no calls.
     """
 
     def __init__(
-        self, view: views.View, known: withdrawals.Withdrawals
+        self, view: views.View, withdrawn: withdrawals.Withdrawals
     ) -> None:
         self._view = view
-        self._known = known
+        self._withdrawn = withdrawn
         self._by_name: dict[str, estimates.Estimate] = {}
         self._by_pool: dict[str, list[estimates.Estimate]] = {}
 
@@ -65,7 +65,7 @@
         names = {life.target_id for life in listed}
         for target_id in self._by_name.keys() - names:
             del self._by_name[target_id]
-        self._known.forget_quiet(listed, now_ms)
+        self._withdrawn.forget_quiet(listed, now_ms)
         self._by_pool = {}
         for target in listed.values():
             pool = self._view.index.find_pool(target.pool)
@@ -96,13 +96,13 @@
         """
         if not each.may_take_work():
             return False
-        if not self._known.has_quiet():
+        if not self._withdrawn.has_quiet():
             # Those that leave are listed so. To look 150 targets up took 0.7 ms
             # of a core (mean of 200), in each turn of the scheduler.
             return True
         life = each.target.life
-        is_busy = self._known.is_on_trial(life) and each.own_streams() > 0
-        return self._known.takes_calls(life, now_ms) and not is_busy
+        is_busy = self._withdrawn.is_on_trial(life) and each.own_streams() > 0
+        return self._withdrawn.takes_calls(life, now_ms) and not is_busy
 
     def find_first_ms(self, pool: str, now_ms: float) -> float:
         """Returns when the first target of a pool takes calls.
@@ -113,11 +113,11 @@
         able = (
             each for each in self._by_pool.get(pool, []) if each.may_take_work()
         )
-        if not self._known.has_quiet():
+        if not self._withdrawn.has_quiet():
             return now_ms if any(True for _ in able) else _NEVER_MS
         return min(
             (
-                self._known.find_until_ms(each.target.life, now_ms)
+                self._withdrawn.find_until_ms(each.target.life, now_ms)
                 for each in able
             ),
             default=_NEVER_MS,
--- a/tests/test_leaving_told.py
+++ b/tests/test_leaving_told.py
@@ -224,15 +224,15 @@
         loguru.logger.remove()
 
     def test_word_that_is_no_life_is_dropped(self) -> None:
-        known = withdrawals.Withdrawals()
+        withdrawn = withdrawals.Withdrawals()
         notices = target_notices.TargetNotices(
             environment.make_system_environment(),
-            known,
+            withdrawn,
             metrics.EntryMetrics(),
         )
         notices.take_told(["i" * 1_000, "i-1@5"], "peer")
-        self.assertFalse(known.has_left(lives.Life("i" * 1_000)))
-        self.assertTrue(known.has_left(lives.Life("i-1", 5)))
+        self.assertFalse(withdrawn.has_left(lives.Life("i" * 1_000)))
+        self.assertTrue(withdrawn.has_left(lives.Life("i-1", 5)))
 
     def test_digest_of_an_earlier_release_says_nothing_of_it(self) -> None:
         digest = load_digest.LoadDigest("vm:1", "h", 0, "run", 1, ())
