Tell callers that are refused until a target takes calls different times

Cause: all that were refused in one moment were told the same moment to come back, to a target that had had too much to do. Measured (emulator): 20 callers refused at once, 1 time told -> more than 8 (to the hundredth of a second), none before the target takes calls.

--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -36,6 +36,10 @@
 # that wait for the same targets must not all go when one has become free.
 _LANE_REST_MS = (5.0, 60.0)
 _GONE_RETRY_MS = 1_000.0
+# Callers refused until a target takes calls are told to come back within this
+# time after it: told the same moment they would all come in it, and the target
+# had too much to do before. Half of what its own time is drawn out by at most.
+_RETURN_SPREAD_MS = 250.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,7 +230,7 @@
             return
         first_ms = self._table.find_first_ms(asked.pool.name, now_ms)
         if first_ms > asked.job.deadline_ms:
-            _answer(asked, _refuse_until(asked.pool.name, first_ms, now_ms))
+            _answer(asked, self._refuse_until(asked.pool.name, first_ms))
             return
         refusal = queue.offer(asked.job, now_ms)
         if refusal is not None:
@@ -395,7 +399,22 @@
         for job in hopeless:
             queue.withdraw(job)
             asked = self._asked.pop(job.job_id)
-            _answer(asked, _refuse_until(pool, first_ms, now_ms))
+            _answer(asked, self._refuse_until(pool, first_ms))
+
+    def _refuse_until(self, pool: str, first_ms: float) -> outcomes.NotServed:
+        """Returns the refusal of what no target takes before that time."""
+        if math.isinf(first_ms):
+            return outcomes.refuse(
+                outcomes.Reason.NO_TARGET,
+                f"all targets of pool {pool} leave",
+                _GONE_RETRY_MS,
+            )
+        spread_ms = self._outside.random.uniform(0.0, _RETURN_SPREAD_MS)
+        return outcomes.refuse(
+            outcomes.Reason.CANNOT_FINISH_IN_TIME,
+            f"no target of pool {pool} wants calls now",
+            first_ms - self._outside.now_ms() + spread_ms,
+        )
 
     def _find_usable(
         self, pool: str, now_ms: float
@@ -428,20 +447,3 @@
     return outcomes.refuse(
         outcomes.Reason.NO_TARGET, f"pool {pool} has no target", _GONE_RETRY_MS
     )
-
-
-def _refuse_until(
-    pool: str, first_ms: float, now_ms: float
-) -> outcomes.NotServed:
-    """Returns the refusal of what no target takes before that time."""
-    if math.isinf(first_ms):
-        return outcomes.refuse(
-            outcomes.Reason.NO_TARGET,
-            f"all targets of pool {pool} leave",
-            _GONE_RETRY_MS,
-        )
-    return outcomes.refuse(
-        outcomes.Reason.CANNOT_FINISH_IN_TIME,
-        f"no target of pool {pool} wants calls now",
-        first_ms - now_ms,
-    )
--- a/tests/test_quiet_targets.py
+++ b/tests/test_quiet_targets.py
@@ -66,6 +66,20 @@
 
         gateway_scene.play(scene, vms=1)
 
+    def test_refused_callers_are_not_told_to_come_back_together(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            scene.spoil("service", refuse=1.0, retry_after="3.5")
+            for _ in range(4):
+                await scene.call("open")
+            got = await asyncio.gather(*(scene.call("open") for _ in range(20)))
+            times = {
+                round(float(each.headers["retry-after"]), 2) for each in got
+            }
+            self.assertGreater(len(times), 8)
+            self.assertGreater(min(times), 2.0)
+
+        gateway_scene.play(scene, vms=1)
+
     def test_what_can_be_served_in_time_waits(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             scene.spoil("service", refuse=1.0, retry_after="0.6")
