--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -39,7 +39,7 @@
             said = statements.read_statement(
                 target, answer.status, answer.fields, answer.json()
             )
-            if said:
+            if said.says_anything():
                 hear(said)
         return answer
 
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -123,7 +123,7 @@
         yield _make_lost(fault) if isinstance(fault, client.Fault) else fault
         return
     said = _read_statement(errand, exchange)
-    if said:
+    if said.says_anything():
         hear(said)
     told = _read_load(errand, exchange)
     if told is not None:
--- a/src/ruddergate/relay/statement.py
+++ b/src/ruddergate/relay/statement.py
@@ -27,8 +27,8 @@
     unread: tuple[str, ...] = ()
     request_id: str = ""
 
-    def __bool__(self) -> bool:
-        """Returns whether anything was said."""
+    def says_anything(self) -> bool:
+        """Returns whether there is anything to hear."""
         return self.is_leaving or self.quiet_ms is not None or bool(self.unread)
 
 
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -37,12 +37,16 @@
             self.assertEqual(said.life, lives.Life("i-1", 5))
 
     def test_another_target_at_the_address_tells_nothing(self) -> None:
-        self.assertFalse(_read(421, ("server-leaving", "1")))
+        said = _read(421, ("server-leaving", "1"))
+        self.assertFalse(said.says_anything())
 
     def test_an_answer_that_says_nothing_is_no_statement(self) -> None:
-        self.assertFalse(_read(200, ("x-replica-load", "1,0,8")))
-        self.assertFalse(_read(200, ("server-leaving", "0")))
-        self.assertFalse(_read(200, ("retry-after", "3")))
+        for field in (
+            ("x-replica-load", "1,0,8"),
+            ("server-leaving", "0"),
+            ("retry-after", "3"),
+        ):
+            self.assertFalse(_read(200, field).says_anything())
 
     def test_one_sound_word_is_enough(self) -> None:
         for words in (["1", "1"], ["1, 1"], ["0", "1"], [" 1 "]):
