Schedules share what they all count and check

The three kinds of random schedules each had a copy of the count of statuses and of 'ran undisturbed'.

--- a/standins/fatal_schedules.py
+++ b/standins/fatal_schedules.py
@@ -72,14 +72,11 @@
         fault.cancel()
     # What was set aside for the last calls must lapse by itself.
     await asyncio.sleep(4.0)
-    counts: dict[int, int] = {}
-    for each in got:
-        counts[each.status] = counts.get(each.status, 0) + 1
     broken = gateway_promises.find_broken(cluster, [*got, *tries])
     broken += _find_blamed(got)
     for body in _FATAL:
         broken += _find_late(cluster, body, tries)
-    return broken, counts
+    return broken, gateway_schedules.count_statuses(got)
 
 
 async def _call_later(
@@ -165,27 +162,15 @@
         run
         for run in runs
         if run.at_s > known_s
-        and _is_undisturbed(cluster, vms[run.request_id], run.at_s)
+        and gateway_schedules.ran_undisturbed(
+            cluster, vms[run.request_id], run.at_s - HEARD_S, run.at_s
+        )
     ]
     if len(late) <= LATE_MOST:
         return []
     return [f"{body.decode()} was sent {len(late)} times too late"]
 
 
-def _is_undisturbed(
-    cluster: gateway_cluster.GatewayCluster, vm: str, at_s: float
-) -> bool:
-    """Returns whether a VM was undisturbed for long enough before a time."""
-    began_s = at_s - HEARD_S
-    if any(began_s < start_s < at_s for start_s in cluster.vm_starts[vm]):
-        return False
-    names = (vm, cluster.vms[vm].hall)
-    return not any(
-        each.name in names and each.from_s < at_s and began_s < each.to_s
-        for each in cluster.disturbances
-    )
-
-
 def main(*, first: int = 1, count: int = 20) -> int:
     """Plays many schedules.
 
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -89,10 +90,28 @@
         fault.cancel()
     # What was set aside for the last calls must lapse by itself.
     await asyncio.sleep(4.0)
+    return gateway_promises.find_broken(cluster, got), count_statuses(got)
+
+
+def count_statuses(got: Iterable[gateway_caller.Got]) -> dict[int, int]:
+    """Returns how often callers got each status."""
     counts: dict[int, int] = {}
     for each in got:
         counts[each.status] = counts.get(each.status, 0) + 1
-    return gateway_promises.find_broken(cluster, got), counts
+    return counts
+
+
+def ran_undisturbed(
+    cluster: gateway_cluster.GatewayCluster, vm: str, from_s: float, to_s: float
+) -> bool:
+    """Returns whether a VM ran undisturbed from one time to another."""
+    if any(from_s < start_s < to_s for start_s in cluster.vm_starts[vm]):
+        return False
+    names = (vm, cluster.vms[vm].hall)
+    return not any(
+        each.name in names and each.from_s < to_s and from_s < each.to_s
+        for each in cluster.disturbances
+    )
 
 
 def make_call(
@@ -222,8 +241,18 @@
 async def _trouble_store(
     cluster: gateway_cluster.GatewayCluster, chance: random.Random
 ) -> None:
+    await trouble_store(cluster, chance, 0.5, 6.0)
+
+
+async def trouble_store(
+    cluster: gateway_cluster.GatewayCluster,
+    chance: random.Random,
+    least_s: float,
+    most_s: float,
+) -> None:
+    """Has the store answer nobody for a time drawn from a range."""
     cluster.store.trouble = chance.choice(("busy", "reset", "silent"))
-    await asyncio.sleep(chance.uniform(0.5, 6.0))
+    await asyncio.sleep(chance.uniform(least_s, most_s))
     cluster.store.trouble = ""
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -23,6 +23,7 @@
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
+from standins import gateway_schedules
 from standins import pass_engine
 from standins import platform_replica
 from standins import platform_store
@@ -80,17 +81,14 @@
         finally:
             # Also when the soak itself fails: nothing of it may stay behind.
             await self._end()
-        counts: dict[int, int] = {}
         all_got = [got for _, got in self._got]
-        for got in all_got:
-            counts[got.status] = counts.get(got.status, 0) + 1
         broken = gateway_promises.find_broken_by(
             self._replicas, all_got, self._was_disturbed
         )
         broken += soak_withdrawals.find_broken(
             self._leavings, self._upsets, self._got
         )
-        return broken, counts
+        return broken, gateway_schedules.count_statuses(all_got)
 
     async def _play(self) -> None:
         await self._start()
--- a/standins/withdrawal_schedules.py
+++ b/standins/withdrawal_schedules.py
@@ -73,13 +73,10 @@
         fault.cancel()
     # What was set aside for the last calls must lapse by itself.
     await asyncio.sleep(4.0)
-    counts: dict[int, int] = {}
-    for each in got:
-        counts[each.status] = counts.get(each.status, 0) + 1
     broken = gateway_promises.find_broken(cluster, got)
     broken += find_calls_after_leaving(cluster, got)
     broken += find_calls_in_quiet(cluster, got)
-    return broken, counts
+    return broken, gateway_schedules.count_statuses(got)
 
 
 async def _begin_later(kind, cluster, chance) -> None:  # noqa: ANN001
@@ -105,9 +102,7 @@
 async def _trouble_store(
     cluster: gateway_cluster.GatewayCluster, chance: random.Random
 ) -> None:
-    cluster.store.trouble = chance.choice(("busy", "reset", "silent"))
-    await asyncio.sleep(chance.uniform(3.0, 9.0))
-    cluster.store.trouble = ""
+    await gateway_schedules.trouble_store(cluster, chance, 3.0, 9.0)
 
 
 async def _withdraw_target(
@@ -154,7 +149,9 @@
             vm = call.call.vm
             since_s = told_s.get(vm, float("inf"))
             is_late = call.sent_s > since_s + LEAVE_S
-            if is_late and _stood(cluster, vm, since_s, arrival.at_s):
+            if is_late and gateway_schedules.ran_undisturbed(
+                cluster, vm, since_s, arrival.at_s
+            ):
                 late_ms = round((arrival.at_s - since_s) * 1_000.0)
                 broken.append(
                     f"{arrival.request_id} reached {replica.name} {late_ms} ms "
@@ -216,7 +213,9 @@
                 for each in replica.arrivals
                 if vms[each.request_id] == vm
                 and told.at_s + UNDER_WAY_S < each.at_s < until_s
-                and _stood(cluster, vm, told.at_s, each.at_s)
+                and gateway_schedules.ran_undisturbed(
+                    cluster, vm, told.at_s, each.at_s
+                )
             ]
             if len(within) > QUIET_MOST:
                 broken.append(
@@ -226,19 +225,6 @@
     return broken
 
 
-def _stood(
-    cluster: gateway_cluster.GatewayCluster, vm: str, from_s: float, to_s: float
-) -> bool:
-    """Returns whether a VM ran undisturbed from one time to another."""
-    if any(from_s < start_s < to_s for start_s in cluster.vm_starts[vm]):
-        return False
-    names = (vm, cluster.vms[vm].hall)
-    return not any(
-        each.name in names and each.from_s < to_s and from_s < each.to_s
-        for each in cluster.disturbances
-    )
-
-
 def main(*, first: int = 1, count: int = 20) -> int:
     """Plays many schedules.
 
