--- a/tests/test_leaving_told.py
+++ b/tests/test_leaving_told.py
@@ -148,7 +148,8 @@
         gateway_scene.play(scene, engines=6, is_strict=False)
 
     def test_broken_stream_goes_on_elsewhere(self) -> None:
-        # The other engine refuses, so that the first looks better again.
+        # Both engines break off and say that they leave; where none is left,
+        # one that has failed the call was taken again.
         async def scene(scene: gateway_scene.Scene) -> None:
             cluster = scene.cluster
             cluster.store.trouble = "busy"
