--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -9,6 +9,10 @@
 from standins import virtual_process
 
 _SHORT = {"prompt_tokens": 5_000, "output_tokens": 460}
+# Calls after which an answer of each target must have been passed on.
+_TELL_MOST = 40
+# Calls that would reach any target that takes them.
+_CALLS = 8
 
 
 class Scene:
@@ -38,6 +42,28 @@
             if run.request_id == got.call.request_id
         ]
 
+    async def call_until_told(
+        self, replica: platform_replica.PlatformReplica, route: str
+    ) -> None:
+        """Has vm-0 pass on an answer of a replica that says that it leaves."""
+        for _ in range(_TELL_MOST):
+            got = await self.call(route, "vm-0")
+            if got.headers.get("server-leaving") == "1":
+                return
+        raise AssertionError(f"no answer of {replica.name} was passed on")
+
+    async def count_arrivals(
+        self,
+        replica: platform_replica.PlatformReplica,
+        route: str,
+        vm: str = "vm-0",
+    ) -> int:
+        """Returns how many of some calls of a VM come to a replica."""
+        before = len(replica.arrivals)
+        for _ in range(_CALLS):
+            await self.call(route, vm)
+        return len(replica.arrivals) - before
+
     def spoil(self, prefix: str, count: int | None = None, **wrong) -> None:
         """Has the replicas of a name misbehave."""
         names = sorted(self.cluster.targets)
