Ask a target whose leaving was heard under another start before it gets calls

Callers saw: a call sent to a target 3.2 s after the same VM had handed on its word that it leaves; such a call may be lost when the target ends. Cause: a leaving was held under the start that the list told, or under none, and asked for under the start that it tells later: two keys for one life. Ruled out: binding the name (a target that starts again would be lost for good) and comparing the start with the time of day (clocks may step by more than that). Change: a word that does not say whose life it is of puts any life of that target that is listed then or later in doubt. A life in doubt takes no calls and is asked for a sign of life at once; the answer tells when the target started and whether it leaves. Why it holds: every life of the name that is not certainly leaving passes through that question before its first call, and only an answer without the word ends it. The view no longer keeps a second memory of leavings beside that of the list.

--- /dev/null
+++ b/src/ruddergate/decisions/doubts.py
@@ -0,0 +1,91 @@
+"""Lives of targets that may be leaving, and when to ask them.
+
+A word that a target leaves does not always name the life that it is of: an
+answer to a call does not tell when its target started. A life that such a word
+may be of is in doubt. It takes no calls, and is
+asked itself: in each of its answers it says whether it leaves.
+"""
+
+from collections.abc import Collection
+import dataclasses
+
+from ruddergate.fleet import life as lives
+
+# One that gave no answer is asked again after this time, and after twice as
+# long each time, up to the most.
+AGAIN_MS = 1_000.0
+AGAIN_MOST_MS = 8_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Doubt:
+    """Why a life may be leaving.
+
+    Attributes:
+        due_ms: When it is to be asked.
+        pause_ms: When it is to be asked again, if that brings no answer.
+    """
+
+    due_ms: float
+    pause_ms: float
+
+
+class Doubts:
+    """Lives in doubt; owned by what knows which lives have left."""
+
+    def __init__(self) -> None:
+        self._doubts: dict[lives.Life, _Doubt] = {}
+
+    def __contains__(self, life: lives.Life) -> bool:
+        return life in self._doubts
+
+    def __len__(self) -> int:
+        return len(self._doubts)
+
+    def add(self, life: lives.Life, due_ms: float) -> bool:
+        """Puts a life in doubt.
+
+        Args:
+            life: The life.
+            due_ms: When it is to be asked.
+
+        Returns:
+            Whether that is new.
+        """
+        if life in self._doubts:
+            return False
+        self._doubts[life] = _Doubt(due_ms, AGAIN_MS)
+        return True
+
+    def find_due(self, now_ms: float) -> list[lives.Life]:
+        """Returns the lives that are to be asked now."""
+        return [
+            life
+            for life, doubt in self._doubts.items()
+            if doubt.due_ms <= now_ms
+        ]
+
+    def find_next_ms(self) -> float:
+        """Returns when the next life is to be asked; infinity for never."""
+        due_ms = (doubt.due_ms for doubt in self._doubts.values())
+        return min(due_ms, default=float("inf"))
+
+    def put_off(self, life: lives.Life, now_ms: float) -> None:
+        """Has a life that gave no answer asked again later."""
+        doubt = self._doubts.get(life)
+        if doubt is None:
+            return
+        self._doubts[life] = dataclasses.replace(
+            doubt,
+            due_ms=now_ms + doubt.pause_ms,
+            pause_ms=min(AGAIN_MOST_MS, 2.0 * doubt.pause_ms),
+        )
+
+    def settle(self, life: lives.Life) -> bool:
+        """Ends the doubt; returns whether there was one."""
+        return self._doubts.pop(life, None) is not None
+
+    def forget_unlisted(self, listed: Collection[lives.Life]) -> None:
+        """Drops lives that are not listed any more."""
+        for life in self._doubts.keys() - set(listed):
+            del self._doubts[life]
--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -3,13 +3,15 @@
 A target that leaves says so in the store's list and in each of its answers, and
 peers pass on what they heard. Whichever tells first, it holds for that life and
 is never taken back: an older entry, a peer that has not heard of it or a list
-after an outage may still say otherwise. A time for which a target wants no
-calls is said to one VM only; a later answer may prolong it, and nothing
-shortens it.
+after an outage may still say otherwise. Where the word for it may be of another life,
+the target is asked first (`decisions/doubts.py`). A time for which
+a target wants no calls is said to one VM only; a later answer may prolong it,
+and nothing shortens it.
 """
 
 from collections.abc import Collection
 
+from ruddergate.decisions import doubts
 from ruddergate.fleet import life as lives
 
 # Lives that are remembered to have left, the oldest are forgotten first: before
@@ -33,30 +35,65 @@
     """
 
     def __init__(self) -> None:
+        self.doubts = doubts.Doubts()
         self._left: dict[lives.Life, None] = {}
         # When leavings were heard that peers are to be told.
         self._heard_ms: dict[lives.Life, float] = {}
         self._quiet_until_ms: dict[lives.Life, float] = {}
+        # The life under which each target is listed.
+        self._listed: dict[str, lives.Life] = {}
+        # Targets that said that they leave, but not which life of theirs does.
+        self._undated: dict[str, None] = {}
+
+    def note_listed(self, life: lives.Life, now_ms: float) -> None:
+        """Notes under which life a target is listed.
+
+        An answer may have come from this life before the list told of it.
+        """
+        self._listed[life.target_id] = life
+        self._doubt_undated(life, now_ms)
+
+    def note_unlisted(self, target_id: str) -> None:
+        """Notes that a target is off the list."""
+        self._listed.pop(target_id, None)
+        self.doubts.forget_unlisted(self._listed.values())
 
     def note_published(self, life: lives.Life) -> None:
         """Notes that the list says that a target leaves; peers read it, too."""
         self._note_left(life)
         self._heard_ms.pop(life, None)
 
-    def note_answered(self, life: lives.Life, now_ms: float) -> bool:
-        """Notes that a target said it in an answer; returns whether it is new.
+    def note_answered(
+        self, life: lives.Life, now_ms: float, is_dated: bool = True
+    ) -> bool:
+        """Notes that a target said it in an answer; returns whether it is news.
 
         While the store is away this is the only way to know, so peers are told.
+
+        Args:
+            life: The life that was asked, or that the answer tells of.
+            now_ms: Time.
+            is_dated: Whether the answer tells which life it comes from.
         """
-        if not self._note_left(life):
-            return False
-        self._heard_ms[life] = now_ms
-        return True
+        is_new = self._note_left(life)
+        is_doubted = not is_dated and self._note_undated(life, now_ms)
+        if is_new:
+            self._heard_ms[life] = now_ms
+        return is_new or is_doubted
 
     def note_told(self, life: lives.Life) -> bool:
         """Notes that a peer has heard it; returns whether it is new."""
         return self._note_left(life)
 
+    def note_staying(self, life: lives.Life) -> bool:
+        """Notes that a life in doubt was asked, and does not leave.
+
+        Returns:
+            Whether it was in doubt until now.
+        """
+        self._undated.pop(life.target_id, None)
+        return self.doubts.settle(life)
+
     def note_quiet(self, life: lives.Life, until_ms: float) -> bool:
         """Notes that a target wants no calls for a time.
 
@@ -79,8 +116,8 @@
             del self._quiet_until_ms[life]
 
     def has_left(self, life: lives.Life) -> bool:
-        """Returns whether a life was found to leave, by whichever way."""
-        return life in self._left
+        """Returns whether a life was found to leave, or may well do."""
+        return life in self._left or life in self.doubts
 
     def find_until_ms(self, life: lives.Life, now_ms: float) -> float:
         """Returns until when a target takes no calls.
@@ -88,7 +125,7 @@
         Returns:
             Infinity where it leaves; a time not after now where it takes some.
         """
-        if life in self._left:
+        if self.has_left(life):
             return _NEVER_MS
         return self._quiet_until_ms.get(life, now_ms)
 
@@ -129,12 +166,32 @@
         return tuple(map(lives.format_life, latest))
 
     def _note_left(self, life: lives.Life) -> bool:
+        self.doubts.settle(life)
         if life in self._left:
             return False
         self._left[life] = None
         _drop_oldest(self._left, LEFT_MOST)
         return True
 
+    def _note_undated(self, life: lives.Life, now_ms: float) -> bool:
+        """Notes a word that may be of another life of its target.
+
+        The target may have started again since it was listed, or the list has
+        not told yet when it did.
+
+        Returns:
+            Whether another life is in doubt now.
+        """
+        self._undated[life.target_id] = None
+        _drop_oldest(self._undated, LEFT_MOST)
+        listed = self._listed.get(life.target_id)
+        return listed is not None and self._doubt_undated(listed, now_ms)
+
+    def _doubt_undated(self, life: lives.Life, now_ms: float) -> bool:
+        if life in self._left or life.target_id not in self._undated:
+            return False
+        return self.doubts.add(life, now_ms)
+
 
 def _drop_oldest(found: dict, most: int) -> None:
     if len(found) > most:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -15,6 +15,7 @@
 from ruddergate.decisions import withdrawals
 from ruddergate.entry import canceller as cancellers
 from ruddergate.entry import config as configs
+from ruddergate.entry import leaving_check
 from ruddergate.entry import life_watch
 from ruddergate.entry import open_calls
 from ruddergate.entry import peer_exchange
@@ -164,6 +165,14 @@
             view.is_over,
             lambda target: scheduler.post(placement.LifeEnded(target)),
         )
+        self._leaving_check = leaving_check.LeavingCheck(
+            outside,
+            withdrawn,
+            view,
+            self._keeper.ask_sign,
+            lambda: self._sync.mark_leaving(),
+            metrics,
+        )
         self._lives = life_watch.LifeWatch(
             self._keeper.ask_sign,
             self._suspects.table.note_ended,
@@ -215,6 +224,7 @@
                 self._peers.questions.ask_settings,
             ),
             withdrawn,
+            self._leaving_check.look,
         )
 
     def _answer_peer(
@@ -234,6 +244,7 @@
     def _note_leaving(self) -> None:
         """Has a target that was found to leave marked, and peers told."""
         self._sync.mark_leaving()
+        self._leaving_check.look()
         self._peers.note_change()
 
     def _divide_retries(self, peers: int) -> None:
@@ -250,6 +261,7 @@
             asyncio.ensure_future(self._sync.run()),
             asyncio.ensure_future(self._peers.run()),
             asyncio.ensure_future(self._suspects.run()),
+            asyncio.ensure_future(self._leaving_check.run()),
         ]
         servers = [
             await self._serve(
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
@@ -74,6 +75,16 @@
 class SourceSync:
     """Keeps the view up to date from a store, or from peers that read it.
 
+    Args:
+        outside: Clock and chance.
+        source: Calls of the store.
+        view: Is kept up to date.
+        scheduler: Is told of each change.
+        pace: How often the store is asked.
+        peers: Peers that may have read it.
+        withdrawn: Which lives of targets take no calls.
+        note_listed: Is called when targets were listed.
+
     Attributes:
         settings: Hands the settings in force to peers.
     """
@@ -87,8 +98,10 @@
         pace: Pace,
         peers: source_peers.SourcePeers,
         withdrawn: withdrawals.Withdrawals,
+        note_listed: Callable[[], None] = lambda: None,
     ) -> None:
         self._peers = peers
+        self._note_listed = note_listed
         self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
         self._outside = outside
         self._source = source
@@ -394,9 +407,10 @@
             grace_ms = kept_until_ms - now_ms
             loop.call_later(max(0.0, grace_ms) / 1000.0, self._end_grace)
         self._publish(asked_ms)
+        self._note_listed()
 
     def mark_leaving(self) -> None:
-        """Marks targets in the view that other ways told to leave."""
+        """Has the view go by what other ways told of targets that leave."""
         self._publish(self._proven_ms)
 
     def _end_grace(self) -> None:
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -88,7 +88,7 @@
             self._keep_until(target_id, grace.spoilt_ms, now_ms)
         for target_id, each in listed.items():
             if target_id not in off | spoilt:
-                self._put(each)
+                self._put(each, now_ms)
         self.forget_lapsed(now_ms)
         return max(self._kept_until_ms.values(), default=None)
 
@@ -125,12 +125,12 @@
             newest[name] = each
         return newest
 
-    def _put(self, target: targets.Target) -> None:
-        """Lists a target, leaving if this life ever was."""
+    def _put(self, target: targets.Target, now_ms: float) -> None:
+        """Lists a target as the store does; `listed` says whether it leaves."""
         name = target.target_id
         self._kept_until_ms.pop(name, None)
         self._told.forget(name)
-        target = self._mark(target)
+        self._withdrawn.note_listed(target.life, now_ms)
         if self._targets.get(name) != target:
             self._log.info(
                 "Target {} is {}.",
@@ -162,6 +162,7 @@
     def _forget(self, target_id: str) -> None:
         self._kept_until_ms.pop(target_id, None)
         del self._targets[target_id]
+        self._withdrawn.note_unlisted(target_id)
         self._log.info("Target {} is off the list.", target_id)
 
     def _tell_spoilt(self, entry: published.Spoilt) -> None:
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -35,7 +35,8 @@
         outside: Clock and chance.
         withdrawn: Which lives of targets take no calls.
         metrics: Metrics of the process.
-        note_leaving: Is called when a target was newly found to leave.
+        note_leaving: Is called when a target was newly found to leave, or may
+            be leaving.
     """
 
     def __init__(
@@ -117,7 +118,8 @@
 
     def _hear_leaving(self, said: statements.Statement) -> None:
         now_ms = self._outside.now_ms()
-        if not self._withdrawn.note_answered(said.life, now_ms):
+        is_new = self._withdrawn.note_answered(said.life, now_ms, said.is_dated)
+        if not is_new:
             return
         self._metrics.leavings_heard.inc({"from": "answer"})
         self._log.info(
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -74,10 +74,12 @@
     def take_targets(
         self, found: Sequence[targets.Target], asked_ms: float
     ) -> None:
-        """Takes in the targets as they stood at or after `asked_ms`."""
+        """Takes in the targets as they stood at or after `asked_ms`.
+
+        Which of them leave is found out by whoever hands them over.
+        """
         version = self.listing.version + 1
-        offered = listings.Listing(version, self.listing.vms, tuple(found))
-        self.listing = listings.merge(self.listing, offered)
+        self.listing = listings.Listing(version, self.listing.vms, tuple(found))
         self._confirmed_ms = max(self._confirmed_ms, asked_ms)
 
     def is_over(self, life: lives.Life) -> bool:
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -62,8 +62,7 @@
         request = client.make_json_request("GET", _REPORT_PATH)
         answer = await ask(target, request)
         if not isinstance(answer, client.Fault):
-            born_ms = target_entries.read_born_ms(answer.json())
-            return orders.Told(orders.Sign.ALIVE, born_ms)
+            return _read_sign(target, answer)
         if answer.timed_out:
             return orders.Told(orders.Sign.SILENT)
         # A target with too many connections resets more of them.
@@ -73,6 +72,20 @@
     return orders.Orders(reserve, release, ask_sign)
 
 
+def _read_sign(
+    target: targets.Target, answer: client.WholeAnswer
+) -> orders.Told:
+    document = answer.json()
+    said = statements.read_statement(
+        target, answer.status, answer.fields, document
+    )
+    return orders.Told(
+        orders.Sign.ALIVE,
+        target_entries.read_born_ms(document),
+        statements.says_it_stays(said, answer.status),
+    )
+
+
 def _make_order(document: dict[str, object]) -> message.OutgoingRequest:
     return client.make_json_request("POST", _PATH, document)
 
--- a/src/ruddergate/platform/statements.py
+++ b/src/ruddergate/platform/statements.py
@@ -38,7 +38,8 @@
         document: The answer's body, where it is read as JSON.
         request_id: The call that was answered, or empty.
     """
-    life = _find_life(target, document)
+    born_ms = target_entries.read_born_ms(document)
+    life = _find_life(target, born_ms)
     if status == _MISDIRECTED:
         return statements.Statement(life)
     is_leaving, wrong_word = _read_leaving(_find_words(fields, headers.LEAVING))
@@ -47,16 +48,31 @@
         times = _find_words(fields, headers.RETRY_AFTER, separator="")
         quiet_ms, wrong_time = _read_quiet_ms(times)
     unread = tuple(filter(None, (wrong_word, wrong_time)))
-    return statements.Statement(life, is_leaving, quiet_ms, unread, request_id)
+    return statements.Statement(
+        life,
+        is_leaving,
+        quiet_ms,
+        unread,
+        request_id,
+        is_dated=born_ms != lives.BORN_UNKNOWN,
+    )
+
+
+def says_it_stays(said: statements.Statement, status: int) -> bool:
+    """Returns whether an answer is proof that its target does not leave.
+
+    One that leaves says so in each of its answers.
+    """
+    is_readable = status != _MISDIRECTED and not said.unread
+    return is_readable and not said.is_leaving
 
 
-def _find_life(target: targets.Target, document: object) -> lives.Life:
+def _find_life(target: targets.Target, born_ms: int) -> lives.Life:
     """Returns whose statement it is.
 
     An answer that tells another start than was known comes from another life;
     where starts were not known, the name stands for the life.
     """
-    born_ms = target_entries.read_born_ms(document)
     if lives.BORN_UNKNOWN in (born_ms, target.born_ms):
         return target.life
     return lives.Life(target.target_id, born_ms)
--- a/src/ruddergate/relay/orders.py
+++ b/src/ruddergate/relay/orders.py
@@ -57,10 +57,12 @@
     Attributes:
         sign: What came back.
         born_ms: When it started, as in `life.Life`, if it told.
+        is_staying: Whether it answered, and so that it certainly did not leave.
     """
 
     sign: Sign
     born_ms: int = lives.BORN_UNKNOWN
+    is_staying: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/relay/statement.py
+++ b/src/ruddergate/relay/statement.py
@@ -19,6 +19,7 @@
             not say.
         unread: What it said that has no meaning, a sentence each.
         request_id: The call that it answered, or empty.
+        is_dated: Whether the answer itself tells when the target started.
     """
 
     life: lives.Life
@@ -26,6 +27,7 @@
     quiet_ms: float | None = None
     unread: tuple[str, ...] = ()
     request_id: str = ""
+    is_dated: bool = False
 
     def says_anything(self) -> bool:
         """Returns whether there is anything to hear."""
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -84,6 +84,10 @@
             "ruddergate_leavings_heard_total",
             "Targets found to leave by other ways than the list, by way.",
         )
+        self.leavings_denied = self._counter(
+            "ruddergate_leavings_denied_total",
+            "Targets that were said to leave, were asked, and do not.",
+        )
         self.quiet_targets = self._gauge(
             "ruddergate_quiet_targets",
             "Targets that want no calls of this VM for a while.",
