Ask a target that a peer says to leave, and take the word of listed ones only

Callers saw: with one wrong word a target of theirs gone for as long as it lived; with all targets of a service named, 503 for all. Ruled out: letting words lapse (the target may well be leaving still, and the VM would find out with a call); going by a newer list (a target that can't reach the store is listed as ready while it leaves). Change: a peer's word puts the listed life in doubt. It takes no calls, and is asked for a sign of life 1.5 to 3 s later unless the list or its own answer has told meanwhile; an answer without the word ends the doubt, and this peer's word on that life is not taken for a minute. Why it holds: nothing that a peer says is kept without the target's own answer.

--- a/src/ruddergate/decisions/doubts.py
+++ b/src/ruddergate/decisions/doubts.py
@@ -1,8 +1,8 @@
 """Lives of targets that may be leaving, and when to ask them.
 
 A word that a target leaves does not always name the life that it is of: an
-answer to a call does not tell when its target started. A life that such a word
-may be of is in doubt. It takes no calls, and is
+answer to a call does not tell when its target started, and a peer's word is no
+answer. A life that such a word may be of is in doubt. It takes no calls, and is
 asked itself: in each of its answers it says whether it leaves.
 """
 
@@ -11,10 +11,18 @@
 
 from ruddergate.fleet import life as lives
 
+# A life in doubt by a peer's word is not asked sooner. In most cases the list
+# tells meanwhile, and a target that leaves is not asked by a whole fleet.
+CONFIRM_MS = 1_500.0
 # One that gave no answer is asked again after this time, and after twice as
 # long each time, up to the most.
 AGAIN_MS = 1_000.0
 AGAIN_MOST_MS = 8_000.0
+# A peer's word that its target has not confirmed is not taken of that peer
+# again for so long: one that is wrong may be told over and over.
+DENIED_MS = 60_000.0
+# Words that are remembered to have been wrong; the oldest are forgotten first.
+DENIED_MOST = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,10 +32,12 @@
     Attributes:
         due_ms: When it is to be asked.
         pause_ms: When it is to be asked again, if that brings no answer.
+        peer: Whose word it is; empty where it came from a target.
     """
 
     due_ms: float
     pause_ms: float
+    peer: str
 
 
 class Doubts:
@@ -35,6 +45,8 @@
 
     def __init__(self) -> None:
         self._doubts: dict[lives.Life, _Doubt] = {}
+        # Until when words of peers on lives are not taken.
+        self._denied_ms: dict[tuple[lives.Life, str], float] = {}
 
     def __contains__(self, life: lives.Life) -> bool:
         return life in self._doubts
@@ -42,21 +54,26 @@
     def __len__(self) -> int:
         return len(self._doubts)
 
-    def add(self, life: lives.Life, due_ms: float) -> bool:
+    def add(self, life: lives.Life, due_ms: float, peer: str = "") -> bool:
         """Puts a life in doubt.
 
         Args:
             life: The life.
             due_ms: When it is to be asked.
+            peer: Whose word it is; empty where it came from a target.
 
         Returns:
             Whether that is new.
         """
         if life in self._doubts:
             return False
-        self._doubts[life] = _Doubt(due_ms, AGAIN_MS)
+        self._doubts[life] = _Doubt(due_ms, AGAIN_MS, peer)
         return True
 
+    def is_denied(self, life: lives.Life, peer: str, now_ms: float) -> bool:
+        """Returns whether a peer's word on a life was wrong a while ago."""
+        return self._denied_ms.get((life, peer), now_ms) > now_ms
+
     def find_due(self, now_ms: float) -> list[lives.Life]:
         """Returns the lives that are to be asked now."""
         return [
@@ -85,6 +102,21 @@
         """Ends the doubt; returns whether there was one."""
         return self._doubts.pop(life, None) is not None
 
+    def deny(self, life: lives.Life, now_ms: float) -> bool:
+        """Ends the doubt, as the life does not leave.
+
+        Returns:
+            Whether there was one.
+        """
+        doubt = self._doubts.pop(life, None)
+        if doubt is None:
+            return False
+        if doubt.peer:
+            self._denied_ms[life, doubt.peer] = now_ms + DENIED_MS
+        if len(self._denied_ms) > DENIED_MOST:
+            del self._denied_ms[next(iter(self._denied_ms))]
+        return True
+
     def forget_unlisted(self, listed: Collection[lives.Life]) -> None:
         """Drops lives that are not listed any more."""
         for life in self._doubts.keys() - set(listed):
--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -1,12 +1,12 @@
 """Lives of targets that take no calls: for good, or of this VM for a while.
 
-A target that leaves says so in the store's list and in each of its answers, and
-peers pass on what they heard. Whichever tells first, it holds for that life and
-is never taken back: an older entry, a peer that has not heard of it or a list
-after an outage may still say otherwise. Where the word for it may be of another life,
-the target is asked first (`decisions/doubts.py`). A time for which
-a target wants no calls is said to one VM only; a later answer may prolong it,
-and nothing shortens it.
+A target that leaves says so in the store's list and in each of its answers,
+and peers pass on what they heard. The list and the answers hold for that life
+and are never taken back: an older entry, a peer that has not heard of it or a
+list after an outage may still say otherwise. Where the word for it may be of
+another life, or is a peer's, the target takes no calls until it has been asked
+itself (`decisions/doubts.py`). A time for which a target wants no calls is
+said to one VM only; a later answer may prolong it, and nothing shortens it.
 """
 
 from collections.abc import Collection
@@ -68,31 +68,47 @@
     ) -> bool:
         """Notes that a target said it in an answer; returns whether it is news.
 
-        While the store is away this is the only way to know, so peers are told.
+        While the store is away this is the only way to know, so peers are told,
+        unless it was a peer that had told of it.
 
         Args:
             life: The life that was asked, or that the answer tells of.
             now_ms: Time.
             is_dated: Whether the answer tells which life it comes from.
         """
+        was_doubted = life in self.doubts
         is_new = self._note_left(life)
         is_doubted = not is_dated and self._note_undated(life, now_ms)
-        if is_new:
+        if is_new and not was_doubted:
             self._heard_ms[life] = now_ms
         return is_new or is_doubted
 
-    def note_told(self, life: lives.Life) -> bool:
-        """Notes that a peer has heard it; returns whether it is new."""
-        return self._note_left(life)
+    def note_told(
+        self, told: lives.Life, peer: str, now_ms: float, due_ms: float
+    ) -> bool:
+        """Notes that a peer has heard it; returns whether it is news.
 
-    def note_staying(self, life: lives.Life) -> bool:
+        Args:
+            told: The life, as the peer knows it.
+            peer: Who told.
+            now_ms: Time.
+            due_ms: When the target is to be asked, if nothing else tells.
+        """
+        listed = self._listed.get(told.target_id)
+        if listed is None or not _may_be_same(told, listed):
+            return False
+        if listed in self._left or self.doubts.is_denied(listed, peer, now_ms):
+            return False
+        return self.doubts.add(listed, due_ms, peer)
+
+    def note_staying(self, life: lives.Life, now_ms: float) -> bool:
         """Notes that a life in doubt was asked, and does not leave.
 
         Returns:
             Whether it was in doubt until now.
         """
         self._undated.pop(life.target_id, None)
-        return self.doubts.settle(life)
+        return self.doubts.deny(life, now_ms)
 
     def note_quiet(self, life: lives.Life, until_ms: float) -> bool:
         """Notes that a target wants no calls for a time.
@@ -193,6 +209,11 @@
         return self.doubts.add(life, now_ms)
 
 
+def _may_be_same(one: lives.Life, other: lives.Life) -> bool:
+    """Returns whether two lives of a target are one, as far as is known."""
+    return one == other or lives.BORN_UNKNOWN in (one.born_ms, other.born_ms)
+
+
 def _drop_oldest(found: dict, most: int) -> None:
     if len(found) > most:
         del found[next(iter(found))]
--- a/src/ruddergate/entry/leaving_check.py
+++ b/src/ruddergate/entry/leaving_check.py
@@ -93,7 +93,8 @@
         is_its_own = told.born_ms in (lives.BORN_UNKNOWN, target.born_ms)
         if not told.is_staying or not is_its_own:
             return False
-        if not self._withdrawn.note_staying(target.life):
+        now_ms = self._outside.now_ms()
+        if not self._withdrawn.note_staying(target.life, now_ms):
             return False
         self._metrics.leavings_denied.inc({})
         self._log.info(
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -6,9 +6,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 
 from ruddergate import environment
 from ruddergate import outcomes
+from ruddergate.decisions import doubts
 from ruddergate.decisions import withdrawals
 from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
@@ -22,6 +24,9 @@
 # come back together.
 _SPREAD_PART = 0.25
 _SPREAD_MOST_MS = 500.0
+# A target that peers say to leave is asked this much later at most than others,
+# so that it is not asked by a whole fleet at once.
+_CONFIRM_SPREAD_MS = 1_500.0
 # Longest word that a peer may use for a life: a key of the store has 200 bytes.
 _WORD_MOST = 220
 # What a target that leaves was to do another one can do at once.
@@ -63,14 +68,20 @@
             self._hear_unread(said, detail)
 
     def take_told(self, words: Iterable[str], peer: str) -> None:
-        """Takes in the leavings of which a peer has heard in answers."""
+        """Takes in the leavings of which a peer has heard in answers.
+
+        Targets that are not listed are no matter yet; a peer says it again.
+        """
         is_news = False
-        for word in words:
+        now_ms = self._outside.now_ms()
+        for word in itertools.islice(words, withdrawals.TOLD_MOST):
             if len(word) > _WORD_MOST:
                 self._log.warning("Leaving dropped, no life.", peer=peer)
                 continue
             life = lives.parse_life(word)
-            if self._withdrawn.note_told(life):
+            spread_ms = self._outside.random.uniform(0.0, _CONFIRM_SPREAD_MS)
+            due_ms = now_ms + doubts.CONFIRM_MS + spread_ms
+            if self._withdrawn.note_told(life, peer, now_ms, due_ms):
                 is_news = True
                 self._metrics.leavings_heard.inc({"from": "peer"})
                 self._log.info(
--- a/tests/test_leaving_told.py
+++ b/tests/test_leaving_told.py
@@ -231,6 +231,8 @@
             withdrawn,
             metrics.EntryMetrics(),
         )
+        withdrawn.note_listed(lives.Life("i" * 1_000), 0.0)
+        withdrawn.note_listed(lives.Life("i-1", 5), 0.0)
         notices.take_told(["i" * 1_000, "i-1@5"], "peer")
         self.assertFalse(withdrawn.has_left(lives.Life("i" * 1_000)))
         self.assertTrue(withdrawn.has_left(lives.Life("i-1", 5)))
