Tell a VM that starts of targets that leave, however long ago they said so

Callers saw: a call of a VM that starts is sent to a target that others know to leave. Cause: a leaving is told for 10 s after it was heard; a VM that starts later hears of it from nobody, where the list does not tell (the target can't reach the store). Change: who hears of a new run of a peer tells again, for 10 s, which listed targets have told it themselves that they leave while the list has them as ready: all VMs of a fleet of up to 17, six of a larger one in the mean. At most 16 words, as before. Why it holds: since each VM asks a target itself before it believes a peer, all that have heard of one know it from the target.

--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -39,6 +39,8 @@
         self._left: dict[lives.Life, None] = {}
         # When leavings were heard that peers are to be told.
         self._heard_ms: dict[lives.Life, float] = {}
+        # Lives that told this VM themselves, while the list has not.
+        self._answered: dict[lives.Life, None] = {}
         self._quiet_until_ms: dict[lives.Life, float] = {}
         # The life under which each target is listed.
         self._listed: dict[str, lives.Life] = {}
@@ -55,13 +57,15 @@
 
     def note_unlisted(self, target_id: str) -> None:
         """Notes that a target is off the list."""
-        self._listed.pop(target_id, None)
+        life = self._listed.pop(target_id, None)
+        self._answered.pop(life, None)
         self.doubts.forget_unlisted(self._listed.values())
 
     def note_published(self, life: lives.Life) -> None:
         """Notes that the list says that a target leaves; peers read it, too."""
         self._note_left(life)
         self._heard_ms.pop(life, None)
+        self._answered.pop(life, None)
 
     def note_answered(
         self, life: lives.Life, now_ms: float, is_dated: bool = True
@@ -78,6 +82,9 @@
         """
         was_doubted = life in self.doubts
         is_new = self._note_left(life)
+        if is_new:
+            self._answered[life] = None
+            _drop_oldest(self._answered, LEFT_MOST)
         is_doubted = not is_dated and self._note_undated(life, now_ms)
         if is_new and not was_doubted:
             self._heard_ms[life] = now_ms
@@ -181,6 +188,18 @@
         latest = list(self._heard_ms)[-TOLD_MOST:]
         return tuple(map(lives.format_life, latest))
 
+    def tell_again(self, now_ms: float) -> bool:
+        """Has peers told again of listed targets that the list shows as ready.
+
+        Returns:
+            Whether there are any.
+        """
+        listed = set(self._listed.values())
+        again = [life for life in self._answered if life in listed]
+        for life in again:
+            self._heard_ms[life] = now_ms
+        return bool(again)
+
     def _note_left(self, life: lives.Life) -> bool:
         self.doubts.settle(life)
         if life in self._left:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -199,7 +199,7 @@
             self._answer_peer,
             scheduler.summarize_lost,
             self._suspects.take,
-            self._suspects.greet,
+            self._greet,
             summarize_leaving=self._notices.summarize,
             take_leaving=self._notices.take_told,
         )
@@ -241,6 +241,11 @@
                 )
                 return retry_loan.RetriesLent(question.question, lent)
 
+    def _greet(self, peer: str) -> None:
+        """Tells a VM that has just started what it should know."""
+        self._suspects.greet(peer)
+        self._notices.greet(len(self._peers.loads))
+
     def _note_leaving(self) -> None:
         """Has a target that was found to leave marked, and peers told."""
         self._sync.mark_leaving()
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -27,6 +27,10 @@
 # A target that peers say to leave is asked this much later at most than others,
 # so that it is not asked by a whole fleet at once.
 _CONFIRM_SPREAD_MS = 1_500.0
+# VMs of a large fleet that tell one that has just started what targets said.
+_GREETING_VMS = 6
+# In a fleet of up to so many, all do: it may be that one alone has heard it.
+_GREETING_ALL = 16
 # Longest word that a peer may use for a life: a key of the store has 200 bytes.
 _WORD_MOST = 220
 # What a target that leaves was to do another one can do at once.
@@ -123,6 +127,19 @@
         """Returns the leavings that peers are to be told now."""
         return self._withdrawn.summarize(self._outside.now_ms())
 
+    def greet(self, peers: int) -> None:
+        """Has a VM that has just started told what targets have said.
+
+        Args:
+            peers: How many peers this VM knows.
+        """
+        is_large = peers > _GREETING_ALL
+        chance = _GREETING_VMS / peers if is_large else 1.0
+        if chance < 1.0 and self._outside.random.random() >= chance:
+            return
+        if self._withdrawn.tell_again(self._outside.now_ms()):
+            self._note_leaving()
+
     def count_quiet(self) -> int:
         """Returns how many targets want no calls of this VM now."""
         return self._withdrawn.count_quiet(self._outside.now_ms())
