Schedules: starts told late, targets back before they are listed, wrong words of peers

What random schedules did not reach before: a start that comes to be known after the word, a target that says it before its new start is listed, a peer whose word is wrong. They count now by which ways leavings were heard, calls withheld and words denied, and check at last that no VM holds a target to leave that never said so. Operators get the same counts (ruddergate_sends_withheld_total and ruddergate_leavings_denied_total).

--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -106,10 +106,17 @@
         waited for a place, for memory or for a connection.
         """
         now_ms = self._outside.now_ms()
-        for target in asked:
+        for number, target in enumerate(asked):
             if self._withdrawn.takes_calls(target.life, now_ms):
                 continue
-            if self._withdrawn.has_left(target.life):
+            is_leaving = self._withdrawn.has_left(target.life)
+            self._metrics.sends_withheld.inc(
+                {
+                    "reason": "leaving" if is_leaving else "quiet",
+                    "part": "helper" if number else "writer",
+                }
+            )
+            if is_leaving:
                 return outcomes.refuse(
                     outcomes.Reason.TARGET_LEAVING,
                     f"target {target.target_id} leaves",
--- a/src/ruddergate/platform/statements.py
+++ b/src/ruddergate/platform/statements.py
@@ -61,10 +61,10 @@
 def says_it_stays(said: statements.Statement, status: int) -> bool:
     """Returns whether an answer is proof that its target does not leave.
 
-    One that leaves says so in each of its answers.
+    One that leaves says so in each of its answers, and a word without a meaning
+    does not.
     """
-    is_readable = status != _MISDIRECTED and not said.unread
-    return is_readable and not said.is_leaving
+    return status != _MISDIRECTED and not said.is_leaving
 
 
 def _find_life(target: targets.Target, born_ms: int) -> lives.Life:
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -88,6 +88,11 @@
             "ruddergate_leavings_denied_total",
             "Targets that were said to leave, were asked, and do not.",
         )
+        self.sends_withheld = self._counter(
+            "ruddergate_sends_withheld_total",
+            "Calls that were not sent as a target took none, by reason and by "
+            "whether it was to answer or to help.",
+        )
         self.quiet_targets = self._gauge(
             "ruddergate_quiet_targets",
             "Targets that want no calls of this VM for a while.",
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -25,7 +25,7 @@
 FRONT_PORT = 80
 READY_PORT = 81
 _METRICS_PORT = 82
-_PEER_PORT = 83
+PEER_PORT = 83
 _REPLICA_PORT = 90
 _STORE = environment.Address("store", 70)
 _ORDER_LIMITS = client.TimeLimits(150.0, 500.0, 500.0)
@@ -127,6 +127,7 @@
         disturbances: Times in which VMs could not answer.
         fatal: Bodies of calls that end the replicas that answer them.
         vm_starts: When each VM was started, on the loop's clock.
+        all_gateways: Every process of a VM that ever ran.
     """
 
     def __init__(self, layout: Layout) -> None:
@@ -143,6 +144,7 @@
         self.disturbances: list[Disturbance] = []
         self.fatal: set[bytes] = set()
         self.vm_starts: dict[str, list[float]] = {}
+        self.all_gateways: list[gateways.Gateway] = []
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
 
     async def start(self) -> None:
@@ -193,12 +195,13 @@
             traces.Tracer(None),
         )
         node.gateway = gateway
+        self.all_gateways.append(gateway)
         stop = node.stop = asyncio.Event()
         node.task = node.process.start(lambda: gateway.run(stop))
 
     def _make_config(self, node: Node) -> gateways.GatewayConfig:
         seeds = tuple(
-            environment.Address(f"vm-{number}", _PEER_PORT)
+            environment.Address(f"vm-{number}", PEER_PORT)
             for number in range(min(2, self.layout.vms))
         )
         is_strict = self.layout.is_strict
@@ -215,7 +218,7 @@
             retry_share=0.15,
             retry_slack=RETRY_SLACK,
             peers=peer_exchange.PeerConfig(
-                environment.Address(node.name, _PEER_PORT), seeds
+                environment.Address(node.name, PEER_PORT), seeds
             ),
         )
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -101,6 +101,7 @@
         fatal: Bodies of calls that end it once it begins to answer them.
         crash: Ends it at once.
         leaving: What it says in all answers of leaving; empty while it stays.
+        has_told: Whether it ever said in an answer that it leaves.
         arrivals: Every call that came, also those that it turned away.
         helped: How often others named it as a helper.
     """
@@ -121,6 +122,7 @@
         self.fatal: set[bytes] = set()
         self.crash: Callable[[], None] = lambda: None
         self.leaving = ""
+        self.has_told = False
         self.arrivals: list[Arrival] = []
         self.helped = 0
         self._outside = outside
@@ -138,6 +140,7 @@
         answer = await self._answer(incoming)
         if not self.leaving:
             return answer
+        self.has_told = self.has_told or self.leaving == "1"
         said = (("Server-Leaving", self.leaving),)
         return dataclasses.replace(answer, fields=answer.fields + said)
 
--- a/standins/withdrawal_schedules.py
+++ b/standins/withdrawal_schedules.py
@@ -8,25 +8,35 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Iterable
+import concurrent.futures
 import dataclasses
+import functools
 import random
 import sys
 
 import cyclopts
+import loguru
 
+from ruddergate.fleet import life as lives
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
 from standins import gateway_schedules
+from standins import peer_liar
 from standins import platform_replica
 from standins import virtual_process
+from standins import withdrawal_ways
 
 _CALLS = 160
 _DURATION_S = 20.0
 _FAULTS = 4
 _WITHDRAWALS = 5
 _OUTAGES = 2
+_LIES = 1
+# A VM that lies tells its words again after this time.
+_LIE_EVERY_S = 0.4
 # A VM that has passed on that a target leaves sends it no calls that come later
 # than this.
 LEAVE_S = 2.0
@@ -37,8 +47,23 @@
 _TIMES = ("0.3", "1", "2.5", "6", "-1", "soon", "1e9")
 
 
-def play(seed: int) -> tuple[list[str], dict[int, int]]:
-    """Plays one schedule; returns what went wrong and counts of statuses."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """What came of a schedule.
+
+    Attributes:
+        broken: What went wrong, a sentence each.
+        statuses: How often callers got each status.
+        ways: How often each way to know of a leaving was taken.
+    """
+
+    broken: list[str]
+    statuses: dict[int, int]
+    ways: collections.Counter[str]
+
+
+def play(seed: int) -> Played:
+    """Plays one schedule."""
     chance = random.Random(f"withdrawals {seed}")
     layout = gateway_cluster.Layout(
         vms=chance.choice((1, 3, 6, 9)),
@@ -54,14 +79,16 @@
 
 async def _play(
     layout: gateway_cluster.Layout, chance: random.Random
-) -> tuple[list[str], dict[int, int]]:
+) -> Played:
     cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     caller = gateway_caller.Caller(cluster)
+    ways: collections.Counter[str] = collections.Counter()
     kinds = (
         *[gateway_schedules.play_fault] * _FAULTS,
-        *[_withdraw_target] * _WITHDRAWALS,
+        *[functools.partial(_withdraw_target, ways)] * _WITHDRAWALS,
         *[_trouble_store] * _OUTAGES,
+        *[functools.partial(_lie, ways)] * _LIES,
     )
     faults = [
         asyncio.ensure_future(_begin_later(kind, cluster, chance))
@@ -76,7 +103,20 @@
     broken = gateway_promises.find_broken(cluster, got)
     broken += find_calls_after_leaving(cluster, got)
     broken += find_calls_in_quiet(cluster, got)
-    return broken, gateway_schedules.count_statuses(got)
+    await _rest(cluster)
+    broken += withdrawal_ways.find_wrongly_withdrawn(cluster)
+    ways += withdrawal_ways.count_ways(cluster.all_gateways)
+    return Played(broken, gateway_schedules.count_statuses(got), ways)
+
+
+async def _rest(cluster: gateway_cluster.GatewayCluster) -> None:
+    """Ends all trouble, and lets VMs find out what is so."""
+    cluster.store.trouble = ""
+    cluster.network.cuts.clear()
+    for node in (*cluster.vms.values(), *cluster.targets.values()):
+        if node.process.is_frozen:
+            node.process.wake()
+    await asyncio.sleep(withdrawal_ways.REST_S)
 
 
 async def _begin_later(kind, cluster, chance) -> None:  # noqa: ANN001
@@ -106,7 +146,9 @@
 
 
 async def _withdraw_target(
-    cluster: gateway_cluster.GatewayCluster, chance: random.Random
+    ways: collections.Counter[str],
+    cluster: gateway_cluster.GatewayCluster,
+    chance: random.Random,
 ) -> None:
     node = cluster.targets[chance.choice(sorted(cluster.targets))]
     if node.process.is_dead:
@@ -114,10 +156,22 @@
     if chance.random() < 0.4:
         await _shed(node.replica, chance)
         return
+    if chance.random() < 0.3:
+        ways[withdrawal_ways.BACK_UNLISTED] += 1
+        cluster.kill(node)
+        cluster.start_target(node)
     # The list is told late, or not at all, as while the store is away.
-    node.replica.leaving = chance.choice(("1", "1", "1", "true", ""))
+    replica = node.replica
+    word = chance.choice(("1", "1", "1", "true", ""))
+    if not replica.has_told:
+        # A target that has said it does not unsay it.
+        replica.leaving = word
     await asyncio.sleep(chance.uniform(0.5, 8.0))
-    if node.process.is_dead:
+    if not replica.born_ms and chance.random() < 0.3:
+        ways[withdrawal_ways.START_LATE] += 1
+        replica.born_ms = round(asyncio.get_running_loop().time() * 1_000.0)
+        await asyncio.sleep(chance.uniform(0.5, 8.0))
+    if node.process.is_dead or node.replica is not replica:
         return
     cluster.kill(node)
     cluster.unlist_target(node)
@@ -126,6 +180,22 @@
         cluster.start_target(node)
 
 
+async def _lie(
+    ways: collections.Counter[str],
+    cluster: gateway_cluster.GatewayCluster,
+    chance: random.Random,
+) -> None:
+    """Has a peer tell of some targets, again and again, that they leave."""
+    ways[withdrawal_ways.LIED] += 1
+    names = chance.sample(sorted(cluster.targets), 2)
+    replicas = [cluster.targets[name].replica for name in names]
+    lives_told = [lives.Life(each.name, each.born_ms) for each in replicas]
+    words = tuple(map(lives.format_life, lives_told))
+    for number in range(1, chance.randrange(2, 20)):
+        await peer_liar.tell_leaving(cluster, number, words)
+        await asyncio.sleep(_LIE_EVERY_S)
+
+
 async def _shed(
     replica: platform_replica.PlatformReplica, chance: random.Random
 ) -> None:
@@ -231,14 +301,33 @@
     return broken
 
 
-def main(*, first: int = 1, count: int = 20) -> int:
-    """Plays many schedules.
+def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
+    """Plays many schedules, and counts the ways that they took.
 
     Args:
         first: First seed.
         count: Number of seeds.
+        jobs: Seeds that are played at once, each by a process.
     """
-    return gateway_schedules.play_many(play, range(first, first + count))
+    ways: collections.Counter[str] = collections.Counter()
+    failed = 0
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        seeds = range(first, first + count)
+        all_played = pool.map(_play_silently, seeds)
+        for seed, played in zip(seeds, all_played, strict=True):
+            failed += bool(played.broken)
+            ways += played.ways
+            for each in played.broken:
+                print(f"seed {seed}: {each}", flush=True)
+    for name, times in sorted(ways.items()):
+        print(f"{name}: {times}")
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+def _play_silently(seed: int) -> Played:
+    loguru.logger.remove()
+    return play(seed)
 
 
 if __name__ == "__main__":
--- a/tests/test_peers_words.py
+++ b/tests/test_peers_words.py
@@ -12,11 +12,8 @@
 
 import loguru
 
-from ruddergate import environment
-from ruddergate.messages import load_digest
-from ruddergate.wire import codec
 from standins import gateway_cluster
-from standins import virtual_process
+from standins import peer_liar
 from tests import gateway_scene
 
 # A target that a peer wrongly says to leave is used again within this time.
@@ -75,7 +72,7 @@
             await scene.call_until_told(replica, "open")
             for begin in range(0, _REMEMBERED + _IN_ONE_WORD, _IN_ONE_WORD):
                 words = (f"none-{begin + each}" for each in range(_IN_ONE_WORD))
-                await _tell_once(cluster, begin + 1, tuple(words))
+                await peer_liar.tell_leaving(cluster, begin + 1, tuple(words))
                 await asyncio.sleep(0.1)
             await asyncio.sleep(_LEAVE_S)
             self.assertEqual(await scene.count_arrivals(replica, "open"), 0)
@@ -106,22 +103,5 @@
     number = 0
     while True:
         number += 1
-        await _tell_once(cluster, number, words)
+        await peer_liar.tell_leaving(cluster, number, words)
         await asyncio.sleep(0.5)
-
-
-async def _tell_once(
-    cluster: gateway_cluster.GatewayCluster,
-    number: int,
-    words: tuple[str, ...],
-) -> None:
-    process = virtual_process.VirtualProcess("liar", "hall-0")
-    outside = cluster.network.make_environment(process, number)
-    address = environment.Address("liar", 83)
-    port = await outside.bind(lambda data: None, address)
-    digest = load_digest.LoadDigest(
-        str(address), "hall-0", 0, "run", number, (), leaving=words
-    )
-    for vm in cluster.vms:
-        port.send(codec.encode(digest), environment.Address(vm, 83))
-    port.close()
