Pass load on less often in large fleets, and urgent news as before

Cause: relays passed on what they had every 20 ms at most, so that the larger a fleet the more datagrams each VM hears (65 a second at 195 VMs, 1,380 sent by the busiest); each wakes it, and to wake and to wait took 0.23 to 0.31 of a VM's processor time there. Ruled out: fewer digests from each VM (a change must be told at once in its group, and digests are cheap to read now, datagrams are not). Change: a relay waits 0.25 ms for each VM of the fleet between two times, 20 ms at least and 100 ms at most. Digests that tell of targets that leave or are out of reach do not wait longer than before. Work of others is known up to 60 ms later at 195 VMs.

--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -51,6 +51,11 @@
 # And no sooner than so long after the last time: a receiver's cost goes by
 # datagrams more than by digests.
 PASS_GAP_MS = 20.0
+# For each VM of the fleet it waits so much longer, up to the most, so that what
+# a VM hears does not grow with the fleet. Work of others is told that much
+# later then, but there are the more targets on which it may be.
+PASS_GAP_A_VM_MS = 0.25
+PASS_GAP_MOST_MS = 100.0
 # Digests that go into one datagram; with two rows each they take about 2 KB.
 BUNDLE_MOST = 24
 # A port that another process holds is tried again after this time.
@@ -147,7 +152,8 @@
         self._began_ms = outside.now_ms()
         self._seeds_due_ms = float("-inf")
         self._changed = asyncio.Event()
-        self._is_passing = False
+        self._passing: asyncio.TimerHandle | None = None
+        self._pass_due_ms = 0.0
         self._passed_ms = float("-inf")
         self._renewed_ms = float("-inf")
         # Digests to pass on, the newest of each sender: those that members of
@@ -240,7 +246,7 @@
         relay = self._find_relay(now_ms)
         if relay == self._own:
             self._from_members[self._own] = digest
-            self._pass_on_soon()
+            self._pass_on_soon(_is_urgent(digest))
             return
         self.loads.note_written_to(relay, now_ms)
         self._send(digest, (relay,))
@@ -326,7 +332,7 @@
                 self._take_leaving(digest.leaving, digest.sender)
             if passed_on is not None:
                 passed_on[digest.sender] = digest
-                self._pass_on_soon()
+                self._pass_on_soon(_is_urgent(digest))
 
     def _welcome(self, peer: str) -> None:
         """Tells a VM that has just started what it should know.
@@ -340,17 +346,28 @@
         if len(self.loads) <= peer_groups.DIRECT_MOST:
             self._changed.set()
 
-    def _pass_on_soon(self) -> None:
-        if not self._is_passing:
-            self._is_passing = True
-            now_ms = self._outside.now_ms()
-            due_ms = max(now_ms + GATHER_MS, self._passed_ms + PASS_GAP_MS)
-            loop = asyncio.get_running_loop()
-            loop.call_later((due_ms - now_ms) / 1000.0, self._pass_on)
+    def _pass_on_soon(self, is_urgent: bool) -> None:
+        """Passes on after a pause; at once, if that is urgent."""
+        due_ms = self._find_pass_ms(is_urgent)
+        if self._passing is not None:
+            if due_ms >= self._pass_due_ms:
+                return
+            self._passing.cancel()
+        self._pass_due_ms = due_ms
+        pause_ms = max(0.0, due_ms - self._outside.now_ms())
+        loop = asyncio.get_running_loop()
+        self._passing = loop.call_later(pause_ms / 1000.0, self._pass_on)
+
+    def _find_pass_ms(self, is_urgent: bool) -> float:
+        gap_ms = PASS_GAP_MS
+        if not is_urgent:
+            gap_ms = max(gap_ms, PASS_GAP_A_VM_MS * len(self.loads))
+        gap_ms = min(gap_ms, PASS_GAP_MOST_MS)
+        return max(self._outside.now_ms() + GATHER_MS, self._passed_ms + gap_ms)
 
     def _pass_on(self) -> None:
         """Sends gathered digests to the group, and its own to other groups."""
-        self._is_passing = False
+        self._passing = None
         now_ms = self._passed_ms = self._outside.now_ms()
         own = tuple(self._from_members.values())
         all_ = (*own, *self._from_relays.values())
@@ -400,6 +417,11 @@
     return
 
 
+def _is_urgent(digest: load_digest.LoadDigest) -> bool:
+    """Returns whether a digest tells more than its VM's load."""
+    return bool(digest.leaving) or digest.lost != bad_news.NOTHING
+
+
 def _is_sound(digest: load_digest.LoadDigest) -> bool:
     """Returns whether a digest's sender can be written to."""
     try:
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -178,7 +178,8 @@
     return (dispatched.Dispatched(target_id, (0,) * 5, 0, own, (own, 0, 0)),)
 
 
-async def _change_work(fleet: PeerFleet) -> None:
+async def change_work(fleet: PeerFleet) -> None:
+    """Has the VMs' work change as under load, until cancelled."""
     chance = fleet.network.make_environment(
         virtual_process.VirtualProcess("", ""), 1
     ).random
@@ -193,7 +194,7 @@
 async def _measure(size: int) -> str:
     fleet = PeerFleet(size, tuple(f"vm-{n}" for n in range(3)))
     await asyncio.sleep(_SETTLE_S)
-    busy = asyncio.ensure_future(_change_work(fleet))
+    busy = asyncio.ensure_future(change_work(fleet))
     before = {
         name: (each.sent, each.sent_bytes)
         for name, each in fleet.members.items()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -249,6 +249,41 @@
         # and 20: not all the others.
         self.assertLess(most[120], 3.0 * most[40])
 
+    def test_datagrams_that_a_vm_hears_do_not_grow_with_the_fleet(self) -> None:
+        # Relays passed on what they had every 20 ms, whatever the size, and
+        # most of a VM's processor time at 195 VMs went to hearing it. What is
+        # sent is what is heard.
+        heard = {}
+        for size in (80, 195):
+
+            async def scene(fleet: peer_fleet.PeerFleet) -> None:
+                busy = asyncio.ensure_future(peer_fleet.change_work(fleet))
+                before = sum(m.sent for m in fleet.members.values())
+                await asyncio.sleep(1.0)
+                sent = sum(m.sent for m in fleet.members.values()) - before
+                heard[len(fleet.members)] = sent / len(fleet.members)
+                busy.cancel()
+
+            self._play(scene, size)
+        self.assertLessEqual(heard[195], 1.1 * heard[80])
+
+    def test_urgent_news_does_not_wait_for_more(self) -> None:
+        async def scene(fleet: peer_fleet.PeerFleet) -> None:
+            busy = asyncio.ensure_future(peer_fleet.change_work(fleet))
+            await asyncio.sleep(1.0)
+            told_s = asyncio.get_running_loop().time()
+            fleet.tell_leaving("vm-5", "i-1")
+            await asyncio.sleep(_TOLD_MS / 1000.0)
+            heard = [
+                member.heard_s.get("i-1", float("inf")) - told_s
+                for name, member in fleet.members.items()
+                if name != "vm-5"
+            ]
+            busy.cancel()
+            self.assertLessEqual(max(heard), _TOLD_MS / 1000.0)
+
+        self._play(scene, 120)
+
 
 class CodecTest(unittest.TestCase):
     def test_round_trip_and_size(self) -> None:
