Keep what a target said in a call while a question to it was under way

Callers could have seen: a call sent to a target that had said that it leaves, after it started again under its name. Found by review, not played. Cause: the answer to a question, made before the target began to leave, ended the note that some life of it leaves, though the doubt was over by the target's own word. Change: only an answer that ends a doubt ends the note as well. tests.test_withdrawals...overtaken_by_a_call_s fails before.

--- a/src/ruddergate/decisions/doubts.py
+++ b/src/ruddergate/decisions/doubts.py
@@ -31,7 +31,7 @@
 
     Attributes:
         due_ms: When it is to be asked.
-        pause_ms: When it is to be asked again, if that brings no answer.
+        pause_ms: After which time it is asked again, if it gives no answer.
         peer: Whose word it is; empty where it came from a target.
     """
 
--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -85,10 +85,10 @@
         if is_new:
             self._answered[life] = None
             _drop_oldest(self._answered, LEFT_MOST)
-        is_doubted = not is_dated and self._note_undated(life, now_ms)
         if is_new and not was_doubted:
             self._heard_ms[life] = now_ms
-        return is_new or is_doubted
+        is_other_doubted = not is_dated and self._note_undated(life, now_ms)
+        return is_new or is_other_doubted
 
     def note_told(
         self, told: lives.Life, peer: str, now_ms: float, due_ms: float
@@ -114,8 +114,11 @@
         Returns:
             Whether it was in doubt until now.
         """
+        if not self.doubts.deny(life, now_ms):
+            # It said that it leaves while the question was under way.
+            return False
         self._undated.pop(life.target_id, None)
-        return self.doubts.deny(life, now_ms)
+        return True
 
     def note_quiet(self, life: lives.Life, until_ms: float) -> bool:
         """Notes that a target wants no calls for a time.
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -81,6 +81,16 @@
         self.withdrawn.note_staying(_OLD, 0.0)
         self.assertFalse(self.withdrawn.note_told(_OLD, "peer-2", 0.0, 0.0))
 
+    def test_answer_that_was_overtaken_by_a_call_s_ends_nothing(self) -> None:
+        # The answer to the question was on its way when the target told a call
+        # that it leaves; a life that is listed later may be the one that did.
+        self.withdrawn.note_listed(_OLD, 0.0)
+        self.withdrawn.note_told(_OLD, "peer", 0.0, 0.0)
+        self.withdrawn.note_answered(_OLD, 1.0, is_dated=False)
+        self.assertFalse(self.withdrawn.note_staying(_OLD, 2.0))
+        self.withdrawn.note_listed(_YOUNG, 3.0)
+        self.assertFalse(self.withdrawn.takes_calls(_YOUNG, 3.0))
+
     def test_answer_of_an_unknown_start_puts_other_lives_in_doubt(self) -> None:
         self.withdrawn.note_answered(_OLD, 0.0, is_dated=False)
         self.withdrawn.note_listed(_YOUNG, 1.0)
