--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -16,6 +16,7 @@
 from ruddergate import environment
 from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
+from ruddergate.entry import digest_relay
 from ruddergate.entry import peer_questions
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
@@ -35,9 +36,8 @@
 # was not told for 2 s for unknown. What is silent is forgotten then, too.
 RENEW_MS = 500.0
 # Seeds are written to once in this time while no peer is known. VMs that start
-# together find the seeds' ports closed at first; with 1 s between the tries,
-# VMs knew all peers 0.5 to 1.6 s after their start, and callers that came back
-# all went to the same few engines meanwhile.
+# together find the seeds' ports closed at first, and callers that come back
+# then must not all be sent to the same few engines.
 SEEDS_FIRST_MS = 100.0
 # For so long after its start; later, a VM without peers is alone for a reason.
 SEEDS_FIRST_FOR_MS = 3_000.0
@@ -46,18 +46,6 @@
 # And so often later, for parts of a fleet that have lost each other for longer
 # than they remember.
 SEEDS_LATER_MS = 10_000.0
-# A relay passes digests on after this time, with others that come meanwhile.
-GATHER_MS = 3.0
-# And no sooner than so long after the last time: a receiver's cost goes by
-# datagrams more than by digests.
-PASS_GAP_MS = 20.0
-# For each VM of the fleet it waits so much longer, up to the most, so that what
-# a VM hears does not grow with the fleet. Work of others is told that much
-# later then, but there are the more targets on which it may be.
-PASS_GAP_A_VM_MS = 0.25
-PASS_GAP_MOST_MS = 100.0
-# Digests that go into one datagram; with two rows each they take about 2 KB.
-BUNDLE_MOST = 24
 # A port that another process holds is tried again after this time.
 _BIND_AGAIN_MS = 2_000.0
 
@@ -152,14 +140,10 @@
         self._began_ms = outside.now_ms()
         self._seeds_due_ms = float("-inf")
         self._changed = asyncio.Event()
-        self._passing: asyncio.TimerHandle | None = None
-        self._pass_due_ms = 0.0
-        self._passed_ms = float("-inf")
         self._renewed_ms = float("-inf")
-        # Digests to pass on, the newest of each sender: those that members of
-        # this group sent, and those that relays of other groups sent.
-        self._from_members: dict[str, load_digest.LoadDigest] = {}
-        self._from_relays: dict[str, load_digest.LoadDigest] = {}
+        self._passed_on = digest_relay.DigestRelay(
+            outside, self._own, self.loads, self._send
+        )
         self._known = 0
         # The relay that was last written to, for logs.
         self._relay = ""
@@ -245,8 +229,7 @@
             return
         relay = self._find_relay(now_ms)
         if relay == self._own:
-            self._from_members[self._own] = digest
-            self._pass_on_soon(_is_urgent(digest))
+            self._passed_on.add_member(digest)
             return
         self.loads.note_written_to(relay, now_ms)
         self._send(digest, (relay,))
@@ -297,11 +280,13 @@
         message = codec.decode(data)
         match message:
             case load_digest.LoadDigest():
-                self._take_digests((message,), self._from_members)
+                self._take_digests((message,), self._passed_on.add_member)
                 self.loads.note_written_by(message.sender)
             case load_bundle.LoadBundle():
-                passed_on = self._from_relays if message.for_group else None
-                self._take_digests(message.digests, passed_on)
+                pass_on = (
+                    self._passed_on.add_other if message.for_group else None
+                )
+                self._take_digests(message.digests, pass_on)
                 self.loads.note_written_by(message.sender)
             case suspect_messages.Suspects():
                 self._take_suspects(message)
@@ -315,9 +300,9 @@
     def _take_digests(
         self,
         digests: Sequence[load_digest.LoadDigest],
-        passed_on: dict[str, load_digest.LoadDigest] | None,
+        pass_on: Callable[[load_digest.LoadDigest], None] | None,
     ) -> None:
-        """Takes digests in, and keeps those that are news to be passed on."""
+        """Takes digests in, and has those passed on that are news."""
         now_ms = self._outside.now_ms()
         for digest in digests:
             if not _is_sound(digest):
@@ -330,65 +315,20 @@
                 self._welcome(digest.sender)
             if digest.leaving:
                 self._take_leaving(digest.leaving, digest.sender)
-            if passed_on is not None:
-                passed_on[digest.sender] = digest
-                self._pass_on_soon(_is_urgent(digest))
+            if pass_on is not None:
+                pass_on(digest)
 
     def _welcome(self, peer: str) -> None:
         """Tells a VM that has just started what it should know.
 
-        In a small fleet that is this VM's load, too: one of six VMs that
-        started anew under load knew its peers after 0.6 s otherwise, now after
-        0.1 s (emulated fleet). In a large one each start would have all VMs
-        write.
+        In a small fleet that is this VM's load, too: it would place calls
+        blindly until the next round otherwise. In a large one each start would
+        have all VMs write.
         """
         self._greet(peer)
         if len(self.loads) <= peer_groups.DIRECT_MOST:
             self._changed.set()
 
-    def _pass_on_soon(self, is_urgent: bool) -> None:
-        """Passes on after a pause; at once, if that is urgent."""
-        due_ms = self._find_pass_ms(is_urgent)
-        if self._passing is not None:
-            if due_ms >= self._pass_due_ms:
-                return
-            self._passing.cancel()
-        self._pass_due_ms = due_ms
-        pause_ms = max(0.0, due_ms - self._outside.now_ms())
-        loop = asyncio.get_running_loop()
-        self._passing = loop.call_later(pause_ms / 1000.0, self._pass_on)
-
-    def _find_pass_ms(self, is_urgent: bool) -> float:
-        gap_ms = PASS_GAP_MS
-        if not is_urgent:
-            gap_ms = max(gap_ms, PASS_GAP_A_VM_MS * len(self.loads))
-        gap_ms = min(gap_ms, PASS_GAP_MOST_MS)
-        return max(self._outside.now_ms() + GATHER_MS, self._passed_ms + gap_ms)
-
-    def _pass_on(self) -> None:
-        """Sends gathered digests to the group, and its own to other groups."""
-        self._passing = None
-        now_ms = self._passed_ms = self._outside.now_ms()
-        own = tuple(self._from_members.values())
-        all_ = (*own, *self._from_relays.values())
-        self._from_members.clear()
-        self._from_relays.clear()
-        self._send_bundles(all_, False, self.loads.find_members())
-        if own:
-            relays = self.loads.find_other_relays(now_ms, self._outside.random)
-            self._send_bundles(own, True, relays)
-
-    def _send_bundles(
-        self,
-        digests: Sequence[load_digest.LoadDigest],
-        for_group: bool,
-        receivers: Iterable[str],
-    ) -> None:
-        for begin in range(0, len(digests), BUNDLE_MOST):
-            part = tuple(digests[begin : begin + BUNDLE_MOST])
-            bundle = load_bundle.LoadBundle(self._own, for_group, part)
-            self._send(bundle, receivers)
-
     def _send(
         self,
         message: load_digest.LoadDigest
@@ -417,11 +357,6 @@
     return
 
 
-def _is_urgent(digest: load_digest.LoadDigest) -> bool:
-    """Returns whether a digest tells more than its VM's load."""
-    return bool(digest.leaving) or digest.lost != bad_news.NOTHING
-
-
 def _is_sound(digest: load_digest.LoadDigest) -> bool:
     """Returns whether a digest's sender can be written to."""
     try:
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -11,6 +11,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.decisions import doubts
+from ruddergate.decisions import peer_groups
 from ruddergate.decisions import withdrawals
 from ruddergate.fleet import life as lives
 from ruddergate.fleet import target as targets
@@ -27,10 +28,9 @@
 # A target that peers say to leave is asked this much later at most than others,
 # so that it is not asked by a whole fleet at once.
 _CONFIRM_SPREAD_MS = 1_500.0
-# VMs of a large fleet that tell one that has just started what targets said.
+# VMs of a large fleet that tell one that has just started what targets said. In
+# a small one all do: it may be that one alone has heard it.
 _GREETING_VMS = 6
-# In a fleet of up to so many, all do: it may be that one alone has heard it.
-_GREETING_ALL = 16
 # Longest word that a peer may use for a life: a key of the store has 200 bytes.
 _WORD_MOST = 220
 # What a target that leaves was to do another one can do at once.
@@ -140,7 +140,7 @@
         Args:
             peers: How many peers this VM knows.
         """
-        is_large = peers > _GREETING_ALL
+        is_large = peers > peer_groups.DIRECT_MOST
         chance = _GREETING_VMS / peers if is_large else 1.0
         if chance < 1.0 and self._outside.random.random() >= chance:
             return
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -183,8 +183,7 @@
 
 _CONVERTER = _make_converter()
 # Messages that every VM hears of every other one are read into their types in
-# one pass, without any object between: half of what a VM of a large fleet did
-# was to make types of digests.
+# one pass: the larger the fleet, the more of a VM's time goes to reading them.
 _STRUCT_DECODERS: dict[int, msgspec.msgpack.Decoder] = {
     tag: msgspec.msgpack.Decoder(tuple[int, type_])
     for tag, type_ in _TAGS.items()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 
 from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
+from ruddergate.entry import digest_relay
 from ruddergate.entry import peer_exchange
 from ruddergate.fleet import dispatched
 from ruddergate.messages import load_bundle
@@ -22,7 +23,7 @@
 from standins import virtual_process
 
 # A change passes two relays at most, each of which waits for its turn.
-_TOLD_MS = 2.0 * (peer_exchange.GATHER_MS + peer_exchange.PASS_GAP_MS) + 30.0
+_TOLD_MS = 2.0 * (digest_relay.GATHER_MS + digest_relay.PASS_GAP_MS) + 30.0
 
 
 def _row(streams: int = 1, target: str = "e") -> dispatched.Dispatched:
@@ -296,7 +297,7 @@
             (_row(), _row(2, "i-7f3a91c2")),
         )
         bundle = load_bundle.LoadBundle(
-            "10.100.200.30:7341", True, (digest,) * peer_exchange.BUNDLE_MOST
+            "10.100.200.30:7341", True, (digest,) * digest_relay.BUNDLE_MOST
         )
         data = codec.encode(bundle)
         self.assertEqual(codec.decode(data), bundle)
