Count a call's time from when it came, also while it waits for the first settings

Cause: a VM that has just started lets calls wait for its first settings, 800 ms at most, and the time was counted from the end of that wait. Change: the moment of arrival is taken before the wait and handed to admission. Why it holds: all limits of a call are derived from that one moment. tests.test_start_wait: 2,778 ms for a limit of 2,000 ms before; within 100 ms after.

--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -41,6 +41,7 @@
 def admit(
     incoming: message.IncomingRequest,
     inquiry: doors.Inquiry,
+    arrived_ms: float,
     tools: tool_types.Tools,
     trust: Trust,
 ) -> requests.Request | outcomes.NotServed:
@@ -49,6 +50,7 @@
     Args:
         incoming: The call as received.
         inquiry: The call as understood.
+        arrived_ms: When it came; its time runs from then.
         tools: What the stages share.
         trust: How old settings may be.
     """
@@ -85,7 +87,7 @@
             _NO_SETTINGS_RETRY_MS,
         )
     return _make_request(
-        incoming, inquiry, route, workspace, pool, catalog.revision, tools
+        incoming, inquiry, arrived_ms, route, workspace, pool, catalog.revision
     )
 
 
@@ -124,13 +126,12 @@
 def _make_request(
     incoming: message.IncomingRequest,
     inquiry: doors.Inquiry,
+    arrived_ms: float,
     route: routes.Route,
     workspace: catalogs.Workspace,
     pool: effective.Pool,
     revision: int,
-    tools: tool_types.Tools,
 ) -> requests.Request:
-    now_ms = tools.outside.now_ms()
     time_limit_ms = route.time_limit_ms
     if inquiry.time_limit_ms is not None:
         time_limit_ms = min(time_limit_ms, inquiry.time_limit_ms)
@@ -172,8 +173,8 @@
         idempotency_key="",
         key_age_ms=0.0,
         ticket="",
-        arrived_ms=now_ms,
-        deadline_ms=now_ms + time_limit_ms,
+        arrived_ms=arrived_ms,
+        deadline_ms=arrived_ms + time_limit_ms,
         service_path="",
         traceparent="",
         payload=payload,
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -59,8 +59,12 @@
         inquiry = self._door.read(incoming)
         if isinstance(inquiry, outcomes.NotServed):
             return self._refuse(inquiry, "")
+        # A wait for the first settings is part of the caller's time.
+        arrived_ms = self._tools.outside.now_ms()
         await self._wait_for_catalog()
-        request = relay_admit.admit(incoming, inquiry, self._tools, self._trust)
+        request = relay_admit.admit(
+            incoming, inquiry, arrived_ms, self._tools, self._trust
+        )
         if isinstance(request, outcomes.NotServed):
             return self._refuse(request, inquiry.request_id)
         events = relay_run.run(request, self._send, self._keeper, self._tools)
