Read the rate limit that targets name, and log each change of it

Logs could not tell which answers named a limit, to whom, and when it ended: no line showed the header, and nothing read it. It is now read with the other response metadata of all answers, refusals and probes included; malformed values are counted and logged once a change. Nothing decides by it yet.

Ruled out: a header of its own for streams; heads are read at one place.

--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -36,6 +36,9 @@
 RETRY_AFTER = "retry-after"
 # In all answers of a target that takes no new work any more: 1.
 LEAVING = "server-leaving"
+# In the answers of a target in need: requests a second that it takes from all
+# VMs together.
+RATE_LIMIT = "server-limit"
 
 _ONE_HOP = frozenset(
     {
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -32,15 +32,19 @@
     async def ask(
         target: targets.Target, request: message.OutgoingRequest
     ) -> client.WholeAnswer | client.Fault:
+        sent_ms = outside.now_ms()
         answer = await client.fetch_within(
             outside, target.address, request, limits
         )
         if isinstance(answer, client.WholeAnswer):
             said = statements.read_statement(
-                target, answer.status, answer.fields, answer.json()
+                target,
+                answer.status,
+                answer.fields,
+                answer.json(),
+                sent_ms=sent_ms,
             )
-            if said.says_anything():
-                hear(said)
+            hear(said)
         return answer
 
     async def reserve(
--- a/src/ruddergate/platform/replicas.py
+++ b/src/ruddergate/platform/replicas.py
@@ -55,7 +55,8 @@
             if unsent is not None:
                 yield unsent
                 return
-            async for event in _read(outside, errand, exchange, hear):
+            sent_ms = outside.now_ms()
+            async for event in _read(outside, errand, exchange, hear, sent_ms):
                 yield event
         finally:
             exchange.close()
@@ -114,6 +115,7 @@
     errand: errands.Errand,
     exchange: client.Exchange,
     hear: statement_types.Hear,
+    sent_ms: float,
 ) -> AsyncIterator[answers.Event]:
     until_ms = min(
         errand.deadline_ms, outside.now_ms() + errand.patience.first_ms
@@ -122,9 +124,7 @@
     if fault is not None:
         yield _make_lost(fault) if isinstance(fault, client.Fault) else fault
         return
-    said = _read_statement(errand, exchange)
-    if said.says_anything():
-        hear(said)
+    hear(_read_statement(errand, exchange, sent_ms))
     told = _read_load(errand, exchange)
     if told is not None:
         yield told
@@ -214,13 +214,15 @@
 
 
 def _read_statement(
-    errand: errands.Errand, exchange: client.Exchange
+    errand: errands.Errand, exchange: client.Exchange, sent_ms: float
 ) -> statement_types.Statement:
     return statements.read_statement(
         errand.target,
         exchange.status,
         exchange.fields,
         request_id=_find_request_id(errand),
+        is_call=True,
+        sent_ms=sent_ms,
     )
 
 
--- a/src/ruddergate/platform/statements.py
+++ b/src/ruddergate/platform/statements.py
@@ -17,6 +17,7 @@
 _STAYS = "0"
 # Seconds, fractions too; dates and signs are no number of seconds.
 _SECONDS = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
+_RATE = re.compile(r"\d{1,12}(\.\d{1,12})?([eE][+-]?\d{1,2})?", re.ASCII)
 # The longest time for which a target is believed to want no calls: an hour. One
 # that says a year is asked again after it, rather than lost to this VM.
 QUIET_MOST_MS = 3_600_000.0
@@ -28,6 +29,8 @@
     fields: message.Fields,
     document: object = None,
     request_id: str = "",
+    is_call: bool = False,
+    sent_ms: float = 0.0,
 ) -> statements.Statement:
     """Returns what the target says of itself.
 
@@ -37,6 +40,8 @@
         fields: Header lines of the answer, names in lower case.
         document: The answer's body, where it is read as JSON.
         request_id: The call that was answered, or empty.
+        is_call: Whether a call was answered, and no order or probe.
+        sent_ms: When the request was sent.
     """
     born_ms = target_entries.read_born_ms(document)
     life = _find_life(target, born_ms)
@@ -47,7 +52,9 @@
     if status in REFUSALS:
         times = _find_words(fields, headers.RETRY_AFTER, separator="")
         quiet_ms, wrong_time = _read_quiet_ms(times)
-    unread = tuple(filter(None, (wrong_word, wrong_time)))
+    rates = _find_words(fields, headers.RATE_LIMIT)
+    rate_limit_per_s, wrong_rate = _read_rate_limit(rates)
+    unread = tuple(filter(None, (wrong_word, wrong_time, wrong_rate)))
     return statements.Statement(
         life,
         is_leaving,
@@ -55,6 +62,10 @@
         unread,
         request_id,
         is_dated=born_ms != lives.BORN_UNKNOWN,
+        rate_limit_per_s=rate_limit_per_s,
+        is_unlimited=not rates,
+        is_call=is_call,
+        sent_ms=sent_ms,
     )
 
 
@@ -95,6 +106,14 @@
     return _LEAVES in words, detail
 
 
+def _read_rate_limit(rates: list[str]) -> tuple[float | None, str]:
+    """Returns the lowest limit named, and what is wrong with the others."""
+    sound = [float(each) for each in rates if _RATE.fullmatch(each)]
+    wrong = [each for each in rates if not _RATE.fullmatch(each)]
+    detail = f"a rate limit is {wrong[0]!r:.40}" if wrong else ""
+    return min(sound, default=None), detail
+
+
 def _read_quiet_ms(times: list[str]) -> tuple[float | None, str]:
     """Returns the longest time told, and what is wrong with what is told."""
     sound = [float(each) for each in times if _SECONDS.fullmatch(each)]
--- a/src/ruddergate/relay/statement.py
+++ b/src/ruddergate/relay/statement.py
@@ -20,6 +20,12 @@
         unread: What it said that has no meaning, a sentence each.
         request_id: The call that it answered, or empty.
         is_dated: Whether the answer itself tells when the target started.
+        rate_limit_per_s: Requests a second that it takes from all VMs together;
+            None if it names no limit.
+        is_unlimited: Whether it certainly names no limit; neither a limit nor
+            this where the limit it names is malformed.
+        is_call: Whether it answered a call, and no order or probe.
+        sent_ms: When the request was sent that it answered.
     """
 
     life: lives.Life
@@ -28,10 +34,10 @@
     unread: tuple[str, ...] = ()
     request_id: str = ""
     is_dated: bool = False
-
-    def says_anything(self) -> bool:
-        """Returns whether there is anything to hear."""
-        return self.is_leaving or self.quiet_ms is not None or bool(self.unread)
+    rate_limit_per_s: float | None = None
+    is_unlimited: bool = False
+    is_call: bool = False
+    sent_ms: float = 0.0
 
 
 Hear: TypeAlias = Callable[[Statement], None]
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -29,6 +29,44 @@
     return statements.read_statement(_make_target(), status, fields, document)
 
 
+def _says_nothing(said) -> bool:
+    return (
+        said.quiet_ms is None
+        and said.rate_limit_per_s is None
+        and not (said.is_leaving or said.unread)
+    )
+
+
+class RateLimitTest(unittest.TestCase):
+    def test_any_answer_names_it(self) -> None:
+        for status in (200, 202, 400, 409, 429, 500, 503, 504):
+            for text, rate in (("1", 1.0), ("0.25", 0.25), ("0", 0.0)):
+                said = _read(status, ("server-limit", text))
+                self.assertEqual(said.rate_limit_per_s, rate)
+                self.assertFalse(said.is_unlimited)
+                self.assertEqual(said.unread, ())
+
+    def test_answer_without_it_names_none(self) -> None:
+        self.assertTrue(_read(200).is_unlimited)
+
+    def test_the_lowest_of_several_holds(self) -> None:
+        for rates in (["3", "2"], ["2, 3"], ["2", "soon"]):
+            said = _read(200, *(("server-limit", each) for each in rates))
+            self.assertEqual(said.rate_limit_per_s, 2.0)
+
+    def test_large_rates_are_rates(self) -> None:
+        self.assertEqual(
+            _read(200, ("server-limit", "1e9")).rate_limit_per_s, 1e9
+        )
+
+    def test_malformed_rate_neither_names_nor_ends_a_limit(self) -> None:
+        for text in ("", "-1", "nan", "inf", "1e999", "+1", "1_0", "fast"):
+            said = _read(200, ("server-limit", text))
+            self.assertIsNone(said.rate_limit_per_s)
+            self.assertFalse(said.is_unlimited)
+            self.assertEqual(len(said.unread), 1)
+
+
 class LeavingTest(unittest.TestCase):
     def test_any_answer_tells_it(self) -> None:
         for status in (200, 202, 400, 409, 429, 500, 503, 504):
@@ -37,8 +75,9 @@
             self.assertEqual(said.life, lives.Life("i-1", 5))
 
     def test_another_target_at_the_address_tells_nothing(self) -> None:
-        said = _read(421, ("server-leaving", "1"))
-        self.assertFalse(said.says_anything())
+        said = _read(421, ("server-leaving", "1"), ("server-limit", "1"))
+        self.assertTrue(_says_nothing(said))
+        self.assertFalse(said.is_unlimited)
 
     def test_an_answer_that_says_nothing_is_no_statement(self) -> None:
         for field in (
@@ -46,7 +85,7 @@
             ("server-leaving", "0"),
             ("retry-after", "3"),
         ):
-            self.assertFalse(_read(200, field).says_anything())
+            self.assertTrue(_says_nothing(_read(200, field)))
 
     def test_one_sound_word_is_enough(self) -> None:
         for words in (["1", "1"], ["1, 1"], ["0", "1"], [" 1 "]):
