A limit that a target names is not kept: the failing test

Nine VMs under a steady load; an engine and a plain service name a limit of one request a second in their answers. In some 4 s the engine gets 36 requests and the service 21, where 11 are allowed: load goes on as it was. The check counts at the target, from VMs that had passed on such an answer half a second before, and counts orders and probes as requests.

--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -17,6 +17,9 @@
 
 _TOKENS_PER_EVENT = 46
 _SIGNATURE = "X-Replica-Signature"
+_ORDER_PATH = "/api/order"
+_REPORT_PATH = "/api/report"
+_UPKEEP_PATHS = (_ORDER_PATH, _REPORT_PATH)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +60,19 @@
     quiet_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A rate limit that a replica names from one time on.
+
+    Attributes:
+        at_s: When, on the loop's clock.
+        rate_per_s: Requests a second from all VMs; infinity for no limit.
+    """
+
+    at_s: float
+    rate_per_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Misbehaviour:
     """What a replica does wrong; chances are drawn for each request.
@@ -104,6 +120,9 @@
         has_told: Whether it ever said in an answer that it leaves.
         arrivals: Every call that came, also those that it turned away.
         helped: How often others named it as a helper.
+        limits: Rate limits that it named, in order of time.
+        limits_told: Answers that named a limit, by call, with their time.
+        upkeep_s: When orders and probes came, on the loop's clock.
     """
 
     def __init__(
@@ -125,6 +144,10 @@
         self.has_told = False
         self.arrivals: list[Arrival] = []
         self.helped = 0
+        self.limits: list[NamedLimit] = []
+        self.limits_told: dict[str, float] = {}
+        self.upkeep_s: list[float] = []
+        self._rate_limit = ""
         self._outside = outside
         self._peers = peers
         self._count = 0
@@ -134,22 +157,37 @@
         """Returns the stream handler that serves the replica."""
         return server.make_stream_handler(self._handle, server.Limits())
 
+    def name_limit(self, text: str) -> None:
+        """Has all answers name a rate limit from now on; empty for none."""
+        self._rate_limit = text
+        rate_per_s = float(text) if text else float("inf")
+        now_s = asyncio.get_running_loop().time()
+        self.limits.append(NamedLimit(now_s, rate_per_s))
+
     async def _handle(
         self, incoming: message.IncomingRequest
     ) -> message.Response:
+        now_s = asyncio.get_running_loop().time()
+        if incoming.path in _UPKEEP_PATHS:
+            self.upkeep_s.append(now_s)
         answer = await self._answer(incoming)
-        if not self.leaving:
-            return answer
-        self.has_told = self.has_told or self.leaving == "1"
-        said = (("Server-Leaving", self.leaving),)
+        said: tuple[tuple[str, str], ...] = ()
+        if self.leaving:
+            self.has_told = self.has_told or self.leaving == "1"
+            said += (("Server-Leaving", self.leaving),)
+        if self._rate_limit:
+            said += (("Server-Limit", self._rate_limit),)
+            request_id = incoming.headers.get("x-attempt-id", "")
+            now_s = asyncio.get_running_loop().time()
+            self.limits_told.setdefault(request_id, now_s)
         return dataclasses.replace(answer, fields=answer.fields + said)
 
     async def _answer(
         self, incoming: message.IncomingRequest
     ) -> message.Response:
-        if incoming.path == "/api/order":
+        if incoming.path == _ORDER_PATH:
             return self._take_order(orjson.loads(incoming.body))
-        if incoming.path == "/api/report":
+        if incoming.path == _REPORT_PATH:
             report = {"stage": "both", **self.tell_born()}
             return message.make_json_response(200, report)
         if self.wrong.mute or self._draw(self.wrong.hang):
