--- a/src/ruddergate/cli/_status.py
+++ b/src/ruddergate/cli/_status.py
@@ -18,11 +18,20 @@
         return f"{address} is no entry"
     targets = document.pop("targets")
     lines = [f"{name:<20} {value}" for name, value in document.items()]
-    lines.append(f"{'target':<20} usable streams waiting_tokens held_tokens")
+    lines.append(
+        f"{'target':<20} usable streams waiting_tokens held_tokens"
+        " rate_limit/s own_share/s"
+    )
     for row in targets:
         usable = "yes" if row["usable"] else "no"
         lines.append(
             f"{row['id']:<20} {usable:<6} {row['streams']:>7}"
             f" {row['waiting_tokens']:>14} {row['held_tokens']:>11}"
+            f" {_format_rate(row.get('rate_limit_per_s')):>12}"
+            f" {_format_rate(row.get('rate_limit_share_per_s')):>11}"
         )
     return lines
+
+
+def _format_rate(rate_per_s: float | None) -> str:
+    return "-" if rate_per_s is None else f"{rate_per_s:g}"
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -209,6 +209,16 @@
             or now_ms - self._peers[name].heard_ms <= MEMBER_SILENT_MS
         ]
 
+    def list_members(self, now_ms: float) -> dict[str, str]:
+        """Returns halls of this VM and of peers that were lately heard of."""
+        members = {
+            name: peer.place.hall
+            for name, peer in self._peers.items()
+            if now_ms - peer.heard_ms <= MEMBER_SILENT_MS
+        }
+        members[self._own] = self._place.hall
+        return members
+
     def collect_sums(self) -> tuple[dispatched.Dispatched, ...]:
         """Returns the sums that have changed since the last call.
 
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -7,10 +7,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 from ruddergate import _private
 from ruddergate import environment
+from ruddergate import outcomes
 from ruddergate.decisions import retries
 from ruddergate.decisions import withdrawals
 from ruddergate.entry import canceller as cancellers
@@ -21,6 +23,7 @@
 from ruddergate.entry import peer_exchange
 from ruddergate.entry import peer_questions
 from ruddergate.entry import placement
+from ruddergate.entry import rate_limiter
 from ruddergate.entry import relay_admit
 from ruddergate.entry import relay_handler
 from ruddergate.entry import reservation_keeper
@@ -33,6 +36,7 @@
 from ruddergate.entry import target_notices
 from ruddergate.entry import tools as tool_types
 from ruddergate.entry import view as views
+from ruddergate.fleet import target as targets
 from ruddergate.http import message
 from ruddergate.http import server as http_server
 from ruddergate.messages import news
@@ -123,6 +127,16 @@
         self._open = open_calls.OpenCalls(platform.door.write_failure)
         view = views.View()
         withdrawn = withdrawals.Withdrawals()
+        metrics = metric_types.EntryMetrics()
+        self._rate_limiter = rate_limiter.RateLimiter(
+            outside,
+            str(gateway_config.peers.listen),
+            lambda now_ms: self._peers.loads.list_members(now_ms),
+            lambda target_id: self.tools.scheduler.find_target(target_id),
+            lambda pool: self.tools.scheduler.find_halls(pool),
+            lambda: self._peers.note_change(),
+            metrics,
+        )
         scheduler = schedulers.Scheduler(
             outside,
             config,
@@ -132,6 +146,7 @@
             lambda: self._peers.is_blind(),
             lambda: self._peers.loads.collect_lost(),
             withdrawn=withdrawn,
+            limits=self._rate_limiter.limits,
         )
         self._suspects = suspect_exchange.SuspectExchange(
             outside,
@@ -139,7 +154,6 @@
             lambda: self._peers.loads.names(),
             lambda told, peers: self._peers.tell_suspects(told, peers),
         )
-        metrics = metric_types.EntryMetrics()
         self._notices = target_notices.TargetNotices(
             outside, withdrawn, metrics, self._note_leaving
         )
@@ -157,11 +171,14 @@
             suspects=self._suspects.table,
             secure_retry=lambda is_great: self._loans.secure(is_great),
             note_lost=lambda lost: self._lives.post(lost),
-            refuse_send=self._notices.refuse_send,
+            refuse_send=self._refuse_send,
+            admit=self._rate_limiter.admit,
+            give_back=self._rate_limiter.give_back,
         )
+        self._orders = platform.make_orders(self._observe)
         self._keeper = reservation_keeper.ReservationKeeper(
             outside,
-            platform.make_orders(self._notices.hear),
+            self._rate_limiter.charge_orders(self._orders),
             view.is_over,
             lambda target: scheduler.post(placement.LifeEnded(target)),
         )
@@ -182,7 +199,7 @@
         self._handler = relay_handler.RelayHandler(
             self.tools,
             platform.door,
-            platform.make_send(self._notices.hear),
+            platform.make_send(self._observe),
             self._keeper,
             relay_admit.Trust(
                 gateway_config.settings_age_max_ms,
@@ -202,6 +219,8 @@
             self._greet,
             summarize_leaving=self._notices.summarize,
             take_leaving=self._notices.take_told,
+            summarize_rate_limits=self._rate_limiter.summarize,
+            merge_rate_limits=self._rate_limiter.merge,
         )
         self._loans = retry_loans.RetryLoans(
             outside,
@@ -227,6 +246,18 @@
             self._leaving_check.look,
         )
 
+    def _observe(self, said: statements.Statement) -> None:
+        """Takes in what a target says of itself in an answer."""
+        self._notices.hear(said)
+        self._rate_limiter.observe(said)
+
+    def _refuse_send(
+        self, asked: Sequence[targets.Target]
+    ) -> outcomes.NotServed | None:
+        """Returns a refusal if a target or a helper takes no calls now."""
+        refusal = self._notices.refuse_send(asked)
+        return refusal or self._rate_limiter.refuse_helpers(asked[1:])
+
     def _answer_peer(
         self, question: peer_questions.Question
     ) -> peer_questions.Answer | None:
@@ -267,6 +298,9 @@
             asyncio.ensure_future(self._peers.run()),
             asyncio.ensure_future(self._suspects.run()),
             asyncio.ensure_future(self._leaving_check.run()),
+            asyncio.ensure_future(
+                self._rate_limiter.run(self._orders.ask_sign)
+            ),
         ]
         servers = [
             await self._serve(
@@ -357,6 +391,7 @@
         quarantined = self.tools.suspects.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
         metrics.entries_refused.set({}, self._sync.count_refused())
+        self._rate_limiter.set_gauges()
         metrics.quiet_targets.set({}, self._notices.count_quiet())
         metrics.log_lines_left_out.set({}, logs.count_left_out())
         return metric_types.render(metrics.registry)
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -20,6 +20,7 @@
 from ruddergate.entry import peer_questions
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
+from ruddergate.fleet import rate_limit
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.messages import suspects as suspect_messages
@@ -87,6 +88,8 @@
         greet: Is told of each run of a VM that is heard of for the first time.
         summarize_leaving: Returns targets that this VM has heard to leave.
         take_leaving: Takes those of a peer, and the peer's name.
+        summarize_rate_limits: Returns the rate limits to tell peers.
+        merge_rate_limits: Takes those of a peer, and the peer's name.
 
     Attributes:
         loads: What is known of peers.
@@ -113,6 +116,12 @@
         take_leaving: Callable[
             [Sequence[str], str], None
         ] = lambda words, peer: None,
+        summarize_rate_limits: Callable[
+            [], tuple[rate_limit.RateLimitUpdate, ...]
+        ] = lambda: (),
+        merge_rate_limits: Callable[
+            [Sequence[rate_limit.RateLimitUpdate], str], None
+        ] = lambda updates, peer: None,
     ) -> None:
         self._outside = outside
         self._config = config
@@ -124,6 +133,8 @@
         self._greet = greet
         self._summarize_leaving = summarize_leaving
         self._take_leaving = take_leaving
+        self._summarize_rate_limits = summarize_rate_limits
+        self._merge_rate_limits = merge_rate_limits
         self._report_peers = note_peers
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
@@ -251,6 +262,7 @@
             rows=self._summarize(),
             lost=self._summarize_lost(),
             leaving=self._summarize_leaving(),
+            rate_limits=self._summarize_rate_limits(),
         )
 
     def _tell_seeds(
@@ -315,6 +327,8 @@
                 self._welcome(digest.sender)
             if digest.leaving:
                 self._take_leaving(digest.leaving, digest.sender)
+            if digest.rate_limits:
+                self._merge_rate_limits(digest.rate_limits, digest.sender)
             if pass_on is not None:
                 pass_on(digest)
 
--- /dev/null
+++ b/src/ruddergate/entry/rate_limiter.py
@@ -0,0 +1,282 @@
+"""Keeps the rate limits that targets name, together with all other VMs.
+
+decisions/rate_limits.py has the rules. This hears answers and peers, is asked
+in the step that sends, and probes targets that no answer comes from.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
+import math
+
+from ruddergate import environment
+from ruddergate import outcomes
+from ruddergate.decisions import rate_limits
+from ruddergate.fleet import rate_limit
+from ruddergate.fleet import target as targets
+from ruddergate.relay import orders
+from ruddergate.relay import statement as statements
+from ruddergate.telemetry import logs
+from ruddergate.telemetry import metrics as metric_types
+
+# Peers tell of themselves once a second, so after this time all are known.
+SETTLE_MS = 1_500.0
+# A VM that has heard of no peer for so long after its start is alone.
+ALONE_MS = 6_000.0
+# A longer gap between two looks at the clock means that the process stood
+# still, and what it knows of its peers is old.
+_STOPPED_MS = 1_500.0
+_TICK_MS = 500.0
+_PROBE_TIMEOUT_MS = 150.0
+# Another target may take the call at once.
+_RETRY_MS = 200.0
+# A key of the store has 200 bytes.
+_MAX_NAME = 200
+
+
+class RateLimiter:
+    """Owns this VM's part of all targets' limits.
+
+    Args:
+        outside: Clock and chance.
+        own: Name of this VM among its peers.
+        find_members: Returns the halls of this VM and of peers lately heard of,
+            at a time.
+        find_target: Returns a listed target by name.
+        find_pool_halls: Returns the halls with targets of a pool.
+        note_change: Is called when peers have to be told of a limit.
+        metrics: Metrics of the process.
+
+    Attributes:
+        limits: What is known of limits.
+    """
+
+    def __init__(
+        self,
+        outside: environment.Environment,
+        own: str,
+        find_members: Callable[[float], Mapping[str, str]],
+        find_target: Callable[[str], targets.Target | None],
+        find_pool_halls: Callable[[str], Collection[str]],
+        note_change: Callable[[], None],
+        metrics: metric_types.EntryMetrics,
+    ) -> None:
+        self._outside = outside
+        self._own = own
+        self._find_members = find_members
+        self._find_target = find_target
+        self._find_pool_halls = find_pool_halls
+        self._note_change = note_change
+        self._metrics = metrics
+        self._ticked_ms = outside.now_ms()
+        self._began_ms = outside.now_ms()
+        self._changed = asyncio.Event()
+        # A gauge stays, so one whose limit has ended is set to infinity.
+        self._gauged: set[str] = set()
+        self._log = logs.make_logger("target")
+        self.limits = rate_limits.RateLimits(
+            outside.random,
+            self._count_sharers,
+            lambda: len(find_members(outside.now_ms())),
+        )
+
+    def observe(self, said: statements.Statement) -> None:
+        """Takes in what a target's answer says of its limit."""
+        now_ms = self._outside.now_ms()
+        target_id = said.life.target_id
+        if said.rate_limit_per_s is not None:
+            is_news = self.limits.observe_limit(
+                target_id, said.rate_limit_per_s, said.sent_ms, now_ms
+            )
+        elif said.is_unlimited:
+            is_news = self.limits.observe_no_limit(
+                target_id, said.is_call, said.sent_ms, now_ms
+            )
+        else:
+            return
+        if is_news:
+            self._tell(target_id, said.rate_limit_per_s, said.request_id)
+            self._note_change()
+
+    def summarize(self) -> tuple[rate_limit.RateLimitUpdate, ...]:
+        """Returns the limits that peers are to be told now."""
+        return self.limits.summarize(self._outside.now_ms())
+
+    def merge(
+        self, updates: Sequence[rate_limit.RateLimitUpdate], peer: str
+    ) -> None:
+        """Takes in what a peer has heard of listed targets' limits."""
+        now_ms = self._outside.now_ms()
+        for update in updates[: rate_limits.MAX_UPDATES]:
+            if not _is_sound(update):
+                self._log.warning("Ignoring malformed rate limit.", peer=peer)
+                continue
+            if self._find_target(update.target_id) is None:
+                continue
+            if self.limits.merge(update, now_ms):
+                self._tell(update.target_id, update.rate_per_s, peer=peer)
+
+    def admit(
+        self, target: targets.Target, attempt_id: str
+    ) -> outcomes.NotServed | None:
+        """Takes a token in the step that sends, or returns a refusal."""
+        now_ms = self._outside.now_ms()
+        if self.limits.take(target.target_id, attempt_id, now_ms):
+            return None
+        next_ms = self.limits.find_next_ms(target.target_id, now_ms)
+        return self._refuse(target.target_id, "writer", next_ms - now_ms)
+
+    def refuse_helpers(
+        self, helpers: Iterable[targets.Target]
+    ) -> outcomes.NotServed | None:
+        """Returns a refusal if an engine that is to help names a limit.
+
+        Help takes several requests: memory is set aside, renewed and released.
+        """
+        for helper in helpers:
+            if self.limits.is_limited(helper.target_id):
+                return self._refuse(helper.target_id, "helper", _RETRY_MS)
+        return None
+
+    def give_back(self, target: targets.Target) -> None:
+        """Returns the token of a call that was not sent after all."""
+        self.limits.give_back(target.target_id)
+
+    def charge_orders(self, given: orders.Orders) -> orders.Orders:
+        """Returns orders that count against the limits of their targets."""
+
+        def charge(target: targets.Target) -> None:
+            self.limits.charge(target.target_id, self._outside.now_ms())
+
+        async def reserve(
+            wanted: orders.Reservation, hold_ms: float
+        ) -> orders.Answer:
+            charge(wanted.target)
+            return await given.reserve(wanted, hold_ms)
+
+        async def release(held: orders.Reservation) -> orders.Answer:
+            charge(held.target)
+            return await given.release(held)
+
+        async def ask_sign(target: targets.Target) -> orders.Told:
+            charge(target)
+            return await given.ask_sign(target)
+
+        return orders.Orders(reserve, release, ask_sign)
+
+    async def run(
+        self, probe: Callable[[targets.Target], Awaitable[orders.Told]]
+    ) -> None:
+        """Probes limited targets until cancelled.
+
+        Args:
+            probe: Sends a target a request that is no call.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_TICK_MS / 1_000.0):
+                    await self._changed.wait()
+            self._changed.clear()
+            now_ms = self._outside.now_ms()
+            self._note_time(now_ms)
+            due = map(self._find_target, self.limits.take_due_probes(now_ms))
+            probes = [self._probe(probe, each) for each in due if each]
+            if probes:
+                await asyncio.gather(*probes)
+
+    def set_gauges(self) -> None:
+        """Brings the gauges up to date before they are read."""
+        now_ms = self._outside.now_ms()
+        self._gauged |= set(self.limits.find_limited())
+        for target_id in self._gauged:
+            limit, own = self.limits.find_share(target_id, now_ms)
+            self._metrics.rate_limits.set({"target": target_id}, limit)
+            self._metrics.rate_limit_shares.set({"target": target_id}, own)
+
+    async def _probe(
+        self,
+        probe: Callable[[targets.Target], Awaitable[orders.Told]],
+        target: targets.Target,
+    ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PROBE_TIMEOUT_MS / 1_000.0):
+                await probe(target)
+
+    def _count_sharers(
+        self, target_id: str, rate_per_s: float, now_ms: float
+    ) -> int:
+        """Returns how many VMs share a limit; 0 if this VM does not."""
+        self._note_time(now_ms)
+        members = self._find_members(now_ms)
+        is_alone = len(members) == 1
+        settle_ms = ALONE_MS if is_alone else SETTLE_MS
+        target = self._find_target(target_id)
+        if now_ms - self._began_ms < settle_ms or target is None:
+            return 0
+        sharers = rate_limits.choose_sharers(
+            target_id,
+            target.hall,
+            rate_per_s,
+            members,
+            self._find_pool_halls(target.pool),
+        )
+        return len(sharers) if self._own in sharers else 0
+
+    def _note_time(self, now_ms: float) -> None:
+        if now_ms - self._ticked_ms > _STOPPED_MS:
+            self._began_ms = now_ms
+        self._ticked_ms = now_ms
+
+    def _refuse(
+        self, target_id: str, part: str, retry_ms: float
+    ) -> outcomes.NotServed:
+        self._metrics.sends_withheld.inc({"reason": "rate_limit", "part": part})
+        if math.isinf(retry_ms):
+            retry_ms = _RETRY_MS
+        return outcomes.refuse(
+            outcomes.Reason.TARGET_RATE_LIMITED,
+            f"target {target_id} takes no more requests now",
+            retry_ms,
+        )
+
+    def _tell(
+        self,
+        target_id: str,
+        rate_per_s: float | None,
+        request_id: str = "",
+        peer: str = "",
+    ) -> None:
+        self._metrics.rate_limit_changes.inc({})
+        self._changed.set()
+        now_ms = self._outside.now_ms()
+        _, own = self.limits.find_share(target_id, now_ms)
+        if rate_per_s is None:
+            self._log.info(
+                "Target {} names no rate limit any more.",
+                target_id,
+                request_id=request_id,
+                peer=peer,
+            )
+            return
+        self._log.info(
+            "Target {} names a rate limit of {:g} requests/s.",
+            target_id,
+            rate_per_s,
+            own_share=round(own, 3),
+            request_id=request_id,
+            peer=peer,
+        )
+
+
+def _is_sound(update: rate_limit.RateLimitUpdate) -> bool:
+    rate_per_s = update.rate_per_s
+    is_rate = rate_per_s is None or (
+        math.isfinite(rate_per_s) and rate_per_s >= 0.0
+    )
+    is_age = math.isfinite(update.age_ms) and update.age_ms >= 0.0
+    return is_rate and is_age and len(update.target_id) <= _MAX_NAME
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -38,11 +38,17 @@
     outcomes.Reason.TARGET_GONE,
     outcomes.Reason.TARGET_REPLACED,
 )
+# Connections that failed before the call was sent; its token is unused.
+_NOT_SENT_REASONS = (
+    outcomes.Reason.TARGET_GONE,
+    outcomes.Reason.TARGET_UNREACHABLE,
+)
 _NOT_THE_TARGETS_FAULT = (
     outcomes.Reason.TIME_LIMIT,
     outcomes.Reason.QUARANTINED,
     outcomes.Reason.TARGET_LEAVING,
     outcomes.Reason.TARGET_QUIET,
+    outcomes.Reason.TARGET_RATE_LIMITED,
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
 )
@@ -122,8 +128,12 @@
 
     def _refuse_send(self) -> outcomes.NotServed | None:
         """Returns why the call may not be sent in this moment, if so."""
-        refusal = self._tools.suspects.refuse(self._request)
-        return refusal or self._refuse_withdrawn()
+        seat = self._seats[0]
+        return (
+            self._tools.suspects.refuse(self._request)
+            or self._refuse_withdrawn()
+            or self._tools.admit(seat.target, seat.attempt_id)
+        )
 
     def _refuse_withdrawn(self) -> outcomes.NotServed | None:
         """Returns a refusal if the target or a helper takes no calls now."""
@@ -268,6 +278,8 @@
         return True
 
     def _note_failure(self, ended: outcomes.NotServed) -> None:
+        if ended.reason in _NOT_SENT_REASONS:
+            self._tools.give_back(self._seats[0].target)
         if ended.reason in _NOT_THE_TARGETS_FAULT or self._at_fault:
             return
         writer = self._seats[0].target.target_id
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -27,11 +27,12 @@
 UNREACHABLE_MAX = 8
 # Times that a call goes to the same target again because of one of its helpers.
 HELPERS_FAILED_MAX = 3
-# Any of a call's targets may have withdrawn. Which of them is known where the
-# next ones are chosen, so none has to be excluded.
+# Any of a call's targets may take no calls now. Which of them is known where
+# the next ones are chosen, so none has to be excluded.
 _WITHDRAWN = (
     outcomes.Reason.TARGET_LEAVING,
     outcomes.Reason.TARGET_QUIET,
+    outcomes.Reason.TARGET_RATE_LIMITED,
 )
 _NOTHING_SENT = (
     outcomes.Reason.TARGET_GONE,
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -14,6 +14,7 @@
 from ruddergate import outcomes
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import queueing
+from ruddergate.decisions import rate_limits
 from ruddergate.decisions import withdrawals
 from ruddergate.decisions.routing import by_name
 from ruddergate.entry import config as configs
@@ -78,6 +79,7 @@
         is_blind: Callable[[], bool] = lambda: False,
         collect_lost: Callable[[], bad_news.BadNews] = lambda: bad_news.NOTHING,
         withdrawn: withdrawals.Withdrawals | None = None,
+        limits: rate_limits.RateLimits | None = None,
     ) -> None:
         """Makes an idle scheduler.
 
@@ -92,8 +94,12 @@
             is_blind: Returns whether there are peers of which nothing is known.
             collect_lost: Returns what peers have newly found out of reach.
             withdrawn: Which lives of targets take no calls.
+            limits: Rate limits that targets name.
         """
         self._withdrawn = withdrawn or withdrawals.Withdrawals()
+        if limits is None:
+            limits = rate_limits.RateLimits(outside.random, lambda *_: 0)
+        self._limits = limits
         self._note_change = note_change
         self._collect_peers = collect_peers
         self._is_blind = is_blind
@@ -108,11 +114,14 @@
             by_name.make_policy(config.policy),
             by_name.make_policy(config.service_policy),
             note_change,
+            self._limits.is_limited,
         )
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._queues: dict[str, queueing.Queue] = {}
         self._asked: dict[str, placement.Place] = {}
-        self._table = target_table.TargetTable(view, self._withdrawn)
+        self._table = target_table.TargetTable(
+            view, self._withdrawn, self._limits
+        )
         self._ticked_ms = outside.now_ms()
         self._held_until_ms = 0.0
         self._log = logs.make_logger("scheduler")
@@ -165,6 +174,21 @@
             return 0.0
         return estimate.recent_streams(self._outside.now_ms())
 
+    def find_target(self, target_id: str) -> targets.Target | None:
+        """Returns a listed target by name."""
+        estimate = self._table.find_named(target_id)
+        return estimate.target if estimate else None
+
+    def find_rate_limit(
+        self, target_id: str, now_ms: float
+    ) -> tuple[float, float]:
+        """Returns a target's rate limit and this VM's part of it, a second."""
+        return self._limits.find_share(target_id, now_ms)
+
+    def find_halls(self, pool: str) -> set[str]:
+        """Returns the halls with targets of a pool that may take work."""
+        return self._table.find_halls(pool)
+
     def believed_loads(self) -> list[estimates.Estimate]:
         """Returns the believed load of each target, for the status page."""
         return self._table.list_all()
@@ -228,7 +252,7 @@
         if not self._table.has_pool(asked.pool.name):
             _answer(asked, _refuse_no_target(asked.pool.name))
             return
-        first_ms = self._table.find_first_ms(asked.pool.name, now_ms)
+        first_ms = self._find_turn_ms(asked.pool.name, len(queue), now_ms)
         if first_ms > asked.job.deadline_ms:
             _answer(asked, self._refuse_until(asked.pool.name, first_ms))
             return
@@ -238,6 +262,22 @@
             return
         self._asked[asked.job.job_id] = asked
 
+    def _find_turn_ms(self, pool: str, ahead: int, now_ms: float) -> float:
+        """Returns when a pool takes a call, as far as targets turn calls away.
+
+        Args:
+            pool: Name of the pool.
+            ahead: Calls that wait for it already.
+            now_ms: Time.
+        """
+        first_ms = self._table.find_first_ms(pool, now_ms)
+        if not ahead or not len(self._limits):
+            return first_ms
+        capacity_per_s = self._table.find_capacity_per_s(pool, now_ms)
+        if capacity_per_s <= 0.0:
+            return first_ms
+        return first_ms + ahead / capacity_per_s * 1_000.0
+
     def _take_withdraw(self, asked: placement.Place) -> None:
         self._asked.pop(asked.job.job_id, None)
         if self._find_queue(asked.pool.name).withdraw(asked.job):
@@ -249,6 +289,7 @@
 
     def _release(self, placed: placement.Placed) -> None:
         for seat in placed.seats:
+            self._limits.note_unplaced(seat.target.target_id, seat.attempt_id)
             estimate = self._table.find(seat.target)
             if estimate is not None:
                 estimate.end(seat.attempt_id)
@@ -267,6 +308,7 @@
 
     def _take_ended(self, message: placement.Ended, now_ms: float) -> None:
         target = message.seat.target
+        self._limits.note_unplaced(target.target_id, message.seat.attempt_id)
         estimate = self._table.find(target)
         if estimate is None:
             return
@@ -379,9 +421,11 @@
                 self._lane_rests_until_ms[job.lane] = now_ms + rest_ms
                 continue
             del self._asked[job.job_id]
-            if any(
-                self._withdrawn.is_on_trial(each.target.life) for each in seats
-            ):
+            first = seats[0]
+            self._limits.note_placed(
+                first.target.target_id, first.attempt_id, now_ms
+            )
+            if any(self._takes_few(each.target) for each in seats):
                 usable = self._find_usable(pool, now_ms)
             placed = placement.Placed(seats)
             if asked.reply.done():
@@ -390,6 +434,12 @@
             else:
                 asked.reply.set_result(placed)
 
+    def _takes_few(self, target: targets.Target) -> bool:
+        """Returns whether a call given to a target may have been its last."""
+        return self._withdrawn.is_on_trial(
+            target.life
+        ) or self._limits.is_limited(target.target_id)
+
     def _refuse_hopeless(
         self, pool: str, queue: queueing.Queue, now_ms: float
     ) -> None:
@@ -406,14 +456,20 @@
         if math.isinf(first_ms):
             return outcomes.refuse(
                 outcomes.Reason.NO_TARGET,
-                f"all targets of pool {pool} leave",
+                f"no target of pool {pool} takes calls of this VM",
                 _GONE_RETRY_MS,
             )
-        spread_ms = self._outside.random.uniform(0.0, _RETURN_SPREAD_MS)
+        now_ms = self._outside.now_ms()
+        most_ms = _RETURN_SPREAD_MS
+        capacity_per_s = self._table.find_capacity_per_s(pool, now_ms)
+        if capacity_per_s > 0.0:
+            # Under rate limits one caller can be served in such a time.
+            most_ms = max(most_ms, 1_000.0 / capacity_per_s)
+        spread_ms = self._outside.random.uniform(0.0, most_ms)
         return outcomes.refuse(
             outcomes.Reason.CANNOT_FINISH_IN_TIME,
             f"no target of pool {pool} wants calls now",
-            first_ms - self._outside.now_ms() + spread_ms,
+            first_ms - now_ms + spread_ms,
         )
 
     def _find_usable(
--- a/src/ruddergate/entry/seating.py
+++ b/src/ruddergate/entry/seating.py
@@ -25,6 +25,7 @@
         policy: Where prompts run.
         service_policy: Where calls of plain services run.
         note_change: Called when a target was given work.
+        is_limited: Returns whether a target names a rate limit.
     """
 
     def __init__(
@@ -33,7 +34,9 @@
         policy: policies.Policy,
         service_policy: policies.Policy,
         note_change: Callable[[], None],
+        is_limited: Callable[[str], bool] = lambda target_id: False,
     ) -> None:
+        self._is_limited = is_limited
         self._chance = chance
         self._policy = policy
         self._service_policy = service_policy
@@ -68,6 +71,13 @@
             return self._seat_service(asked, candidates, now_ms)
         if asked.segments:
             return self._seat_gang(asked, candidates, now_ms)
+        if costs.is_long(asked.pool, asked.route.prompt_tokens):
+            # What helpers of a prompt are asked takes many requests.
+            candidates = [
+                each
+                for each in candidates
+                if not self._is_limited(each.target.target_id)
+            ] or candidates
         waited_ms = now_ms - asked.route.waited_ms
         route = dataclasses.replace(
             asked.route, waited_ms=waited_ms, is_blind=is_blind
@@ -78,9 +88,11 @@
         cached = min(route.prefix_tokens, chosen.cached_tokens(route.prefix))
         fresh = route.prompt_tokens - cached
         shares = gangs.split_memory(route.held_tokens, asked.pool.memory_tokens)
-        helpers = self._policy.choose_helpers(
-            route, chosen, candidates, now_ms, self._chance
-        )
+        helpers = ()
+        if not self._is_limited(chosen.target.target_id):
+            helpers = self._policy.choose_helpers(
+                route, chosen, candidates, now_ms, self._chance
+            )
         parts = 1 + len(helpers)
         if self._policy.splits_memory and len(shares) > parts:
             return ()
--- a/src/ruddergate/entry/status.py
+++ b/src/ruddergate/entry/status.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 from ruddergate.entry import feed as feeds
 from ruddergate.entry import tools as tool_types
@@ -78,6 +79,7 @@
             "waiting_tokens": round(each.waiting_tokens(now_ms)),
             "held_tokens": each.held_tokens(now_ms),
             "streams": each.streams(now_ms),
+            **_show_rate_limit(tools, each.target.target_id, now_ms),
         }
         for each in tools.scheduler.believed_loads()
     ]
@@ -103,6 +105,16 @@
     return message.make_json_response(200, document)
 
 
+def _show_rate_limit(
+    tools: tool_types.Tools, target_id: str, now_ms: float
+) -> dict[str, float | None]:
+    """Returns a target's rate limit and this VM's part, None for no limit."""
+    limit, own = tools.scheduler.find_rate_limit(target_id, now_ms)
+    if math.isinf(limit):
+        return {"rate_limit_per_s": None, "rate_limit_share_per_s": None}
+    return {"rate_limit_per_s": limit, "rate_limit_share_per_s": round(own, 3)}
+
+
 def _round_age(age_ms: float) -> int | None:
     """Returns an age in whole milliseconds, or None for what never was."""
     return round(age_ms) if age_ms < _NEVER_MS else None
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -60,7 +60,6 @@
         self._metrics = metrics
         self._note_leaving = note_leaving
         self._told = told_once.ToldOnce()
-        self._rate_limits: dict[str, float] = {}
         self._log = logs.make_logger("target")
 
     def hear(self, said: statements.Statement) -> None:
@@ -69,7 +68,6 @@
             self._hear_leaving(said)
         if said.quiet_ms is not None:
             self._hear_quiet(said, said.quiet_ms)
-        self._log_rate_limit(said)
         for detail in said.unread:
             self._hear_unread(said, detail)
 
@@ -180,28 +178,6 @@
                 born_ms=said.life.born_ms,
             )
 
-    def _log_rate_limit(self, said: statements.Statement) -> None:
-        """Logs each change of the limit that a target names."""
-        name = said.life.target_id
-        known = self._rate_limits.get(name)
-        if said.rate_limit_per_s == known:
-            return
-        if said.rate_limit_per_s is not None:
-            self._rate_limits[name] = said.rate_limit_per_s
-            self._log.info(
-                "Target {} names a rate limit of {:g} requests/s.",
-                name,
-                said.rate_limit_per_s,
-                request_id=said.request_id,
-            )
-        elif said.is_unlimited:
-            del self._rate_limits[name]
-            self._log.info(
-                "Target {} names no rate limit any more.",
-                name,
-                request_id=said.request_id,
-            )
-
     def _hear_unread(self, said: statements.Statement, detail: str) -> None:
         self._metrics.statements_unread.inc({})
         name = lives.format_life(said.life)
--- a/src/ruddergate/entry/target_table.py
+++ b/src/ruddergate/entry/target_table.py
@@ -1,6 +1,7 @@
 """What is believed of each listed target, and which of them take calls."""
 
 from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import rate_limits
 from ruddergate.decisions import withdrawals
 from ruddergate.entry import view as views
 from ruddergate.fleet import life as lives
@@ -15,13 +16,18 @@
     Args:
         view: The list and the settings of pools.
         withdrawn: Which lives of targets take no calls.
+        limits: Rate limits that targets name.
     """
 
     def __init__(
-        self, view: views.View, withdrawn: withdrawals.Withdrawals
+        self,
+        view: views.View,
+        withdrawn: withdrawals.Withdrawals,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._view = view
         self._withdrawn = withdrawn
+        self._limits = limits
         self._by_name: dict[str, estimates.Estimate] = {}
         self._by_pool: dict[str, list[estimates.Estimate]] = {}
 
@@ -79,6 +85,14 @@
             known.pool = pool
             self._by_pool.setdefault(pool.name, []).append(known)
 
+    def find_halls(self, pool: str) -> set[str]:
+        """Returns the halls with targets of a pool that may take work."""
+        return {
+            each.target.hall
+            for each in self._by_pool.get(pool, [])
+            if each.may_take_work()
+        }
+
     def list_taking(self, pool: str, now_ms: float) -> list[estimates.Estimate]:
         """Returns the targets of a pool that take calls, however they fare."""
         return [
@@ -96,6 +110,9 @@
         """
         if not each.may_take_work():
             return False
+        target_id = each.target.target_id
+        if len(self._limits) and not self._limits.can_send(target_id, now_ms):
+            return False
         if not self._withdrawn.has_quiet():
             # Those that leave are listed so. To look 150 targets up took 0.7 ms
             # of a core (mean of 200), in each turn of the scheduler.
@@ -113,26 +130,57 @@
         able = (
             each for each in self._by_pool.get(pool, []) if each.may_take_work()
         )
-        if not self._withdrawn.has_quiet():
+        if not self._withdrawn.has_quiet() and not len(self._limits):
             return now_ms if any(True for _ in able) else _NEVER_MS
         return min(
             (
-                self._withdrawn.find_until_ms(each.target.life, now_ms)
+                max(
+                    self._withdrawn.find_until_ms(each.target.life, now_ms),
+                    self._limits.find_next_ms(each.target.target_id, now_ms),
+                )
                 for each in able
             ),
             default=_NEVER_MS,
         )
 
+    def find_capacity_per_s(self, pool: str, now_ms: float) -> float:
+        """Returns how many calls of this VM a pool takes a second.
+
+        Returns:
+            Infinity unless all targets that take calls name rate limits.
+        """
+        shares = [
+            self._limits.find_share(each.target.target_id, now_ms)[1]
+            for each in self._by_pool.get(pool, [])
+            if each.may_take_work()
+            and self._withdrawn.takes_calls(each.target.life, now_ms)
+        ]
+        return sum(shares)
+
     def is_usable(self, each: estimates.Estimate, now_ms: float) -> bool:
         """Returns whether a target may be sent calls and had better be."""
         return each.is_usable(now_ms) and self.takes_calls(each, now_ms)
 
     def count_usable(self, pool: str, now_ms: float) -> int:
-        """Returns how many targets of a pool may and had better be used."""
+        """Returns how many targets of a pool may and had better be used.
+
+        Those that wait for a token of their rate limit count.
+        """
         return sum(
-            self.is_usable(each, now_ms) for each in self._by_pool.get(pool, [])
+            each.is_usable(now_ms)
+            and (
+                self.takes_calls(each, now_ms)
+                or self._has_share(each.target.target_id, now_ms)
+            )
+            for each in self._by_pool.get(pool, [])
         )
 
+    def _has_share(self, target_id: str, now_ms: float) -> bool:
+        """Returns whether this VM holds a part of a target's rate limit."""
+        if not self._limits.is_limited(target_id):
+            return False
+        return self._limits.find_share(target_id, now_ms)[1] > 0.0
+
 
 def _is_same(one: targets.Target, other: targets.Target) -> bool:
     """Returns whether two entries are of the same life at the same place."""
--- a/src/ruddergate/entry/tools.py
+++ b/src/ruddergate/entry/tools.py
@@ -30,6 +30,13 @@
     return None
 
 
+def _admit_all(
+    target: targets.Target, attempt_id: str
+) -> outcomes.NotServed | None:
+    """Stands where targets name no rate limits."""
+    return None
+
+
 async def _lend_nothing(is_great: bool) -> bool:
     """Stands where there are no peers that lend retries."""
     return False
@@ -57,6 +64,9 @@
         note_lost: Has it found out whether the target that lost a call ended.
         refuse_send: Returns a refusal if one of some targets takes no calls at
             this moment; asked in the step that sends.
+        admit: Counts a call against its target's rate limit, or returns a
+            refusal; told the target and the attempt, in the step that sends.
+        give_back: Takes back a call counted so that was not sent after all.
     """
 
     outside: environment.Environment
@@ -75,6 +85,10 @@
     refuse_send: Callable[
         [Iterable[targets.Target]], outcomes.NotServed | None
     ] = _refuse_nothing
+    admit: Callable[[targets.Target, str], outcomes.NotServed | None] = (
+        _admit_all
+    )
+    give_back: Callable[[targets.Target], None] = lambda target: None
 
     @property
     def owner(self) -> str:
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -4,6 +4,7 @@
 
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
+from ruddergate.fleet import rate_limit
 
 
 class LoadDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -19,6 +20,7 @@
         lost: What it has just found out of reach.
         leaving: Lives of targets that have lately told it in answers that they
             leave, as `life.format_life` writes them.
+        rate_limits: Limits that targets have lately named or ended.
     """
 
     sender: str
@@ -29,3 +31,4 @@
     rows: tuple[dispatched.Dispatched, ...]
     lost: bad_news.BadNews = bad_news.NOTHING
     leaving: tuple[str, ...] = ()
+    rate_limits: tuple[rate_limit.RateLimitUpdate, ...] = ()
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -38,6 +38,7 @@
     TARGET_GONE = "target_gone"
     TARGET_LEAVING = "target_leaving"
     TARGET_QUIET = "target_quiet"
+    TARGET_RATE_LIMITED = "target_rate_limited"
     TARGET_REPLACED = "target_replaced"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_LOST = "target_lost"
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -97,6 +97,18 @@
             "ruddergate_quiet_targets",
             "Targets that want no calls of this VM for a while.",
         )
+        self.rate_limits = self._gauge(
+            "ruddergate_target_rate_limit",
+            "Requests a second that a target takes from all VMs, by target.",
+        )
+        self.rate_limit_shares = self._gauge(
+            "ruddergate_target_rate_limit_share",
+            "This VM's part of a target's rate limit, by target.",
+        )
+        self.rate_limit_changes = self._counter(
+            "ruddergate_target_rate_limit_changes_total",
+            "Rate limits of targets that came, changed or ended.",
+        )
         self.statements_unread = self._counter(
             "ruddergate_statements_unread_total",
             "What targets said of themselves that has no meaning.",
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -19,7 +19,6 @@
 _SIGNATURE = "X-Replica-Signature"
 _ORDER_PATH = "/api/order"
 _REPORT_PATH = "/api/report"
-_UPKEEP_PATHS = (_ORDER_PATH, _REPORT_PATH)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,9 +119,11 @@
         has_told: Whether it ever said in an answer that it leaves.
         arrivals: Every call that came, also those that it turned away.
         helped: How often others named it as a helper.
+        rate_limit: What it names as its rate limit in all answers, if any.
         limits: Rate limits that it named, in order of time.
         limits_told: Answers that named a limit, by call, with their time.
-        upkeep_s: When orders and probes came, on the loop's clock.
+        orders_s: When orders came, on the loop's clock.
+        probes_s: When probes came.
     """
 
     def __init__(
@@ -146,8 +147,9 @@
         self.helped = 0
         self.limits: list[NamedLimit] = []
         self.limits_told: dict[str, float] = {}
-        self.upkeep_s: list[float] = []
-        self._rate_limit = ""
+        self.orders_s: list[float] = []
+        self.probes_s: list[float] = []
+        self.rate_limit = ""
         self._outside = outside
         self._peers = peers
         self._count = 0
@@ -159,7 +161,7 @@
 
     def name_limit(self, text: str) -> None:
         """Has all answers name a rate limit from now on; empty for none."""
-        self._rate_limit = text
+        self.rate_limit = text
         rate_per_s = float(text) if text else float("inf")
         now_s = asyncio.get_running_loop().time()
         self.limits.append(NamedLimit(now_s, rate_per_s))
@@ -168,15 +170,17 @@
         self, incoming: message.IncomingRequest
     ) -> message.Response:
         now_s = asyncio.get_running_loop().time()
-        if incoming.path in _UPKEEP_PATHS:
-            self.upkeep_s.append(now_s)
+        if incoming.path == _ORDER_PATH:
+            self.orders_s.append(now_s)
+        if incoming.path == _REPORT_PATH:
+            self.probes_s.append(now_s)
         answer = await self._answer(incoming)
         said: tuple[tuple[str, str], ...] = ()
         if self.leaving:
             self.has_told = self.has_told or self.leaving == "1"
             said += (("Server-Leaving", self.leaving),)
-        if self._rate_limit:
-            said += (("Server-Limit", self._rate_limit),)
+        if self.rate_limit:
+            said += (("Server-Limit", self.rate_limit),)
             request_id = incoming.headers.get("x-attempt-id", "")
             now_s = asyncio.get_running_loop().time()
             self.limits_told.setdefault(request_id, now_s)
--- a/standins/rate_limit_check.py
+++ b/standins/rate_limit_check.py
@@ -54,7 +54,7 @@
     if not replica.limits:
         return []
     binds_s = replica.limits[0].at_s + BINDS_S
-    at_s = sorted([*counted_s, *replica.upkeep_s])
+    at_s = sorted([*counted_s, *replica.orders_s, *replica.probes_s])
     broken: list[str] = []
     for index, begin_s in enumerate(at_s):
         if begin_s < binds_s:
--- a/tests/test_digest_cost.py
+++ b/tests/test_digest_cost.py
@@ -9,9 +9,11 @@
 import unittest
 
 import msgpack
+import msgspec
 
 from ruddergate.fleet import bad_news
 from ruddergate.fleet import dispatched
+from ruddergate.fleet import rate_limit
 from ruddergate.messages import load_bundle
 from ruddergate.messages import load_digest
 from ruddergate.wire import codec
@@ -45,6 +47,7 @@
             (self.row,),
             bad_news.BadNews(("g",), ("s",), ("h2",)),
             ("i-1@5",),
+            (rate_limit.RateLimitUpdate("e", 0.5, 120.0),),
         )
         self.fields = [
             "vm:1",
@@ -55,6 +58,7 @@
             [["e", [100, 0], 500, 2, [1, 1], 20.0]],
             [["g"], ["s"], ["h2"]],
             ["i-1@5"],
+            [["e", 0.5, 120.0]],
         ]
 
     def test_bytes_are_those_of_earlier_releases(self) -> None:
@@ -71,6 +75,9 @@
         early = load_digest.LoadDigest("vm:1", "h", 20, "run", 7, (self.row,))
         data = msgpack.packb((16, self.fields[:6]))
         self.assertEqual(codec.decode(data), early)
+        without_limits = msgspec.structs.replace(self.digest, rate_limits=())
+        data = msgpack.packb((16, self.fields[:8]))
+        self.assertEqual(codec.decode(data), without_limits)
         data = msgpack.packb((16, [*self.fields, {"new": 1}]))
         self.assertEqual(codec.decode(data), self.digest)
 
--- /dev/null
+++ b/tests/test_rate_limit_shares.py
@@ -0,0 +1,295 @@
+"""A VM's part of the rate limits that targets name."""
+
+import random
+import unittest
+
+from ruddergate.decisions import rate_limits
+from ruddergate.fleet import rate_limit
+
+_TARGET = "i-1"
+
+
+def _make_limits(
+    sharers: int = 1, vms: int = 9, seed: int = 1
+) -> rate_limits.RateLimits:
+    return rate_limits.RateLimits(
+        random.Random(seed), lambda *_: sharers, lambda: vms
+    )
+
+
+def _count_sent(
+    limits: rate_limits.RateLimits, from_ms: int, to_ms: int
+) -> int:
+    """Returns how many calls go when one is tried every millisecond."""
+    return sum(
+        limits.take(_TARGET, "", float(now_ms))
+        for now_ms in range(from_ms, to_ms)
+    )
+
+
+class ShareTest(unittest.TestCase):
+    def test_bound_holds_for_any_limit(self) -> None:
+        for tenths in range(20_000):
+            rate_per_s = tenths / 10.0
+            most = rate_limits.find_share_most(rate_per_s)
+            has_free_probes = rate_per_s / most < 0.5
+            worst = (3 if has_free_probes else 2) * most + 5.0 * rate_per_s
+            self.assertLessEqual(worst, 6.0 * rate_per_s + 5.0, rate_per_s)
+
+    def test_vms_of_the_hall_hold_the_parts(self) -> None:
+        members = {f"vm-{n}": f"hall-{n % 3}" for n in range(195)}
+        halls = {"hall-0", "hall-1", "hall-2"}
+        for rate_per_s in (0.0, 1.0, 5.0, 50.0, 500.0):
+            sharers = rate_limits.choose_sharers(
+                _TARGET, "hall-1", rate_per_s, members, halls
+            )
+            self.assertEqual({members[each] for each in sharers}, {"hall-1"})
+            most = rate_limits.find_share_most(rate_per_s)
+            self.assertEqual(len(sharers), min(65, most))
+
+    def test_halls_without_a_target_of_the_pool_take_part(self) -> None:
+        members = {f"vm-{n}": f"hall-{n % 3}" for n in range(9)}
+        sharers = rate_limits.choose_sharers(
+            _TARGET, "hall-1", 100.0, members, {"hall-1", "hall-2"}
+        )
+        self.assertEqual(
+            {members[each] for each in sharers}, {"hall-0", "hall-1"}
+        )
+
+    def test_hall_without_vms_is_served_by_others(self) -> None:
+        members = {"vm-0": "hall-0", "vm-1": "hall-1"}
+        sharers = rate_limits.choose_sharers(
+            _TARGET, "hall-2", 1.0, members, {"hall-0", "hall-1", "hall-2"}
+        )
+        self.assertEqual(sorted(sharers), ["vm-0", "vm-1"])
+
+    def test_parts_go_to_different_vms_for_different_targets(self) -> None:
+        members = {f"vm-{n}": "hall" for n in range(9)}
+        found = {
+            rate_limits.choose_sharers(
+                f"i-{number}", "hall", 0.0, members, {"hall"}
+            )[0]
+            for number in range(60)
+        }
+        self.assertEqual(len(found), 9)
+
+
+class TokenTest(unittest.TestCase):
+    def test_part_is_used_in_full_and_no_more(self) -> None:
+        limits = _make_limits(sharers=2)
+        limits.observe_limit(_TARGET, 4.0, 0.0, 0.0)
+        sent = _count_sent(limits, 0, 10_000)
+        self.assertIn(sent, (20, 21))
+
+    def test_no_burst_when_a_limit_is_named(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+        self.assertFalse(limits.take(_TARGET, "", 0.0))
+
+    def test_vms_told_at_once_send_apart(self) -> None:
+        first = []
+        for seed in range(20):
+            limits = _make_limits(seed=seed)
+            limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+            first.append(round(limits.find_next_ms(_TARGET, 0.0) / 50.0))
+        self.assertGreater(len(set(first)), 10)
+
+    def test_one_token_is_saved(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 10.0, 0.0, 0.0)
+        self.assertTrue(limits.take(_TARGET, "", 60_000.0))
+        self.assertFalse(limits.take(_TARGET, "", 60_000.0))
+
+    def test_what_was_saved_is_lost_when_the_limit_changes(self) -> None:
+        for rate_per_s in (0.5, 5.0):
+            limits = _make_limits()
+            limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+            self.assertTrue(limits.can_send(_TARGET, 3_000.0))
+            limits.observe_limit(_TARGET, rate_per_s, 2_900.0, 3_000.0)
+            self.assertFalse(limits.can_send(_TARGET, 3_000.0))
+
+    def test_call_with_a_place_counts_until_it_is_sent(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+        limits.note_placed(_TARGET, "a", 2_000.0)
+        self.assertFalse(limits.can_send(_TARGET, 2_000.0))
+        self.assertTrue(limits.take(_TARGET, "a", 2_010.0))
+        self.assertFalse(limits.can_send(_TARGET, 2_010.0))
+
+    def test_call_that_was_not_sent_gives_its_token_back(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+        self.assertTrue(limits.take(_TARGET, "", 2_000.0))
+        limits.give_back(_TARGET)
+        self.assertTrue(limits.take(_TARGET, "", 2_000.0))
+        self.assertFalse(limits.take(_TARGET, "", 2_000.0))
+
+    def test_requests_that_cannot_wait_are_made_up_for(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+        for _ in range(3):
+            limits.charge(_TARGET, 2_000.0)
+        self.assertEqual(_count_sent(limits, 2_000, 4_990), 0)
+        self.assertEqual(_count_sent(limits, 4_990, 5_500), 1)
+
+    def test_vm_without_a_part_sends_nothing(self) -> None:
+        limits = _make_limits(sharers=0)
+        limits.observe_limit(_TARGET, 50.0, 0.0, 0.0)
+        self.assertEqual(_count_sent(limits, 0, 9_000), 0)
+
+    def test_target_without_a_limit_takes_all(self) -> None:
+        self.assertEqual(_count_sent(_make_limits(), 0, 100), 100)
+
+
+class OrderTest(unittest.TestCase):
+    """Answers on different connections overtake one another."""
+
+    def test_overtaken_answer_does_not_end_a_limit(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 1_000.0)
+        ended = limits.observe_no_limit(_TARGET, True, 900.0, 1_100.0)
+        self.assertFalse(ended)
+        self.assertTrue(limits.is_limited(_TARGET))
+        self.assertTrue(
+            limits.observe_no_limit(_TARGET, True, 1_200.0, 1_300.0)
+        )
+        self.assertFalse(limits.is_limited(_TARGET))
+
+    def test_overtaken_answer_does_not_bring_a_limit_back(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 1_000.0)
+        limits.observe_no_limit(_TARGET, True, 1_200.0, 1_300.0)
+        limits.observe_limit(_TARGET, 1.0, 1_100.0, 1_400.0)
+        self.assertFalse(limits.is_limited(_TARGET))
+        limits.observe_limit(_TARGET, 1.0, 1_350.0, 1_450.0)
+        self.assertTrue(limits.is_limited(_TARGET))
+
+    def test_overtaken_answer_does_not_raise_a_limit(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 1_000.0)
+        limits.observe_limit(_TARGET, 50.0, 900.0, 1_100.0)
+        self.assertEqual(limits.find_share(_TARGET, 1_100.0)[0], 1.0)
+        limits.observe_limit(_TARGET, 50.0, 1_150.0, 1_200.0)
+        self.assertEqual(limits.find_share(_TARGET, 1_200.0)[0], 50.0)
+
+    def test_lower_limit_holds_at_once(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 50.0, 0.0, 1_000.0)
+        limits.observe_limit(_TARGET, 1.0, 900.0, 1_100.0)
+        self.assertEqual(limits.find_share(_TARGET, 1_100.0)[0], 1.0)
+
+    def test_probe_alone_ends_no_limit(self) -> None:
+        limits = _make_limits(sharers=0)
+        limits.observe_limit(_TARGET, 0.0, 0.0, 1_000.0)
+        limits.observe_no_limit(_TARGET, False, 5_000.0, 5_010.0)
+        # One call goes, and its answer settles it.
+        self.assertEqual(_count_sent(limits, 5_010, 6_000), 1)
+        self.assertTrue(limits.is_limited(_TARGET))
+
+
+class RecoveryTest(unittest.TestCase):
+    def test_load_comes_back_over_some_time(self) -> None:
+        limits = _make_limits(sharers=0)
+        limits.observe_limit(_TARGET, 0.0, 0.0, 0.0)
+        limits.observe_no_limit(_TARGET, True, 1_000.0, 1_100.0)
+        first = _count_sent(limits, 1_100, 2_000)
+        self.assertLessEqual(first, 3)
+        self.assertGreater(_count_sent(limits, 3_200, 3_300), 90)
+
+
+class PeerTest(unittest.TestCase):
+    def _merge(
+        self,
+        limits: rate_limits.RateLimits,
+        rate_per_s: float | None,
+        now_ms: float,
+        age_ms: float = 0.0,
+    ) -> bool:
+        update = rate_limit.RateLimitUpdate(_TARGET, rate_per_s, age_ms)
+        return limits.merge(update, now_ms)
+
+    def test_word_of_a_peer_limits(self) -> None:
+        limits = _make_limits(sharers=0)
+        self.assertTrue(self._merge(limits, 1.0, 0.0))
+        self.assertEqual(_count_sent(limits, 0, 9_000), 0)
+
+    def test_only_what_the_target_said_is_passed_on(self) -> None:
+        limits = _make_limits()
+        self._merge(limits, 1.0, 0.0)
+        self.assertEqual(limits.summarize(0.0), ())
+        limits.observe_limit(_TARGET, 1.0, 90.0, 100.0)
+        self.assertEqual(
+            limits.summarize(150.0),
+            (rate_limit.RateLimitUpdate(_TARGET, 1.0, 50.0),),
+        )
+        # It is repeated, but not in each digest.
+        self.assertEqual(limits.summarize(160.0), ())
+        self.assertEqual(len(limits.summarize(700.0)), 1)
+
+    def test_digest_has_a_bounded_number_of_them(self) -> None:
+        limits = _make_limits()
+        for number in range(100):
+            limits.observe_limit(f"i-{number}", 1.0, 0.0, float(number))
+        updates = limits.summarize(100.0)
+        self.assertEqual(len(updates), rate_limits.MAX_UPDATES)
+        self.assertEqual(updates[0].target_id, "i-99")
+
+    def test_end_is_passed_on_and_ends_the_limit_elsewhere(self) -> None:
+        one, other = _make_limits(), _make_limits(sharers=0)
+        one.observe_limit(_TARGET, 1.0, 0.0, 100.0)
+        other.merge(one.summarize(100.0)[0], 102.0)
+        one.observe_no_limit(_TARGET, True, 2_000.0, 2_100.0)
+        self.assertTrue(other.merge(one.summarize(2_101.0)[0], 2_103.0))
+        self.assertFalse(other.is_limited(_TARGET))
+
+    def test_older_word_changes_nothing(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 1.0, 0.0, 5_000.0)
+        self.assertFalse(self._merge(limits, None, 5_100.0, age_ms=500.0))
+        self.assertFalse(self._merge(limits, 9.0, 5_100.0, age_ms=500.0))
+        self.assertEqual(limits.find_share(_TARGET, 5_100.0)[0], 1.0)
+
+    def test_answer_goes_before_the_word_of_peers(self) -> None:
+        limits = _make_limits()
+        self._merge(limits, 0.0, 0.0)
+        self.assertTrue(limits.observe_no_limit(_TARGET, True, 50.0, 100.0))
+        for now_ms in range(200, 50_000, 400):
+            self._merge(limits, 0.0, float(now_ms))
+        self.assertFalse(limits.is_limited(_TARGET))
+
+    def test_wrong_word_is_tried_even_without_a_part(self) -> None:
+        limits = _make_limits(sharers=0)
+        sent = 0
+        for now_ms in range(0, 120_000, 50):
+            if now_ms % 400 == 0:
+                self._merge(limits, 0.0, float(now_ms))
+            sent += limits.take(_TARGET, "", float(now_ms))
+        self.assertGreater(sent, 0)
+        self.assertLess(sent, 10)
+
+    def test_limit_that_nobody_speaks_of_is_tried(self) -> None:
+        limits = _make_limits(sharers=0)
+        limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
+        self.assertEqual(_count_sent(limits, 0, 10_000), 0)
+        self.assertEqual(_count_sent(limits, 10_000, 20_000), 1)
+
+    def test_holder_probes_at_once_what_a_peer_tells(self) -> None:
+        limits = _make_limits()
+        self._merge(limits, 0.0, 1_000.0)
+        self.assertEqual(limits.take_due_probes(1_000.0), [_TARGET])
+        self.assertEqual(limits.take_due_probes(2_000.0), [])
+
+    def test_holder_probes_a_target_that_does_not_answer(self) -> None:
+        limits = _make_limits()
+        limits.observe_limit(_TARGET, 0.0, 0.0, 0.0)
+        probes = [
+            now_ms
+            for now_ms in range(0, 16_000, 500)
+            if limits.take_due_probes(float(now_ms))
+        ]
+        self.assertEqual(probes, [4_000, 8_000, 12_000])
+
+    def test_others_do_not_probe(self) -> None:
+        limits = _make_limits(sharers=0)
+        limits.observe_limit(_TARGET, 0.0, 0.0, 0.0)
+        self.assertEqual(limits.take_due_probes(60_000.0), [])
