Keep a target's backoff for the start that the list tells next

Callers of two VMs had calls sent to a target that had refused and asked for 6 s without any: 3 and 4 of them, where two are allowed.

Such a backoff now holds for the listed life and for any that is listed next under that name, unless that started after the refusal by the wall clock.

A target that starts again within a backoff and has a clock behind this VM's waits for its end, which is bounded.

--- a/src/ruddergate/decisions/withdrawals.py
+++ b/src/ruddergate/decisions/withdrawals.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Collection
+import dataclasses
 
 from ruddergate.decisions import doubts
 from ruddergate.fleet import life as lives
@@ -28,6 +29,19 @@
 _NEVER_MS = float("inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UndatedBackoff:
+    """A time without calls, asked for by a target that told no start.
+
+    Attributes:
+        until_ms: When it ends.
+        said_wall_ms: When it was asked for, by the wall clock.
+    """
+
+    until_ms: float
+    said_wall_ms: float
+
+
 class Withdrawals:
     """What this VM knows of targets that take no calls; owned by one process.
 
@@ -42,6 +56,8 @@
         # Lives that told this VM themselves, while the list has not.
         self._answered: dict[lives.Life, None] = {}
         self._quiet_until_ms: dict[lives.Life, float] = {}
+        # By target: which start of it asked for that is not certain.
+        self._undated_backoff: dict[str, _UndatedBackoff] = {}
         # The life under which each target is listed.
         self._listed: dict[str, lives.Life] = {}
         # Targets that said that they leave, but not which life of theirs does.
@@ -54,6 +70,7 @@
         """
         self._listed[life.target_id] = life
         self._doubt_undated(life, now_ms)
+        self._extend_backoff(life, now_ms)
 
     def note_unlisted(self, target_id: str) -> None:
         """Notes that a target is off the list."""
@@ -120,12 +137,49 @@
         self._undated.pop(life.target_id, None)
         return True
 
-    def note_quiet(self, life: lives.Life, until_ms: float) -> bool:
+    def note_quiet(
+        self,
+        life: lives.Life,
+        until_ms: float,
+        said_wall_ms: float | None = None,
+    ) -> bool:
         """Notes that a target wants no calls for a time.
 
+        Args:
+            life: The life that was asked, or that the answer tells of.
+            until_ms: When that time ends.
+            said_wall_ms: When it said so, by the wall clock, where its answer
+                does not tell which life it comes from.
+
         Returns:
             Whether that is longer than was known.
         """
+        is_longer = self._set_quiet(life, until_ms)
+        if said_wall_ms is None:
+            return is_longer
+        target_id = life.target_id
+        known = self._undated_backoff.pop(target_id, None)
+        until_ms = max(until_ms, known.until_ms if known else 0.0)
+        self._undated_backoff[target_id] = _UndatedBackoff(
+            until_ms, said_wall_ms
+        )
+        _drop_oldest(self._undated_backoff, QUIET_MOST)
+        listed = self._listed.get(target_id)
+        if listed is not None:
+            self._extend_backoff(listed, 0.0)
+        return is_longer
+
+    def _extend_backoff(self, life: lives.Life, now_ms: float) -> None:
+        """Has a life back off that may be the one that asked for it."""
+        undated = self._undated_backoff.get(life.target_id)
+        if undated is None:
+            return
+        if undated.until_ms <= now_ms or life.born_ms > undated.said_wall_ms:
+            del self._undated_backoff[life.target_id]
+            return
+        self._set_quiet(life, undated.until_ms)
+
+    def _set_quiet(self, life: lives.Life, until_ms: float) -> bool:
         if until_ms <= self._quiet_until_ms.get(life, 0.0):
             return False
         self._quiet_until_ms.pop(life, None)
--- a/src/ruddergate/entry/target_notices.py
+++ b/src/ruddergate/entry/target_notices.py
@@ -169,7 +169,8 @@
         spread_ms = min(_SPREAD_MOST_MS, _SPREAD_PART * quiet_ms)
         spread_ms = self._outside.random.uniform(0.0, spread_ms)
         until_ms = self._outside.now_ms() + quiet_ms + spread_ms
-        if self._withdrawn.note_quiet(said.life, until_ms):
+        said_wall_ms = None if said.is_dated else self._outside.wall_ms()
+        if self._withdrawn.note_quiet(said.life, until_ms, said_wall_ms):
             self._log.info(
                 "Target {} wants no calls for {:.0f} ms.",
                 said.life.target_id,
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -169,3 +169,39 @@
         most = withdrawals.QUIET_MOST
         self.assertEqual(self.withdrawn.count_quiet(0.0), most)
         self.assertEqual(self.withdrawn.count_quiet(100.0), 0)
+
+
+class UndatedBackoffTest(unittest.TestCase):
+    """A refusal does not tell when its target started.
+
+    A target ended at 6.5 s and started again at 6.9 s while the list still told
+    its former start, as the store was away. From 9.7 s on it asked three VMs
+    for 6 s without calls, which was noted under the listed start. Then the list
+    told the real one, and two VMs sent 3 and 4 calls within these 6 s.
+    """
+
+    def setUp(self) -> None:
+        self.withdrawn = withdrawals.Withdrawals()
+        self.withdrawn.note_listed(_OLD, 0.0)
+
+    def test_it_holds_for_the_start_that_is_listed_next(self) -> None:
+        self.withdrawn.note_quiet(_OLD, 100.0, said_wall_ms=50.0)
+        self.withdrawn.note_listed(_YOUNG, 10.0)
+        self.assertFalse(self.withdrawn.takes_calls(_YOUNG, 10.0))
+        self.assertTrue(self.withdrawn.takes_calls(_YOUNG, 100.0))
+
+    def test_it_holds_for_one_that_was_listed_meanwhile(self) -> None:
+        self.withdrawn.note_listed(_YOUNG, 10.0)
+        self.withdrawn.note_quiet(_OLD, 100.0, said_wall_ms=50.0)
+        self.assertFalse(self.withdrawn.takes_calls(_YOUNG, 20.0))
+
+    def test_it_does_not_hold_for_one_that_started_later(self) -> None:
+        self.withdrawn.note_quiet(_OLD, 100.0, said_wall_ms=50.0)
+        later = lives.Life("i-1", 51)
+        self.withdrawn.note_listed(later, 60.0)
+        self.assertTrue(self.withdrawn.takes_calls(later, 60.0))
+
+    def test_one_that_told_its_start_holds_for_that_only(self) -> None:
+        self.withdrawn.note_quiet(_OLD, 100.0)
+        self.withdrawn.note_listed(_YOUNG, 10.0)
+        self.assertTrue(self.withdrawn.takes_calls(_YOUNG, 10.0))
