Emulator: tasks that a woken process begins end with it

The orders came from a gateway that had been killed 5 s before: of a process that wakes, what had been about to run ran outside of its process, so that tasks begun there were nobody's, and outlived a kill or a freeze. It is a fault of the stand-in; the check is as it was. The callback runs in its own context now.

--- a/standins/virtual_process.py
+++ b/standins/virtual_process.py
@@ -71,7 +71,8 @@
     def _run_late(self, call: "_Call") -> None:
         # What ran before it may have cancelled it, as in a real loop.
         if not call.handle.cancelled():
-            self.run_callback(call)
+            # What it schedules belongs to this process, too.
+            call.context.run(self.run_callback, call)
 
     def kill(self) -> None:
         """Ends the process at once; nothing of it runs any more."""
