Soak with rate limits; logs of failed seeds are kept

The soak names limits on replicas of real processes (--limits) and counts what comes to them; the logs, the broken promise and the command that plays a failed seed again stay in soak-logs/. Which VMs are nearest to a limited target goes by the halls that list targets of its pool, whatever their state: states are known to some VMs earlier, and parts that VMs work out differently add up to more.

--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -186,7 +186,7 @@
         return self._limits.find_share(target_id, now_ms)
 
     def find_halls(self, pool: str) -> set[str]:
-        """Returns the halls with targets of a pool that may take work."""
+        """Returns the halls with targets of a pool, whatever their state."""
         return self._table.find_halls(pool)
 
     def believed_loads(self) -> list[estimates.Estimate]:
--- a/src/ruddergate/entry/target_table.py
+++ b/src/ruddergate/entry/target_table.py
@@ -86,12 +86,11 @@
             self._by_pool.setdefault(pool.name, []).append(known)
 
     def find_halls(self, pool: str) -> set[str]:
-        """Returns the halls with targets of a pool that may take work."""
-        return {
-            each.target.hall
-            for each in self._by_pool.get(pool, [])
-            if each.may_take_work()
-        }
+        """Returns the halls with targets of a pool, whatever their state.
+
+        VMs have to agree on it, and states are known to some of them earlier.
+        """
+        return {each.target.hall for each in self._by_pool.get(pool, [])}
 
     def list_taking(self, pool: str, now_ms: float) -> list[estimates.Estimate]:
         """Returns the targets of a pool that take calls, however they fare."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -10,6 +10,7 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -29,9 +30,11 @@
 from standins import platform_store
 from standins import soak_caller
 from standins import soak_proxy
+from standins import soak_rate_limits
 from standins import soak_withdrawals
 
 _ROOT = pathlib.Path(__file__).parent.parent
+_LOGS = _ROOT / "soak-logs"
 _START_S = 2.0
 _PLAY_S = 6.0
 # The last calls end, and what was set aside lapses by itself.
@@ -50,6 +53,8 @@
     callers: int = 8
     # Whether replicas leave, and want quiet, and say so in their answers alone.
     withdraws: bool = False
+    # Whether replicas name rate limits.
+    limits: bool = False
 
 
 class Soak:
@@ -88,6 +93,9 @@
         broken += soak_withdrawals.find_broken(
             self._leavings, self._upsets, self._got
         )
+        broken += soak_rate_limits.find_broken(
+            self._replicas, self._upsets, self._got
+        )
         return broken, gateway_schedules.count_statuses(all_got)
 
     async def _play(self) -> None:
@@ -222,6 +230,8 @@
         )
         if self._sizes.withdraws:
             faults += (self._withdraw_replica,) * 3
+        if self._sizes.limits:
+            faults += (self._limit_replica,) * 3
         while time.monotonic() < until_s:
             await asyncio.sleep(self._chance.uniform(0.1, 0.8))
             await self._chance.choice(faults)()
@@ -262,6 +272,15 @@
         self._store.trouble = ""
         self._replace(replica, from_s)
 
+    async def _limit_replica(self) -> None:
+        """Has a replica name a rate limit for longer than until it binds."""
+        replica = self._chance.choice(self._replicas)
+        if replica.rate_limit:
+            return
+        replica.name_limit(self._chance.choice(("0", "0.5", "1", "3")))
+        await asyncio.sleep(self._chance.uniform(4.0, 9.0))
+        replica.name_limit("")
+
     def _replace(
         self, replica: platform_replica.PlatformReplica, from_s: float
     ) -> None:
@@ -379,6 +398,19 @@
     ]
 
 
+def _make_again(seed: int, sizes: Sizes) -> str:
+    """Returns the command that plays a seed once more."""
+    words = [
+        "python -m standins.soak",
+        f"--first {seed} --count 1",
+        f"--gateways {sizes.gateways} --engines {sizes.engines}",
+        f"--callers {sizes.callers}",
+        *(["--withdraws"] if sizes.withdraws else []),
+        *(["--limits"] if sizes.limits else []),
+    ]
+    return " ".join(words)
+
+
 def main(
     *,
     first: int = 1,
@@ -387,9 +419,10 @@
     engines: int = 4,
     callers: int = 8,
     withdraws: bool = False,
-    keep: pathlib.Path | None = None,
+    limits: bool = False,
+    logs: pathlib.Path = _LOGS,
 ) -> int:
-    """Plays many seeds.
+    """Plays many seeds; logs of those that fail are kept.
 
     Args:
         first: First seed.
@@ -398,20 +431,28 @@
         engines: Engines in each.
         callers: Callers in each.
         withdraws: Whether replicas leave and say so in their answers alone.
-        keep: Folder for the logs of gateways; without it they are dropped.
+        limits: Whether replicas name rate limits.
+        logs: Folder for the logs of seeds that fail, a folder each.
     """
     loguru.logger.remove()
-    sizes = Sizes(gateways, engines, callers=callers, withdraws=withdraws)
+    sizes = Sizes(
+        gateways, engines, callers=callers, withdraws=withdraws, limits=limits
+    )
     failed = 0
     total: dict[int, int] = {}
     for seed in range(first, first + count):
-        folder = keep / f"seed-{seed}" if keep is not None else None
+        folder = logs / f"seed-{seed}"
         broken, counts = play(seed, sizes, folder)
         failed += bool(broken)
         for status, number in counts.items():
             total[status] = total.get(status, 0) + number
-        for each in broken:
-            print(f"seed {seed}: {each}", flush=True)
+        if not broken:
+            shutil.rmtree(folder)
+            continue
+        lines = [f"seed {seed}: {each}" for each in broken]
+        lines.append(f"again: {_make_again(seed, sizes)}; logs: {folder}")
+        (folder / "broken.txt").write_text("\n".join(lines) + "\n")
+        print("\n".join(lines), flush=True)
     print(f"{count} seeds, statuses: {dict(sorted(total.items()))}")
     print(f"{count - failed} passed, {failed} failed")
     return 1 if failed else 0
