Connections accepted as a process ends are no fault

A connection was accepted in the loop's last turn; its task was cancelled before its first step, where the guard within it could not act yet, and asyncio's callback for coroutine handlers raises for a cancelled task. Connections are now started by a plain function that holds their tasks and reports faults, and nothing else, itself.

--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import os
 import random
@@ -115,17 +114,27 @@
         return reader, writer
 
     async def serve(handler: StreamHandler, address: Address) -> asyncio.Server:
+        # The loop keeps only weak references to tasks.
+        open_tasks: set[asyncio.Task] = set()
+
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             _notice_dead_peers(writer)
-            # When the process ends, open connections end with it; asyncio
-            # would report each of them as a fault.
-            with contextlib.suppress(asyncio.CancelledError):
-                await handler(reader, writer)
+            await handler(reader, writer)
+
+        # A function, as asyncio reports each cancelled task of a coroutine
+        # function as a fault; connections end with the process.
+        def start(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            task = asyncio.ensure_future(accept(reader, writer))
+            open_tasks.add(task)
+            task.add_done_callback(open_tasks.discard)
+            task.add_done_callback(lambda ended: _end_accepted(ended, writer))
 
         return await asyncio.start_server(
-            accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
+            start, address.host, address.port, limit=STREAM_LIMIT_BYTES
         )
 
     async def bind(take: TakeDatagram, address: Address) -> DatagramPort:
@@ -148,6 +157,18 @@
     )
 
 
+def _end_accepted(task: asyncio.Task, writer: asyncio.StreamWriter) -> None:
+    """Reports the fault of a connection's task, if it had one."""
+    if task.cancelled():
+        return
+    fault = task.exception()
+    if fault is not None:
+        task.get_loop().call_exception_handler(
+            {"message": "A connection's task has failed.", "exception": fault}
+        )
+        writer.transport.close()
+
+
 def _notice_dead_peers(writer: asyncio.StreamWriter) -> None:
     """Has the system end a connection whose other side is gone in silence."""
     found = writer.get_extra_info("socket")
