--- a/src/ruddergate/decisions/rate_limits.py
+++ b/src/ruddergate/decisions/rate_limits.py
@@ -1,15 +1,15 @@
 """Rate limits that targets name, kept by all VMs together.
 
 A limit counts the requests of all VMs, which share no counter. For each limited
-target a few VMs, chosen by rendezvous hashing among the nearest, hold
-equal parts of the limit; the others send it nothing. Each part is a token
-bucket with a burst of one.
+target a few VMs, chosen by rendezvous hashing among the nearest, hold equal
+shares of the limit; the others send it nothing. Each share is a token bucket
+with a burst of one.
 
 With `m` holders of a limit of `r` requests a second, a window of 4 s has at
 most `m` tokens that were saved and `4r` that were earned. If all holders are
 replaced meanwhile, `m` more saved ones and another second's `r` come to that.
 Where tokens come too seldom to learn from calls whether the limit still holds,
-each holder also sends a probe. `find_share_most` keeps `2m + 5r`, or `3m + 5r`
+each holder also sends a probe. `find_max_holders` keeps `2m + 5r`, or `3m + 5r`
 with probes, within `6r + 5`.
 """
 
@@ -22,39 +22,38 @@
 from ruddergate.decisions import rendezvous
 from ruddergate.fleet import rate_limit
 
-# A window of 4 s may have 1.5 times the limit and this many requests more.
+# Requests that a window may have beyond 1.5 times the limit.
 _WINDOW_SLACK = 5.0
-# Requests of a holder in a window besides those that it earns there: saved by
-# it and by its successor, and a probe where these take no token.
+# Requests of a holder beyond those it earns in a window: one saved by it and
+# one by its successor, and a probe where probes take no token.
 _SAVED = 2.0
 _PROBES = 1.0
-# A part of this rate has a token for each probe.
+# A share of at least this rate has a token for each probe.
 _PROBED_RATE_PER_S = 0.5
-# A holder without an answer for so long probes the target.
+# A holder probes a target that has not answered it for this time.
 PROBE_MS = 4_000.0
-# A VM that holds no part and has not heard of a limit for so long tries it.
+# A VM without a share tries a limit that was not confirmed for this time.
 LAPSE_MS = 10_000.0
-# Time between two trials of a limit that only peers have told, for each VM of
-# the fleet: the larger it is, the more VMs would try.
+# Mean time between trials of a limit known from peers alone, for each VM of the
+# fleet, so that the trials of all VMs are bounded.
 TRIAL_MS_PER_VM = 4_000.0
-# A VM that a target has answered without a limit ignores peers' word of one
-# for so long.
+# Peers' updates are ignored for this time after an answer that refuted them.
 REFUTED_MS = 60_000.0
-# Load comes back over this time after a limit, at this rate a VM.
+# Slow start after the end of a limit: its time, and the rate of a VM.
 RECOVERY_MS = 2_000.0
 RECOVERY_PER_S = 2.0
-# A limit or its end is told to peers for so long, and so often.
+# How long after an answer its limit is announced to peers, and how often.
 ANNOUNCED_MS = 10_000.0
 ANNOUNCE_EVERY_MS = 500.0
-# Updates in one digest, the latest first.
+# Updates in one digest.
 MAX_UPDATES = 16
-# Targets with a limit that are remembered; the oldest are forgotten first.
+# Limits kept; the oldest are dropped first.
 MAX_LIMITS = 4_096
-# Holders are looked up again after this time, as members come and go.
+# Holders are looked up again after this time.
 _SHARE_MS = 500.0
-# A call that was given a place and not sent within this time has ended.
+# A call that was placed and not sent within this time no longer counts.
 _PLACED_MS = 1_000.0
-# Orders that can't be withheld put a bucket into debt, down to this.
+# Most debt of a bucket for requests that can't be withheld.
 _MAX_DEBT = 5.0
 _NEVER_MS = float("inf")
 _ONE = 1.0 - 1e-9
@@ -62,22 +61,22 @@
 
 @dataclasses.dataclass(slots=True)
 class _Limit:
-    """A limit and this VM's part of it.
+    """A limit and this VM's share of it.
 
     Attributes:
         rate_per_s: Limit for all VMs together.
-        named_ms: When it was last named, as far as this VM knows.
-        answered_ms: When the target itself last told this VM; -inf if only
-            peers did.
+        named_ms: When the target last named it, by any source.
+        answered_ms: When an answer to this VM last named it; -inf if it is
+            known from peers alone.
         tokens: Requests that may be sent now; below 0 in debt.
         filled_ms: When tokens were last added.
-        sharers: VMs that hold a part; 0 if this VM is none of them.
+        holders: VMs that hold a share; 0 if this VM is none of them.
         shared_ms: When that was looked up.
         probe_ms: When the target is to be probed unless it answers before.
-        trial_ms: When one request may be sent to see whether the limit holds.
-        recovers_until_ms: Until when load comes back, after its end; None
-            while it lasts.
-        announced_ms: When peers were last told.
+        trial_ms: When one call may be sent without a token to confirm it.
+        recovers_until_ms: End of the slow start after it has ended; None while
+            it lasts.
+        announced_ms: When it was last announced to peers.
         placed: Calls with a place that have not been sent, by attempt, and
             until when they count.
     """
@@ -87,7 +86,7 @@
     answered_ms: float
     tokens: float
     filled_ms: float
-    sharers: int = 0
+    holders: int = 0
     shared_ms: float = float("-inf")
     probe_ms: float = _NEVER_MS
     trial_ms: float = _NEVER_MS
@@ -104,7 +103,7 @@
         rate_per_s: What it was.
         sent_ms: When the call was sent whose answer ended it.
         ended_ms: When that answer came.
-        is_answered: Whether the target itself answered this VM so.
+        is_answered: Whether it was an answer to this VM.
     """
 
     rate_per_s: float
@@ -113,25 +112,25 @@
     is_answered: bool
 
 
-def find_share_most(rate_per_s: float) -> int:
-    """Returns how many VMs may hold parts of a limit at most."""
+def find_max_holders(rate_per_s: float) -> int:
+    """Returns how many VMs may hold shares of a limit at most."""
     slack = _WINDOW_SLACK + rate_per_s
     seldom = int(slack / (_SAVED + _PROBES))
     often = min(slack / _SAVED, rate_per_s / _PROBED_RATE_PER_S)
     return max(1, seldom, int(often))
 
 
-def choose_sharers(
+def choose_holders(
     target_id: str,
     hall: str,
     rate_per_s: float,
     members: Mapping[str, str],
     pool_halls: Collection[str],
 ) -> list[str]:
-    """Returns the VMs that hold parts of a target's limit.
+    """Returns the VMs that hold shares of a target's limit.
 
-    Calls stay in their hall where they can, so a part is of most use to the
-    VMs that have no nearer target.
+    Calls stay in their hall where they can, so a share is of most use to VMs
+    that have no nearer target.
 
     Args:
         target_id: The target.
@@ -140,7 +139,7 @@
         members: Halls of the VMs by name.
         pool_halls: Halls with targets of the same pool.
     """
-    most = find_share_most(rate_per_s)
+    most = find_max_holders(rate_per_s)
     near = [
         name
         for name, its in members.items()
@@ -150,23 +149,23 @@
 
 
 class RateLimits:
-    """What this VM knows of targets' limits; owned by one process.
+    """Limits of targets, and this VM's token bucket for each.
 
     Args:
-        chance: Draws apart what VMs do of the same news.
-        count_sharers: Returns how many VMs hold parts of a target's limit, or
-            0 if this VM holds none; told the target, the limit and the time.
+        chance: Source of jitter.
+        count_holders: Returns how many VMs hold shares of a target's limit, or
+            0 if this VM holds none, given the target, the limit and the time.
         count_vms: Returns how many VMs there are, with this one.
     """
 
     def __init__(
         self,
         chance: random.Random,
-        count_sharers: Callable[[str, float, float], int],
+        count_holders: Callable[[str, float, float], int],
         count_vms: Callable[[], int] = lambda: 1,
     ) -> None:
         self._chance = chance
-        self._count_sharers = count_sharers
+        self._count_holders = count_holders
         self._count_vms = count_vms
         self._limits: dict[str, _Limit] = {}
         self._ended: dict[str, _Ended] = {}
@@ -223,10 +222,10 @@
         return True
 
     def merge(self, update: rate_limit.RateLimitUpdate, now_ms: float) -> bool:
-        """Takes in what a peer has heard from a target.
+        """Merges an update of a peer.
 
         Returns:
-            Whether that changed anything.
+            Whether it changed the limit.
         """
         said_ms = now_ms - max(0.0, update.age_ms)
         limit = self._find_lasting(update.target_id)
@@ -256,7 +255,7 @@
     def summarize(
         self, now_ms: float
     ) -> tuple[rate_limit.RateLimitUpdate, ...]:
-        """Returns what peers are to be told now, the latest first."""
+        """Returns the updates due for peers, the latest first."""
         make = rate_limit.RateLimitUpdate
         updates: list[rate_limit.RateLimitUpdate] = []
         for target_id, limit in self._limits.items():
@@ -357,7 +356,7 @@
         due: list[str] = []
         for target_id, limit in list(self._limits.items()):
             self._refill(target_id, limit, now_ms)
-            if limit.recovers_until_ms is not None or not limit.sharers:
+            if limit.recovers_until_ms is not None or not limit.holders:
                 continue
             if now_ms >= limit.probe_ms and _take_for_probe(limit):
                 limit.probe_ms = now_ms + PROBE_MS
@@ -365,7 +364,7 @@
         return due
 
     def find_share(self, target_id: str, now_ms: float) -> tuple[float, float]:
-        """Returns a target's limit and this VM's part of it, a second.
+        """Returns a target's limit and this VM's share of it, a second.
 
         Returns:
             Infinity for both where there is no limit.
@@ -376,7 +375,7 @@
         self._refill(target_id, limit, now_ms)
         return limit.rate_per_s, _find_own_rate(limit)
 
-    def find_limited(self) -> list[str]:
+    def list_limited(self) -> list[str]:
         """Returns the targets that name a limit."""
         return [name for name in self._limits if self.is_limited(name)]
 
@@ -390,7 +389,7 @@
         """Returns the limit of a target, a new one with an empty bucket."""
         limit = self._find_lasting(target_id)
         if limit is None:
-            # A part of a token: buckets that are made at once fill apart.
+            # Jitter: buckets that are made at once get their tokens apart.
             limit = _Limit(
                 rate_per_s,
                 named_ms=now_ms,
@@ -445,17 +444,17 @@
                 if until_ms > now_ms
             }
         has_lapsed = now_ms - limit.named_ms > LAPSE_MS
-        if has_lapsed and not limit.sharers and limit.trial_ms == _NEVER_MS:
+        if has_lapsed and not limit.holders and limit.trial_ms == _NEVER_MS:
             limit.trial_ms = now_ms
 
     def _share(self, target_id: str, limit: _Limit, now_ms: float) -> None:
         limit.shared_ms = now_ms
-        sharers = self._count_sharers(target_id, limit.rate_per_s, now_ms)
-        if sharers and not limit.sharers:
-            # Another VM may have spent its part until now.
+        holders = self._count_holders(target_id, limit.rate_per_s, now_ms)
+        if holders and not limit.holders:
+            # The share may have been spent by its former holder.
             limit.tokens = min(limit.tokens, self._chance.random() * _ONE)
             limit.probe_ms = max(limit.probe_ms, limit.answered_ms + PROBE_MS)
-        limit.sharers = sharers
+        limit.holders = holders
 
     def _draw_trial_ms(self) -> float:
         mean_ms = TRIAL_MS_PER_VM * max(1, self._count_vms())
@@ -468,15 +467,15 @@
 
 
 def _find_own_rate(limit: _Limit) -> float:
-    """Returns this VM's part of a limit, in requests a second."""
-    own = limit.rate_per_s / limit.sharers if limit.sharers else 0.0
+    """Returns this VM's share of a limit, in requests a second."""
+    own = limit.rate_per_s / limit.holders if limit.holders else 0.0
     if limit.recovers_until_ms is not None:
         return max(own, RECOVERY_PER_S)
     return own
 
 
 def _take_for_probe(limit: _Limit) -> bool:
-    """Takes a token for a probe, where the part is large enough for that."""
+    """Takes a token for a probe if the share has enough of them."""
     if _find_own_rate(limit) < _PROBED_RATE_PER_S:
         return True
     if limit.tokens - len(limit.placed) < _ONE:
--- a/src/ruddergate/entry/digest_relay.py
+++ b/src/ruddergate/entry/digest_relay.py
@@ -113,8 +113,4 @@
 
 def _is_urgent(digest: load_digest.LoadDigest) -> bool:
     """Returns whether a digest tells more than its VM's load."""
-    return (
-        bool(digest.leaving)
-        or bool(digest.rate_limits)
-        or digest.lost != bad_news.NOTHING
-    )
+    return bool(digest.leaving) or digest.lost != bad_news.NOTHING
--- a/src/ruddergate/entry/rate_limiter.py
+++ b/src/ruddergate/entry/rate_limiter.py
@@ -1,7 +1,7 @@
-"""Keeps the rate limits that targets name, together with all other VMs.
+"""Enforces the rate limits that targets name, together with all other VMs.
 
-decisions/rate_limits.py has the rules. This hears answers and peers, is asked
-in the step that sends, and probes targets that no answer comes from.
+decisions/rate_limits.py has the rules. This applies answers and updates of
+peers, admits calls in the step that sends, and probes silent targets.
 """
 
 import asyncio
@@ -25,12 +25,11 @@
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
 
-# Peers tell of themselves once a second, so after this time all are known.
+# Peers send a digest each second, so all are known after this time.
 SETTLE_MS = 1_500.0
-# A VM that has heard of no peer for so long after its start is alone.
+# A VM without a peer this long after its start is alone.
 ALONE_MS = 6_000.0
-# A longer gap between two looks at the clock means that the process stood
-# still, and what it knows of its peers is old.
+# A longer gap between two ticks means that the process was suspended.
 _STOPPED_MS = 1_500.0
 _TICK_MS = 500.0
 # Members are looked up again after this time.
@@ -60,20 +59,20 @@
 
 
 class RateLimiter:
-    """Owns this VM's part of all targets' limits.
+    """Owns this VM's shares of all targets' limits.
 
     Args:
         outside: Clock and chance.
         own: Name of this VM among its peers.
-        find_members: Returns the halls of this VM and of peers lately heard of,
-            at a time.
+        find_members: Returns the halls of this VM and of live peers by name,
+            given the time.
         find_target: Returns a listed target by name.
         find_pool_halls: Returns the halls with targets of a pool.
-        note_change: Is called when peers have to be told of a limit.
+        note_change: Called when peers need an update.
         metrics: Metrics of the process.
 
     Attributes:
-        limits: What is known of limits.
+        limits: Limits and token buckets.
     """
 
     def __init__(
@@ -98,19 +97,19 @@
         self._changed = asyncio.Event()
         self._members: Mapping[str, str] = {}
         self._members_ms = float("-inf")
-        # Ranking a large hall for each look would cost more than the calls.
-        self._sharers: dict[_ShareKey, int] = {}
+        # Kept while members are the same: ranking a large hall is costly.
+        self._holders: dict[_ShareKey, int] = {}
         # A gauge stays, so one whose limit has ended is set to infinity.
         self._gauged: set[str] = set()
         self._log = logs.make_logger("target")
         self.limits = rate_limits.RateLimits(
             outside.random,
-            self._count_sharers,
+            self._count_holders,
             lambda: len(self._members),
         )
 
     def observe(self, said: statements.Statement) -> None:
-        """Takes in what a target's answer says of its limit."""
+        """Applies the limit in a target's answer, or its absence."""
         now_ms = self._outside.now_ms()
         target_id = said.life.target_id
         if said.rate_limit_per_s is not None:
@@ -124,17 +123,17 @@
         else:
             return
         if is_news:
-            self._tell(target_id, said.rate_limit_per_s, said.request_id)
+            self._log_change(target_id, said.rate_limit_per_s, said.request_id)
             self._note_change()
 
     def summarize(self) -> tuple[rate_limit.RateLimitUpdate, ...]:
-        """Returns the limits that peers are to be told now."""
+        """Returns the updates due for peers."""
         return self.limits.summarize(self._outside.now_ms())
 
     def merge(
         self, updates: Sequence[rate_limit.RateLimitUpdate], peer: str
     ) -> None:
-        """Takes in what a peer has heard of listed targets' limits."""
+        """Merges a peer's updates of listed targets."""
         now_ms = self._outside.now_ms()
         for update in updates[: rate_limits.MAX_UPDATES]:
             if not _is_sound(update):
@@ -143,7 +142,7 @@
             if self._find_target(update.target_id) is None:
                 continue
             if self.limits.merge(update, now_ms):
-                self._tell(update.target_id, update.rate_per_s, peer=peer)
+                self._log_change(update.target_id, update.rate_per_s, peer=peer)
 
     def admit(
         self, target: targets.Target, attempt_id: str
@@ -216,7 +215,7 @@
     def set_gauges(self) -> None:
         """Brings the gauges up to date before they are read."""
         now_ms = self._outside.now_ms()
-        self._gauged |= set(self.limits.find_limited())
+        self._gauged |= set(self.limits.list_limited())
         for target_id in self._gauged:
             limit, own = self.limits.find_share(target_id, now_ms)
             self._metrics.rate_limits.set({"target": target_id}, limit)
@@ -231,7 +230,7 @@
             async with asyncio.timeout(_PROBE_TIMEOUT_MS / 1_000.0):
                 await probe(target)
 
-    def _count_sharers(
+    def _count_holders(
         self, target_id: str, rate_per_s: float, now_ms: float
     ) -> int:
         """Returns how many VMs share a limit; 0 if this VM does not."""
@@ -244,21 +243,21 @@
             return 0
         pool_halls = frozenset(self._find_pool_halls(target.pool))
         key = _ShareKey(target_id, target.hall, rate_per_s, pool_halls)
-        if key not in self._sharers:
-            self._sharers[key] = self._choose_sharers(key)
-        return self._sharers[key]
-
-    def _choose_sharers(self, key: _ShareKey) -> int:
-        if len(self._sharers) >= rate_limits.MAX_LIMITS:
-            self._sharers.clear()
-        sharers = rate_limits.choose_sharers(
+        if key not in self._holders:
+            self._holders[key] = self._choose_holders(key)
+        return self._holders[key]
+
+    def _choose_holders(self, key: _ShareKey) -> int:
+        if len(self._holders) >= rate_limits.MAX_LIMITS:
+            self._holders.clear()
+        holders = rate_limits.choose_holders(
             key.target_id,
             key.hall,
             key.rate_per_s,
             self._members,
             key.pool_halls,
         )
-        return len(sharers) if self._own in sharers else 0
+        return len(holders) if self._own in holders else 0
 
     def _refresh_members(self, now_ms: float) -> None:
         if now_ms - self._members_ms < _MEMBERS_MS:
@@ -267,7 +266,7 @@
         members = self._find_members(now_ms)
         if members != self._members:
             self._members = members
-            self._sharers.clear()
+            self._holders.clear()
 
     def _note_time(self, now_ms: float) -> None:
         if now_ms - self._ticked_ms > _STOPPED_MS:
@@ -286,7 +285,7 @@
             retry_ms,
         )
 
-    def _tell(
+    def _log_change(
         self,
         target_id: str,
         rate_per_s: float | None,
--- a/standins/rate_limit_fleet.py
+++ b/standins/rate_limit_fleet.py
@@ -300,13 +300,13 @@
         without: Mechanism that is left out: "sharing" has each VM keep the
             whole limit, "bound" has all VMs hold parts; empty for none.
     """
-    saved = rate_limits.find_share_most
+    saved = rate_limits.find_max_holders
     if without == "bound":
-        rate_limits.find_share_most = lambda rate_per_s: 1_000_000
+        rate_limits.find_max_holders = lambda rate_per_s: 1_000_000
     try:
         return virtual_process.run(lambda: _play(size, seed, without))
     finally:
-        rate_limits.find_share_most = saved
+        rate_limits.find_max_holders = saved
 
 
 async def _play(size: int, seed: int, without: str) -> Played:
@@ -315,8 +315,8 @@
     fleet = Fleet(size, halls, chance.choice((2, 6, 12)), seed)
     if without == "sharing":
         for vm in fleet.vms.values():
-            vm.limiter._count_sharers = lambda *_: 1
-            vm.limiter.limits._count_sharers = lambda *_: 1
+            vm.limiter._count_holders = lambda *_: 1
+            vm.limiter.limits._count_holders = lambda *_: 1
     await asyncio.sleep(_SETTLE_S)
     jobs = [
         asyncio.ensure_future(_name_limits(each, chance))
--- a/tests/test_rate_limit_shares.py
+++ b/tests/test_rate_limit_shares.py
@@ -10,10 +10,10 @@
 
 
 def _make_limits(
-    sharers: int = 1, vms: int = 9, seed: int = 1
+    holders: int = 1, vms: int = 9, seed: int = 1
 ) -> rate_limits.RateLimits:
     return rate_limits.RateLimits(
-        random.Random(seed), lambda *_: sharers, lambda: vms
+        random.Random(seed), lambda *_: holders, lambda: vms
     )
 
 
@@ -31,7 +31,7 @@
     def test_bound_holds_for_any_limit(self) -> None:
         for tenths in range(20_000):
             rate_per_s = tenths / 10.0
-            most = rate_limits.find_share_most(rate_per_s)
+            most = rate_limits.find_max_holders(rate_per_s)
             has_free_probes = rate_per_s / most < 0.5
             worst = (3 if has_free_probes else 2) * most + 5.0 * rate_per_s
             self.assertLessEqual(worst, 6.0 * rate_per_s + 5.0, rate_per_s)
@@ -40,33 +40,33 @@
         members = {f"vm-{n}": f"hall-{n % 3}" for n in range(195)}
         halls = {"hall-0", "hall-1", "hall-2"}
         for rate_per_s in (0.0, 1.0, 5.0, 50.0, 500.0):
-            sharers = rate_limits.choose_sharers(
+            holders = rate_limits.choose_holders(
                 _TARGET, "hall-1", rate_per_s, members, halls
             )
-            self.assertEqual({members[each] for each in sharers}, {"hall-1"})
-            most = rate_limits.find_share_most(rate_per_s)
-            self.assertEqual(len(sharers), min(65, most))
+            self.assertEqual({members[each] for each in holders}, {"hall-1"})
+            most = rate_limits.find_max_holders(rate_per_s)
+            self.assertEqual(len(holders), min(65, most))
 
     def test_halls_without_a_target_of_the_pool_take_part(self) -> None:
         members = {f"vm-{n}": f"hall-{n % 3}" for n in range(9)}
-        sharers = rate_limits.choose_sharers(
+        holders = rate_limits.choose_holders(
             _TARGET, "hall-1", 100.0, members, {"hall-1", "hall-2"}
         )
         self.assertEqual(
-            {members[each] for each in sharers}, {"hall-0", "hall-1"}
+            {members[each] for each in holders}, {"hall-0", "hall-1"}
         )
 
     def test_hall_without_vms_is_served_by_others(self) -> None:
         members = {"vm-0": "hall-0", "vm-1": "hall-1"}
-        sharers = rate_limits.choose_sharers(
+        holders = rate_limits.choose_holders(
             _TARGET, "hall-2", 1.0, members, {"hall-0", "hall-1", "hall-2"}
         )
-        self.assertEqual(sorted(sharers), ["vm-0", "vm-1"])
+        self.assertEqual(sorted(holders), ["vm-0", "vm-1"])
 
     def test_parts_go_to_different_vms_for_different_targets(self) -> None:
         members = {f"vm-{n}": "hall" for n in range(9)}
         found = {
-            rate_limits.choose_sharers(
+            rate_limits.choose_holders(
                 f"i-{number}", "hall", 0.0, members, {"hall"}
             )[0]
             for number in range(60)
@@ -76,7 +76,7 @@
 
 class TokenTest(unittest.TestCase):
     def test_part_is_used_in_full_and_no_more(self) -> None:
-        limits = _make_limits(sharers=2)
+        limits = _make_limits(holders=2)
         limits.observe_limit(_TARGET, 4.0, 0.0, 0.0)
         sent = _count_sent(limits, 0, 10_000)
         self.assertIn(sent, (20, 21))
@@ -133,7 +133,7 @@
         self.assertEqual(_count_sent(limits, 4_990, 5_500), 1)
 
     def test_vm_without_a_part_sends_nothing(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         limits.observe_limit(_TARGET, 50.0, 0.0, 0.0)
         self.assertEqual(_count_sent(limits, 0, 9_000), 0)
 
@@ -179,7 +179,7 @@
         self.assertEqual(limits.find_share(_TARGET, 1_100.0)[0], 1.0)
 
     def test_probe_alone_ends_no_limit(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         limits.observe_limit(_TARGET, 0.0, 0.0, 1_000.0)
         limits.observe_no_limit(_TARGET, False, 5_000.0, 5_010.0)
         # One call goes, and its answer settles it.
@@ -189,7 +189,7 @@
 
 class RecoveryTest(unittest.TestCase):
     def test_load_comes_back_over_some_time(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         limits.observe_limit(_TARGET, 0.0, 0.0, 0.0)
         limits.observe_no_limit(_TARGET, True, 1_000.0, 1_100.0)
         first = _count_sent(limits, 1_100, 2_000)
@@ -209,7 +209,7 @@
         return limits.merge(update, now_ms)
 
     def test_word_of_a_peer_limits(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         self.assertTrue(self._merge(limits, 1.0, 0.0))
         self.assertEqual(_count_sent(limits, 0, 9_000), 0)
 
@@ -235,7 +235,7 @@
         self.assertEqual(updates[0].target_id, "i-99")
 
     def test_end_is_passed_on_and_ends_the_limit_elsewhere(self) -> None:
-        one, other = _make_limits(), _make_limits(sharers=0)
+        one, other = _make_limits(), _make_limits(holders=0)
         one.observe_limit(_TARGET, 1.0, 0.0, 100.0)
         other.merge(one.summarize(100.0)[0], 102.0)
         one.observe_no_limit(_TARGET, True, 2_000.0, 2_100.0)
@@ -258,7 +258,7 @@
         self.assertFalse(limits.is_limited(_TARGET))
 
     def test_wrong_word_is_tried_even_without_a_part(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         sent = 0
         for now_ms in range(0, 120_000, 50):
             if now_ms % 400 == 0:
@@ -268,7 +268,7 @@
         self.assertLess(sent, 10)
 
     def test_limit_that_nobody_speaks_of_is_tried(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         limits.observe_limit(_TARGET, 1.0, 0.0, 0.0)
         self.assertEqual(_count_sent(limits, 0, 10_000), 0)
         self.assertEqual(_count_sent(limits, 10_000, 20_000), 1)
@@ -290,6 +290,6 @@
         self.assertEqual(probes, [4_000, 8_000, 12_000])
 
     def test_others_do_not_probe(self) -> None:
-        limits = _make_limits(sharers=0)
+        limits = _make_limits(holders=0)
         limits.observe_limit(_TARGET, 0.0, 0.0, 0.0)
         self.assertEqual(limits.take_due_probes(60_000.0), [])
