Give back no token that was not taken

A call whose connection failed gave a token of its target's rate limit back, though one is taken only once the connection is up. A bucket in debt for orders or probes could have got a request too many that way; none was seen, as placement asks for a whole token first and a bucket holds one. Found by reading; the test counts the returns and fails without the change (one for each failed connection).

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -87,6 +87,8 @@
         # Targets in whose place nobody or another one answered.
         self._gone: set[str] = set()
         self._sent_ms = tools.outside.now_ms()
+        # Whether a token of the target's rate limit was taken.
+        self._has_token = False
         self._has_first = False
         self._has_answered = False
 
@@ -128,12 +130,14 @@
 
     def _refuse_send(self) -> outcomes.NotServed | None:
         """Returns why the call may not be sent in this moment, if so."""
+        refusal = self._tools.suspects.refuse(self._request)
+        refusal = refusal or self._refuse_withdrawn()
+        if refusal is not None:
+            return refusal
         seat = self._seats[0]
-        return (
-            self._tools.suspects.refuse(self._request)
-            or self._refuse_withdrawn()
-            or self._tools.admit(seat.target, seat.attempt_id)
-        )
+        refusal = self._tools.admit(seat.target, seat.attempt_id)
+        self._has_token = refusal is None
+        return refusal
 
     def _refuse_withdrawn(self) -> outcomes.NotServed | None:
         """Returns a refusal if the target or a helper takes no calls now."""
@@ -278,7 +282,7 @@
         return True
 
     def _note_failure(self, ended: outcomes.NotServed) -> None:
-        if ended.reason in _NOT_SENT_REASONS:
+        if self._has_token and ended.reason in _NOT_SENT_REASONS:
             self._tools.give_back(self._seats[0].target)
         if ended.reason in _NOT_THE_TARGETS_FAULT or self._at_fault:
             return
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -192,6 +192,22 @@
 
         gateway_scene.play(scene, **_FLEET)
 
+    def test_connection_that_fails_gives_no_token_back(self) -> None:
+        """A token is taken once a connection is up, and not before."""
+
+        async def scene(scene: gateway_scene.Scene) -> None:
+            given_back: list[str] = []
+            gateway = scene.cluster.vms["vm-0"].gateway
+            limits = gateway._rate_limiter.limits
+            limits.give_back = given_back.append
+            for name, node in scene.cluster.targets.items():
+                if name.startswith("service"):
+                    scene.cluster.kill(node)
+            await scene.call("open")
+            self.assertEqual(given_back, [])
+
+        gateway_scene.play(scene, vms=1)
+
     def test_malformed_limits_do_no_harm(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             for text in ("-1", "nan", "many"):
