Drop limits that nothing has confirmed for a minute

Targets in need are replaced, and each left its limit behind: up to 4,096 were kept, looked through for each digest, and shown as gauges. A limit that neither an answer nor a peer has confirmed for 60 s is dropped; if it holds all the same, the first answer names it again. Found by reading; the test fails without it.

--- a/src/ruddergate/decisions/rate_limits.py
+++ b/src/ruddergate/decisions/rate_limits.py
@@ -47,6 +47,8 @@
 ANNOUNCE_EVERY_MS = 500.0
 # Updates in one digest.
 MAX_UPDATES = 16
+# A limit that was not confirmed for this time is dropped.
+FORGET_MS = 60_000.0
 # Limits kept; the oldest are dropped first.
 MAX_LIMITS = 4_096
 # Holders are looked up again after this time.
@@ -363,6 +365,15 @@
                 due.append(target_id)
         return due
 
+    def forget_old(self, now_ms: float) -> None:
+        """Drops limits that nothing confirms, as of targets that are gone."""
+        for target_id, limit in list(self._limits.items()):
+            if now_ms - limit.named_ms > FORGET_MS:
+                del self._limits[target_id]
+        for target_id, ended in list(self._ended.items()):
+            if now_ms - ended.ended_ms > REFUTED_MS:
+                del self._ended[target_id]
+
     def find_share(self, target_id: str, now_ms: float) -> tuple[float, float]:
         """Returns a target's limit and this VM's share of it, a second.
 
--- a/src/ruddergate/entry/rate_limiter.py
+++ b/src/ruddergate/entry/rate_limiter.py
@@ -207,6 +207,7 @@
             self._changed.clear()
             now_ms = self._outside.now_ms()
             self._note_time(now_ms)
+            self.limits.forget_old(now_ms)
             due = map(self._find_target, self.limits.take_due_probes(now_ms))
             probes = [self._probe(probe, each) for each in due if each]
             if probes:
--- a/tests/test_rate_limit_shares.py
+++ b/tests/test_rate_limit_shares.py
@@ -273,6 +273,17 @@
         self.assertEqual(_count_sent(limits, 0, 10_000), 0)
         self.assertEqual(_count_sent(limits, 10_000, 20_000), 1)
 
+    def test_limits_of_targets_that_are_gone_are_dropped(self) -> None:
+        limits = _make_limits(holders=0)
+        for number in range(100):
+            limits.observe_limit(f"i-{number}", 1.0, 0.0, 0.0)
+        limits.observe_no_limit("i-0", True, 10.0, 20.0)
+        limits.forget_old(30_000.0)
+        self.assertEqual(len(limits.list_limited()), 99)
+        limits.forget_old(60_100.0)
+        self.assertEqual(len(limits), 0)
+        self.assertEqual(limits.summarize(60_100.0), ())
+
     def test_holder_probes_at_once_what_a_peer_tells(self) -> None:
         limits = _make_limits()
         self._merge(limits, 0.0, 1_000.0)
