Read the store's epoch and log the revisions that VMs go by

Logs could not tell whether the store's revisions went back, nor up to which one a VM believes itself up to date. The epoch that the store names in its answers is read now, with the revision it is a gauge and stands on the status page, each change of it is one line, and the lines on lost history, on a regained store and on settings in force name both. The stand-in of the store can be restored from a copy; replicas there keep what their entry says from heartbeat to heartbeat. No change of logic.

tests.test_platform, test_lives, test_gateway_store and test_proof pass.

--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -22,6 +22,7 @@
 from ruddergate.entry import source_peers
 from ruddergate.entry import target_list
 from ruddergate.entry import view as views
+from ruddergate.fleet import store_position
 from ruddergate.messages import news
 from ruddergate.relay import published
 from ruddergate.telemetry import logs
@@ -108,7 +109,7 @@
         self._view = view
         self._scheduler = scheduler
         self._pace = pace
-        self._position: int | None = None
+        self._position: store_position.StorePosition | None = None
         self._targets = target_list.TargetList(withdrawn)
         # When what is known was last proven to be the newest; at first, when
         # this VM began.
@@ -140,13 +141,14 @@
         position = self._position
         if position is None:
             return None
-        step = self._changes.find_since(wanted.position, position)
+        revision = position.revision
+        step = self._changes.find_since(wanted.position, revision)
         age_ms = self._outside.now_ms() - self._proven_ms
         if step is None:
-            return news.News(wanted.question, position, age_ms, False)
+            return news.News(wanted.question, revision, age_ms, False)
         return news.News(
             wanted.question,
-            position,
+            revision,
             age_ms,
             True,
             self._view.catalog.revision,
@@ -204,7 +206,7 @@
         for peer in self._choose_peers():
             asked_ms = self._outside.now_ms()
             position = self._position
-            found = await self._peers.ask(peer, position)
+            found = await self._peers.ask(peer, position.revision)
             if found is None:
                 continue
             proven_ms = proof.find_proven_ms(asked_ms, found.age_ms)
@@ -236,7 +238,10 @@
         return proof.is_fresh(age_ms, self._pace.every_ms)
 
     async def _complete_news(
-        self, peer: str, found: news.News, position: int
+        self,
+        peer: str,
+        found: news.News,
+        position: store_position.StorePosition,
     ) -> published.Changes | None:
         """Returns what a peer told, with its settings where they are newer.
 
@@ -259,7 +264,9 @@
                 self._log.warning("Peer's settings refused. {}", catalog)
                 return None
         return published.Changes(
-            max(position, found.position),
+            dataclasses.replace(
+                position, revision=max(position.revision, found.position)
+            ),
             catalog,
             found.listed,
             found.gone,
@@ -281,7 +288,7 @@
             found = await self._source.read_all()
         else:
             found = await self._source.read_changes(
-                position, self._pace.wait_ms
+                position.revision, self._pace.wait_ms
             )
         if isinstance(found, published.Changes):
             self._is_history_lost = False
@@ -309,7 +316,11 @@
         self, found: published.HistoryLost | published.Unavailable
     ) -> None:
         if isinstance(found, published.HistoryLost):
-            self._log.info("History lost, all is read anew.")
+            self._log.info(
+                "History lost, all is read anew.",
+                store_epoch=found.epoch,
+                **self._show_position(),
+            )
             self._is_history_lost = True
             return
         now_ms = self._outside.now_ms()
@@ -330,13 +341,26 @@
         if self._is_lost:
             self._is_lost = False
             away_ms = self._outside.now_ms() - self._proven_ms
-            self._log.info("Store regained.", away_ms=round(away_ms))
+            self._log.info(
+                "Store regained.",
+                away_ms=round(away_ms),
+                **self._show_position(),
+            )
+
+    def _show_position(self) -> dict[str, int]:
+        """Returns up to where this VM knows the store, for logs."""
+        if self._position is None:
+            return {}
+        return {
+            "known_epoch": self._position.epoch,
+            "known_revision": self._position.revision,
+        }
 
     def _take(
         self,
         changes: published.Changes,
         asked_ms: float,
-        since: int | None,
+        since: store_position.StorePosition | None,
     ) -> None:
         """Takes in what the store or a peer told.
 
@@ -354,18 +378,35 @@
             self._log.warning("Published item refused. {}", problem)
         self._take_catalog(changes, asked_ms)
         self._note_step(changes, since)
-        self._position = changes.position
+        self._move_to(changes.position)
         self._take_targets(changes, since is None, asked_ms)
 
-    def _note_step(self, changes: published.Changes, since: int | None) -> None:
+    def _move_to(self, position: store_position.StorePosition) -> None:
+        """Notes up to where this VM knows the store."""
+        before, self._position = self._position, position
+        self._view.store_position = position
+        if before is not None and before.epoch != position.epoch:
+            self._log.warning(
+                "Store epoch {}, was {}.",
+                position.epoch,
+                before.epoch,
+                store_revision=position.revision,
+                store_revision_before=before.revision,
+            )
+
+    def _note_step(
+        self,
+        changes: published.Changes,
+        since: store_position.StorePosition | None,
+    ) -> None:
         """Keeps the changes for peers that ask for them."""
         if since is None:
             self._changes.restart()
             return
         self._changes.note(
             change_log.Step(
-                since,
-                changes.position,
+                since.revision,
+                changes.position.revision,
                 bool(changes.problems),
                 changes.targets,
                 changes.gone,
@@ -385,6 +426,8 @@
                 changes.catalog.revision,
                 routes=len(changes.catalog),
                 workspaces=len(changes.catalog.workspaces),
+                store_epoch=changes.position.epoch,
+                store_revision=changes.position.revision,
             )
         if not changes.problems:
             self._view.confirm_settings(asked_ms)
--- a/src/ruddergate/entry/status.py
+++ b/src/ruddergate/entry/status.py
@@ -52,6 +52,7 @@
     view = tools.view
     revision = max(view.in_force.manifest.revision, view.catalog.revision)
     tools.metrics.revision.set({}, revision)
+    tools.metrics.store_epoch.set({}, view.store_position.epoch)
     settings_age_ms = view.settings_age_ms(now_ms)
     tools.metrics.settings_age_ms.set({}, min(settings_age_ms, 1e12))
     tools.metrics.retries_left.set({}, tools.budget.tokens)
@@ -91,6 +92,8 @@
         "agent_connected": agent_connected,
         "stopping": stopping,
         "revision": max(view.in_force.manifest.revision, view.catalog.revision),
+        "store_epoch": view.store_position.epoch,
+        "store_revision": view.store_position.revision,
         "settings_age_ms": _round_age(view.settings_age_ms(now_ms)),
         "retries_left": round(tools.budget.tokens, 2),
         "quarantined": tools.suspects.list_quarantined(),
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -8,6 +8,7 @@
 from ruddergate.fleet import condition
 from ruddergate.fleet import life as lives
 from ruddergate.fleet import listing as listings
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.messages import fleet_view
 from ruddergate.messages import shares as share_messages
@@ -27,6 +28,7 @@
         catalog: Published routes, workspaces by key and pools, where settings
             come in that form.
         listing: Published list.
+        store_position: Up to where the platform's store is known.
         catalog_came: Set once there is a catalog.
     """
 
@@ -35,6 +37,9 @@
         self.index = indexes.Index(self.in_force.tree)
         self.catalog = catalogs.EMPTY
         self.listing = listings.EMPTY
+        self.store_position = store_position.StorePosition(
+            store_position.EPOCH_UNKNOWN, 0
+        )
         self.catalog_came = asyncio.Event()
         self._confirmed_ms = _NEVER
         self._settled_since_ms = float("inf")
--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -39,6 +39,8 @@
 # In the answers of a target in need: requests a second that it takes from all
 # VMs together.
 RATE_LIMIT = "server-limit"
+# In all answers of the store: rises by one when it is restored from a copy.
+STORE_EPOCH = "store-era"
 
 _ONE_HOP = frozenset(
     {
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 from typing import TypeAlias
 import urllib.parse
@@ -12,9 +13,11 @@
 
 from ruddergate import environment
 from ruddergate.adapters import _private
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.http import client
 from ruddergate.platform import configuration
+from ruddergate.platform import headers
 from ruddergate.platform import targets as target_entries
 from ruddergate.relay import published
 from ruddergate.settings import catalog as catalogs
@@ -22,6 +25,8 @@
 ReadCatalog: TypeAlias = Callable[[object], catalogs.Catalog | str]
 _OK = 200
 _HISTORY_GONE = 410
+# Peers are told an epoch as an integer of 64 bits.
+_EPOCH_DIGITS_MOST = 18
 
 
 def make_source(
@@ -42,11 +47,11 @@
         return await _read_all(outside, address, limits, read_catalog)
 
     async def read_changes(
-        position: int, wait_ms: float
+        revision: int, wait_ms: float
     ) -> published.Changes | published.HistoryLost | published.Unavailable:
         query = {
             "path-prefix": "",
-            "since-rev": position,
+            "since-rev": revision,
             "wait-ms": round(wait_ms),
         }
         held = dataclasses.replace(
@@ -54,14 +59,13 @@
             silence_ms=limits.silence_ms + wait_ms,
             whole_ms=limits.whole_ms + wait_ms,
         )
-        document = await _ask(outside, address, "/api/kv-watch", query, held)
-        if isinstance(document, published.HistoryLost | published.Unavailable):
-            return document
-        events = _private.get(document, "events", list, None)
-        at = _private.get(document, "at", int, None)
-        if events is None or at is None:
+        answer = await _ask(outside, address, "/api/kv-watch", query, held)
+        if isinstance(answer, published.HistoryLost | published.Unavailable):
+            return answer
+        events = _private.get(answer.document, "events", list, None)
+        if events is None or answer.position is None:
             return published.Unavailable("malformed changes")
-        return _read_items(events, at, read_catalog)
+        return _read_items(events, answer.position, read_catalog)
 
     def read_settings(document: bytes) -> catalogs.Catalog | str:
         return _read_document(document, read_catalog)
@@ -77,46 +81,70 @@
 ) -> published.Changes | published.Unavailable:
     """Reads page by page; changes meanwhile follow from the first page on."""
     items: list[object] = []
-    first_at: int | None = None
+    first: store_position.StorePosition | None = None
     query: dict[str, object] = {"path-prefix": ""}
     while True:
-        document = await _ask(outside, address, "/api/kv-range", query, limits)
-        if isinstance(document, published.HistoryLost):
+        answer = await _ask(outside, address, "/api/kv-range", query, limits)
+        if isinstance(answer, published.HistoryLost):
             return published.Unavailable("a page of the store is gone")
-        if isinstance(document, published.Unavailable):
-            return document
-        page = _private.get(document, "items", list, None)
-        at = _private.get(document, "at", int, None)
-        if page is None or at is None:
+        if isinstance(answer, published.Unavailable):
+            return answer
+        page = _private.get(answer.document, "items", list, None)
+        if page is None or answer.position is None:
             return published.Unavailable("a malformed page")
-        first_at = at if first_at is None else first_at
+        first = first or answer.position
         items.extend(page)
-        if not page or not _private.get(document, "more", bool, False):
-            return _read_items(items, first_at, read_catalog)
+        if not page or not _private.get(answer.document, "more", bool, False):
+            return _read_items(items, first, read_catalog)
         # A page begins behind the key that is named here.
         query["since-rev"] = _private.get(page[-1], "key", str, "")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """A successful answer of the store.
+
+    Attributes:
+        document: Its body.
+        position: The store's position as it answered, if it names one.
+    """
+
+    document: object
+    position: store_position.StorePosition | None
+
+
 async def _ask(
     outside: environment.Environment,
     address: environment.Address,
     path: str,
     query: dict[str, object],
     limits: client.TimeLimits,
-) -> object | published.HistoryLost | published.Unavailable:
+) -> _Answer | published.HistoryLost | published.Unavailable:
     target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
     request = client.make_json_request("GET", target)
     answer = await client.fetch_within(outside, address, request, limits)
     if isinstance(answer, client.Fault):
         return published.Unavailable(answer.detail)
+    epoch = _read_epoch(answer.headers)
     if answer.status == _HISTORY_GONE:
-        return published.HistoryLost()
+        return published.HistoryLost(epoch)
     if answer.status != _OK:
         return published.Unavailable(f"The store answered {answer.status}.")
     document = answer.json()
     if document is None:
         return published.Unavailable("The store's answer is no JSON.")
-    return document
+    revision = _private.get(document, "at", int, None)
+    if revision is None:
+        return _Answer(document, None)
+    return _Answer(document, store_position.StorePosition(epoch, revision))
+
+
+def _read_epoch(fields: Mapping[str, str]) -> int:
+    """Returns the epoch that an answer names, or EPOCH_UNKNOWN."""
+    text = fields.get(headers.STORE_EPOCH, "")
+    is_number = text.isascii() and text.isdecimal()
+    is_number = is_number and len(text) <= _EPOCH_DIGITS_MOST
+    return int(text) if is_number else store_position.EPOCH_UNKNOWN
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,7 +178,9 @@
 
 
 def _read_items(
-    items: Iterable[object], at: int, read_catalog: ReadCatalog
+    items: Iterable[object],
+    position: store_position.StorePosition,
+    read_catalog: ReadCatalog,
 ) -> published.Changes:
     """Reads items in order of revision; the last of a key stands."""
     configurations: list[object] = []
@@ -164,7 +194,7 @@
             entries.take(key.removeprefix(target_entries.PREFIX), item)
     catalog, document = _read_newest(configurations, read_catalog, problems)
     return published.Changes(
-        at,
+        position,
         catalog,
         tuple(entries.listed),
         tuple(entries.gone),
--- a/src/ruddergate/relay/published.py
+++ b/src/ruddergate/relay/published.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.settings import catalog as catalogs
 
@@ -26,7 +27,7 @@
     """What the store holds, or what has changed in it.
 
     Attributes:
-        position: The store's revision up to which this is told.
+        position: The store's position up to which this is told.
         catalog: The newest settings, or None if they are not in this.
         targets: Every entry of a target in order, also those that others of
             the same target have replaced since.
@@ -36,7 +37,7 @@
         spoilt: Entries that stand where targets' do and are none.
     """
 
-    position: int
+    position: store_position.StorePosition
     catalog: catalogs.Catalog | None
     targets: tuple[targets.Target, ...]
     gone: tuple[str, ...]
@@ -47,7 +48,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The store can't tell the changes since then; all must be read anew."""
+    """The store can't tell the changes since then; all must be read anew.
+
+    Attributes:
+        epoch: The store's epoch, as in `store_position.StorePosition`.
+    """
+
+    epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +70,7 @@
 
     Attributes:
         read_all: Returns everything that is published.
-        read_changes: Returns the changes behind a position, waiting for at
+        read_changes: Returns the changes behind a revision, waiting for at
             most so many milliseconds when there are none.
         read_settings: Reads settings as published, or says what is wrong.
     """
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -69,6 +69,10 @@
             "ruddergate_settings_age_ms",
             "Time since the settings were certainly the newest.",
         )
+        self.store_epoch = self._gauge(
+            "ruddergate_store_epoch",
+            "Epoch of the platform's store, 0 if it names none.",
+        )
         self.retries_left = self._gauge(
             "ruddergate_retries_left", "Second sends that may be made now."
         )
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -82,6 +82,8 @@
         hall: Its hall.
         process: What runs there now.
         starts: How often it was started.
+        state: What its entry in the store says, on a replica.
+        sequence: Number of its last entry in the store, on a replica.
         gateway: The gateway, on a VM.
         replica: The replica, elsewhere.
         stop: Begins a planned stop.
@@ -92,6 +94,8 @@
     hall: str
     process: virtual_process.VirtualProcess
     starts: int = 0
+    state: str = "ready"
+    sequence: int = 0
     gateway: gateways.Gateway | None = None
     replica: platform_replica.PlatformReplica | None = None
     stop: asyncio.Event | None = None
@@ -249,6 +253,8 @@
         replica.fatal = self.fatal
         replica.crash = lambda: self.crash_target(node)
         node.replica = replica
+        node.state = "ready"
+        node.sequence = 0
         self.all_replicas.append(replica)
         address = environment.Address(node.name, _REPLICA_PORT)
         self._engines[str(address)] = replica
@@ -301,20 +307,23 @@
     async def _keep_listed(
         self, node: Node, replica: platform_replica.PlatformReplica
     ) -> None:
-        number = 0
         while True:
-            number += 1
-            self.list_target(node, replica, "ready", number)
+            self.list_target(node, replica, node.state)
             await asyncio.sleep(_HEARTBEAT_S)
 
+    def drain_target(self, node: Node) -> None:
+        """Has a replica's entry say from now on that it leaves."""
+        node.state = "draining"
+        self.list_target(node, node.replica, node.state)
+
     def list_target(
         self,
         node: Node,
         replica: platform_replica.PlatformReplica,
         state: str,
-        number: int = 0,
     ) -> None:
         """Writes a replica's entry."""
+        node.sequence += 1
         is_engine = replica.engine is not None
         self.store.put(
             f"servers/{replica.name}",
@@ -324,7 +333,7 @@
                 "zone": node.hall,
                 "slots": self.layout.figures.slots if is_engine else 6,
                 "state": state,
-                "sequence": number,
+                "sequence": node.sequence,
                 **replica.tell_born(),
             },
         )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -22,11 +22,23 @@
     value: bytes | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What the store held at some time."""
+
+    revision: int
+    items: dict[str, _Change]
+    history: list[_Change]
+    forgotten: int
+
+
 class PlatformStore:
     """What operators and targets have written; served to gateways.
 
     Attributes:
         revision: Revision of the last change.
+        epoch: What its answers name as the epoch, as they spell it; empty for
+            a store that names none.
         trouble: Empty, or `busy` (503), `reset` or `silent`.
         calls: Calls answered or not.
         lag: Watches tell changes only up to this revision; None for all.
@@ -34,6 +46,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.epoch = "1"
         self.trouble = ""
         self.calls = 0
         self.lag: int | None = None
@@ -63,9 +76,37 @@
         self._forgotten = self.revision
         self._history.clear()
 
+    def take_copy(self) -> Copy:
+        """Returns a copy of all that the store holds."""
+        return Copy(
+            self.revision,
+            dict(self._items),
+            list(self._history),
+            self._forgotten,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy; what was written since is gone."""
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._forgotten = copy.forgotten
+        if self.epoch:
+            self.epoch = str(int(self.epoch) + 1)
+
     def make_handler(self):  # noqa: ANN201
         """Returns the stream handler that serves the store."""
-        return server.make_stream_handler(self._handle, server.Limits())
+        return server.make_stream_handler(self._handle_named, server.Limits())
+
+    async def _handle_named(
+        self, incoming: message.IncomingRequest
+    ) -> message.Response:
+        """Answers with the epoch of the moment in which the answer is made."""
+        answer = await self._handle(incoming)
+        if not self.epoch:
+            return answer
+        headers = {**answer.headers, "store-era": self.epoch}
+        return dataclasses.replace(answer, headers=headers)
 
     async def _handle(
         self, incoming: message.IncomingRequest
@@ -101,7 +142,7 @@
         since = int(query["since-rev"])
         left_s = int(query.get("wait-ms", "0")) / 1000.0
         while True:
-            if since < self._forgotten:
+            if since < self._forgotten or since > self.revision:
                 return message.make_json_response(410, {})
             last = self.revision if self.lag is None else self.lag
             found = [
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -23,6 +23,7 @@
 from ruddergate.fleet import condition
 from ruddergate.fleet import life as lives
 from ruddergate.fleet import load_report
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.relay import orders
 from ruddergate.relay import published
@@ -34,6 +35,7 @@
 _GRACE = target_list.Grace(float("-inf"), float("inf"))
 # Entries are read every 1.3 s here.
 _SEEN_S = 1.4
+_POSITION = store_position.StorePosition(1, 1)
 
 
 def _make_target(
@@ -72,7 +74,7 @@
         self.list = target_list.TargetList(withdrawals.Withdrawals())
 
     def _take(self, *found: targets.Target, gone: tuple[str, ...] = ()) -> None:
-        changes = published.Changes(1, None, found, gone, ())
+        changes = published.Changes(_POSITION, None, found, gone, ())
         self.list.take(changes, False, 0.0, _GRACE)
 
     def _find(self) -> targets.Target | None:
@@ -203,7 +205,7 @@
                 if name.startswith("engine")
             ]
             for node in engines:
-                cluster.list_target(node, node.replica, "draining", 99)
+                cluster.list_target(node, node.replica, "draining")
                 node.process.kill()
             await asyncio.sleep(_SEEN_S)
             for node in engines:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.fleet import condition
+from ruddergate.fleet import store_position
 from ruddergate.http import client
 from ruddergate.http import message
 from ruddergate.http import server
@@ -327,6 +328,25 @@
         answer = message.make_json_response(410, {})
         self.assertIsInstance(self._ask(answer), published.HistoryLost)
 
+    def test_epoch_is_read_of_all_answers(self) -> None:
+        document = {"events": [], "at": 7}
+        for text, epoch in (
+            ("3", 3),
+            ("12", 12),
+            ("", 0),
+            ("-1", 0),
+            ("1.5", 0),
+            ("soon", 0),
+            ("0x3", 0),
+            ("9" * 30, 0),
+        ):
+            named = {"Store-Era": text}
+            answer = message.make_json_response(200, document, named)
+            position = store_position.StorePosition(epoch, 7)
+            self.assertEqual(self._ask(answer).position, position)
+            answer = message.make_json_response(410, {}, named)
+            self.assertEqual(self._ask(answer), published.HistoryLost(epoch))
+
     def test_nonsense_is_no_answer(self) -> None:
         for answer in (
             message.make_json_response(200, []),
