Order what the store publishes by epoch and revision

Callers' calls reached a target 2.1 to 2.3 s after the store acknowledged that it leaves (2 s allowed). The store had been restored from a copy some seconds old, and gave out revisions again. Followers of a hall took a revision alone for an order: one that was ahead of its reader was told that nothing had changed, with a fresh proof of it, until the store had passed its revision again; one that had read the store anew took the rest of a peer's older history for news and was ahead, too.

A position is (epoch, revision) now, and an epoch fences what came before it: news of an earlier epoch are no news, a peer of a later one makes a VM read everything anew, and changes since a position of an earlier epoch are dropped, also where the store has passed that revision again. An answer of an earlier epoch and pages of two epochs say nothing. Where no epoch is named, a proof that is younger than one's own and of a lower revision, or an answer behind the position asked for, tells the same. A restore counts as an outage for entries that are missing after it. After lost history everything is read in the same turn; it took a second until then.

It holds since no comparison of revisions across epochs is left: a proof is taken of a peer of the same epoch only, and an epoch only of the store itself.

--- a/src/ruddergate/decisions/change_log.py
+++ b/src/ruddergate/decisions/change_log.py
@@ -1,7 +1,8 @@
 """The last changes of what the store published, for peers that ask for them.
 
-A change is known by the store's revisions between which it came. Applying one
-twice does no harm: it holds the last state of each target that it names.
+A change is known by the store's revisions between which it came, all of one
+epoch. Applying one twice does no harm: it holds the last state of each target
+that it names.
 """
 
 import collections
@@ -62,10 +63,12 @@
         """Returns all changes between two revisions as one step.
 
         Returns:
-            The step, or None if it is not known, can't be read or is too
-            large to be told.
+            The step, or None if it is not known, can't be read, is too large
+            to be told, or begins behind its end.
         """
-        if position >= until:
+        if position > until:
+            return None
+        if position == until:
             return Step(until, until, False)
         wanted = [each for each in self._steps if each.until > position]
         if not wanted or wanted[0].since > position:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -214,7 +214,7 @@
             self.tools.incarnation,
             scheduler.summarize,
             self._divide_retries,
-            self._answer_peer,
+            self.answer_peer,
             scheduler.summarize_lost,
             self._suspects.take,
             self._greet,
@@ -259,9 +259,10 @@
         refusal = self._notices.refuse_send(asked)
         return refusal or self._rate_limiter.refuse_helpers(asked[1:])
 
-    def _answer_peer(
+    def answer_peer(
         self, question: peer_questions.Question
     ) -> peer_questions.Answer | None:
+        """Returns the answer to a peer's question, if there is one."""
         match question:
             case news.NewsWanted():
                 return self._sync.answer_news(question)
--- a/src/ruddergate/entry/peer_questions.py
+++ b/src/ruddergate/entry/peer_questions.py
@@ -8,6 +8,7 @@
 from typing import TypeAlias
 
 from ruddergate import environment
+from ruddergate.fleet import store_position
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
 from ruddergate.messages import settings_part
@@ -53,11 +54,14 @@
         self._open: dict[str, asyncio.Future[Answer]] = {}
         self._log = logs.make_logger("peers")
 
-    async def ask_news(self, peer: str, position: int) -> news.News | None:
+    async def ask_news(
+        self, peer: str, position: store_position.StorePosition
+    ) -> news.News | None:
         """Returns what a peer knows of the store, or None without an answer."""
-        found = await self._ask(
-            news.NewsWanted(self._own, self._name_question(), position), peer
+        question = news.NewsWanted(
+            self._own, self._name_question(), position.revision, position.epoch
         )
+        found = await self._ask(question, peer)
         return found if isinstance(found, news.News) else None
 
     async def ask_settings(
--- a/src/ruddergate/entry/source_peers.py
+++ b/src/ruddergate/entry/source_peers.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from ruddergate.entry import settings_exchange
+from ruddergate.fleet import store_position
 from ruddergate.messages import news
 
 
@@ -23,5 +24,7 @@
 
     rank_hall: Callable[[], Sequence[str]]
     own: str
-    ask: Callable[[str, int], Awaitable[news.News | None]]
+    ask: Callable[
+        [str, store_position.StorePosition], Awaitable[news.News | None]
+    ]
     ask_settings: settings_exchange.AskPart
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -17,6 +17,7 @@
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
 from ruddergate.decisions import withdrawals
+from ruddergate.entry import epochs
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import settings_exchange
 from ruddergate.entry import source_peers
@@ -141,20 +142,27 @@
         position = self._position
         if position is None:
             return None
-        revision = position.revision
-        step = self._changes.find_since(wanted.position, revision)
-        age_ms = self._outside.now_ms() - self._proven_ms
-        if step is None:
-            return news.News(wanted.question, revision, age_ms, False)
-        return news.News(
+        if wanted.epoch > position.epoch:
+            self._is_history_lost = True
+        step = None
+        if wanted.epoch == position.epoch:
+            step = self._changes.find_since(wanted.position, position.revision)
+        told = news.News(
             wanted.question,
-            revision,
-            age_ms,
-            True,
-            self._view.catalog.revision,
-            step.listed,
-            step.gone,
-            step.spoilt,
+            position.revision,
+            self._outside.now_ms() - self._proven_ms,
+            False,
+            epoch=position.epoch,
+        )
+        if step is None:
+            return told
+        return dataclasses.replace(
+            told,
+            is_whole=True,
+            settings_revision=self._view.catalog.revision,
+            listed=step.listed,
+            gone=step.gone,
+            spoilt=step.spoilt,
         )
 
     async def _take_turn(self) -> float:
@@ -206,15 +214,24 @@
         for peer in self._choose_peers():
             asked_ms = self._outside.now_ms()
             position = self._position
-            found = await self._peers.ask(peer, position.revision)
-            if found is None:
+            found = await self._peers.ask(peer, position)
+            if found is None or found.epoch < position.epoch:
+                # What it knows, the store has lost.
                 continue
+            if found.epoch > position.epoch:
+                self._is_history_lost = True
+                return False
             proven_ms = proof.find_proven_ms(asked_ms, found.age_ms)
             if proven_ms is None:
                 self._log.warning(
                     "News dropped, their age can't be true.", peer=peer
                 )
                 continue
+            is_behind = found.position < position.revision
+            if is_behind and proven_ms <= self._proven_ms:
+                if self._is_fresh():
+                    return True
+                continue
             changes = await self._complete_news(peer, found, position)
             if changes is None:
                 return False
@@ -245,9 +262,6 @@
     ) -> published.Changes | None:
         """Returns what a peer told, with its settings where they are newer.
 
-        A peer that knows less than this VM proves as much: what it knew was
-        the newest then, and this VM knows all of that.
-
         Returns:
             The changes, or None if the store is to be read for them: more has
             changed than a datagram holds, or the settings can't be had.
@@ -264,9 +278,7 @@
                 self._log.warning("Peer's settings refused. {}", catalog)
                 return None
         return published.Changes(
-            dataclasses.replace(
-                position, revision=max(position.revision, found.position)
-            ),
+            dataclasses.replace(position, revision=found.position),
             catalog,
             found.listed,
             found.gone,
@@ -282,20 +294,42 @@
         self,
     ) -> published.Changes | published.HistoryLost | published.Unavailable:
         """Reads the store and takes in what it tells."""
+        if not self._must_read_all():
+            found = await self._ask_since(self._position)
+            if not isinstance(found, published.HistoryLost):
+                return found
+            self._note_history_lost(found)
+        return await self._ask_since(None)
+
+    async def _ask_since(
+        self, position: store_position.StorePosition | None
+    ) -> published.Changes | published.HistoryLost | published.Unavailable:
+        """Reads what came behind a position, or everything."""
         began_ms = self._outside.now_ms()
-        position = None if self._must_read_all() else self._position
         if position is None:
             found = await self._source.read_all()
         else:
             found = await self._source.read_changes(
                 position.revision, self._pace.wait_ms
             )
+        if not isinstance(found, published.Changes):
+            return found
+        own_epoch = self._view.store_position.epoch
+        found = epochs.check(found, position, own_epoch)
         if isinstance(found, published.Changes):
             self._is_history_lost = False
             self._note_regained()
             self._take(found, began_ms, position)
         return found
 
+    def _note_history_lost(self, found: published.HistoryLost) -> None:
+        self._is_history_lost = True
+        self._log.info(
+            "History lost, all is read anew.",
+            store_epoch=found.epoch,
+            **self._show_position(),
+        )
+
     def _must_read_all(self) -> bool:
         return self._is_history_lost or self._is_behind()
 
@@ -316,12 +350,7 @@
         self, found: published.HistoryLost | published.Unavailable
     ) -> None:
         if isinstance(found, published.HistoryLost):
-            self._log.info(
-                "History lost, all is read anew.",
-                store_epoch=found.epoch,
-                **self._show_position(),
-            )
-            self._is_history_lost = True
+            self._note_history_lost(found)
             return
         now_ms = self._outside.now_ms()
         if not self._is_lost:
@@ -370,8 +399,10 @@
             since: The position behind which it begins; None for everything.
         """
         # Nobody could prove anything while the store was away. Answers of peers
-        # come all the while, so an outage is a gap between proofs.
-        if asked_ms - self._proven_ms > self._pace.outage_ms:
+        # come all the while, so an outage is a gap between proofs. A restore is
+        # one as well: entries may be missing until they are written again.
+        is_away = asked_ms - self._proven_ms > self._pace.outage_ms
+        if is_away or self._is_restored(changes.position):
             self._outage_ended_ms = self._outside.now_ms()
         self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
@@ -381,18 +412,24 @@
         self._move_to(changes.position)
         self._take_targets(changes, since is None, asked_ms)
 
+    def _is_restored(self, position: store_position.StorePosition) -> bool:
+        """Returns whether a position tells that the store was restored."""
+        known = self._position
+        if known is None:
+            return False
+        return position.epoch > known.epoch or position < known
+
     def _move_to(self, position: store_position.StorePosition) -> None:
         """Notes up to where this VM knows the store."""
-        before, self._position = self._position, position
-        self._view.store_position = position
-        if before is not None and before.epoch != position.epoch:
+        if self._is_restored(position):
             self._log.warning(
-                "Store epoch {}, was {}.",
-                position.epoch,
-                before.epoch,
+                "Store restored from a copy.",
+                store_epoch=position.epoch,
                 store_revision=position.revision,
-                store_revision_before=before.revision,
+                **self._show_position(),
             )
+        self._position = position
+        self._view.store_position = position
 
     def _note_step(
         self,
--- a/src/ruddergate/messages/news.py
+++ b/src/ruddergate/messages/news.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 
 
@@ -13,11 +14,14 @@
         sender: Where the asking gateway takes datagrams (HOST:PORT).
         question: Name of this question; the answer repeats it.
         position: The store's revision up to which the asker knows everything.
+        epoch: The store's epoch in which that is so; EPOCH_UNKNOWN of an
+            earlier release.
     """
 
     sender: str
     question: str
     position: int
+    epoch: int = store_position.EPOCH_UNKNOWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +40,8 @@
         listed: Entries of targets in order, as in `published.Changes`.
         gone: Names of targets that are not listed any more.
         spoilt: Names whose entry is none of a target.
+        epoch: The store's epoch that `position` is of; EPOCH_UNKNOWN of an
+            earlier release.
     """
 
     question: str
@@ -46,3 +52,4 @@
     listed: tuple[targets.Target, ...] = ()
     gone: tuple[str, ...] = ()
     spoilt: tuple[str, ...] = ()
+    epoch: int = store_position.EPOCH_UNKNOWN
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -93,6 +93,8 @@
         if page is None or answer.position is None:
             return published.Unavailable("a malformed page")
         first = first or answer.position
+        if answer.position < first or answer.position.epoch != first.epoch:
+            return published.Unavailable("restored between two pages")
         items.extend(page)
         if not page or not _private.get(answer.document, "more", bool, False):
             return _read_items(items, first, read_catalog)
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -56,6 +56,7 @@
         aim_scale: By which all aims and pauses of routes are stretched.
         keeps_names: Whether a replica that starts again has the name that it
             had, and tells when it started.
+        epoch: What the store names as its epoch; empty for none.
     """
 
     vms: int = 3
@@ -68,6 +69,7 @@
     figures: pass_engine.Figures = pass_engine.Figures()
     aim_scale: float = 1.0
     keeps_names: bool = False
+    epoch: str = "1"
 
 
 _LAYOUT = Layout()
@@ -140,6 +142,7 @@
             layout.seed, virtual_network.Latency()
         )
         self.store = platform_store.PlatformStore()
+        self.store.epoch = layout.epoch
         self.vms: dict[str, Node] = {}
         self.targets: dict[str, Node] = {}
         self.all_replicas: list[platform_replica.PlatformReplica] = []
