Do not use a removed target on the word of a restored store

Calls reached targets that had been removed from the list without having said that they leave: after a restore the copy lists them as ready, and all VMs took it at its word until the entry lapsed. What the store forgets, a VM must not.

The last entry of each removed target is remembered with its life and sequence. After a restore an entry of the same life that is not newer is dropped; the target is back with its next heartbeat, or as a younger life. Where entries bear no numbers, the target is asked whether it leaves before it is used. Within one epoch nothing changes.

Ruled out: a time limit for the memory (a copy's age is not bounded), and asking every such target (one that is removed without a word says that it stays).

--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -404,6 +404,8 @@
         is_away = asked_ms - self._proven_ms > self._pace.outage_ms
         if is_away or self._is_restored(changes.position):
             self._outage_ended_ms = self._outside.now_ms()
+        if self._is_restored(changes.position):
+            self._targets.note_restored()
         self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -4,12 +4,14 @@
 the target may start again under its name, and is then another life. A target
 that went off the list while the store was out of reach is kept for a moment,
 since those that live are listed again soon; so is one whose entry another
-writer has spoilt.
+writer has spoilt. One that was removed does not come back by an older copy of
+the store.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
+from ruddergate.decisions import removals
 from ruddergate.decisions import withdrawals
 from ruddergate.fleet import condition
 from ruddergate.fleet import life as lives
@@ -50,6 +52,7 @@
         self._kept_until_ms: dict[str, float] = {}
         # The youngest life of each target that was seen.
         self._born_ms: dict[str, int] = {}
+        self._removals = removals.Removals()
         self._told = told_once.ToldOnce()
         self._log = logs.make_logger("store")
 
@@ -57,6 +60,10 @@
         """Returns the targets that may be used or are leaving."""
         return tuple(map(self._mark, self._targets.values()))
 
+    def note_restored(self) -> None:
+        """Notes that the store was restored from an older copy."""
+        self._removals.note_restored()
+
     def take(
         self,
         changes: published.Changes,
@@ -83,11 +90,12 @@
         if is_all:
             off |= self._targets.keys() - listed.keys() - spoilt
         for target_id in off & self._targets.keys():
+            self._removals.note_removed(self._targets[target_id])
             self._keep_until(target_id, grace.lapsed_ms, now_ms)
         for target_id in spoilt & self._targets.keys():
             self._keep_until(target_id, grace.spoilt_ms, now_ms)
         for target_id, each in listed.items():
-            if target_id not in off | spoilt:
+            if target_id not in off | spoilt and not self._is_stale(each):
                 self._put(each, now_ms)
         self.forget_lapsed(now_ms)
         return max(self._kept_until_ms.values(), default=None)
@@ -125,12 +133,24 @@
             newest[name] = each
         return newest
 
+    def _is_stale(self, target: targets.Target) -> bool:
+        """Returns whether an entry is one that an older copy holds."""
+        if not self._removals.is_stale(target):
+            return False
+        name = target.target_id
+        self._tell_once(name, f"Target {name}: entry from before its removal.")
+        return True
+
     def _put(self, target: targets.Target, now_ms: float) -> None:
         """Lists a target as the store does; `listed` says whether it leaves."""
         name = target.target_id
+        is_uncertain = self._removals.is_uncertain(target)
+        self._removals.note_listed(target)
         self._kept_until_ms.pop(name, None)
         self._told.forget(name)
         self._withdrawn.note_listed(target.life, now_ms)
+        if is_uncertain:
+            self._withdrawn.doubts.add(target.life, now_ms)
         if self._targets.get(name) != target:
             self._log.info(
                 "Target {} is {}.",
--- a/src/ruddergate/fleet/target.py
+++ b/src/ruddergate/fleet/target.py
@@ -19,6 +19,8 @@
         condition: Live or leaving.
         streams_max: Requests it works on at once; 0 when it does not tell.
         born_ms: When it started, see `life.Life`.
+        sequence: Rises with each write of its entry within a life; it is no
+            part of what the entry says.
     """
 
     target_id: str
@@ -28,6 +30,7 @@
     condition: condition.Condition
     streams_max: int = 0
     born_ms: int = lives.BORN_UNKNOWN
+    sequence: int = dataclasses.field(default=0, compare=False)
 
     @property
     def life(self) -> lives.Life:
--- a/src/ruddergate/platform/targets.py
+++ b/src/ruddergate/platform/targets.py
@@ -11,6 +11,7 @@
 # Entries stand under this prefix and the target's incarnation.
 PREFIX = "servers/"
 _BORN = "born"
+_SEQUENCE = "sequence"
 _CONDITIONS: Mapping[object, condition.Condition] = {
     "ready": condition.Condition.LIVE,
     "draining": condition.Condition.LEAVING,
@@ -23,12 +24,12 @@
     "zone": (str,),
     "slots": (int,),
     "state": (str,),
-    "sequence": (int,),
+    _SEQUENCE: (int,),
     "cold-remaining-ms": (int, float),
     _BORN: (int,),
 }
 # Targets that were started before these were told go without.
-_OPTIONAL = frozenset({"sequence", "cold-remaining-ms", _BORN})
+_OPTIONAL = frozenset({_SEQUENCE, "cold-remaining-ms", _BORN})
 
 
 def read_born_ms(document: object) -> int:
@@ -64,6 +65,7 @@
         condition=state,
         streams_max=document["slots"],
         born_ms=document.get(_BORN, lives.BORN_UNKNOWN),
+        sequence=document.get(_SEQUENCE, 0),
     )
 
 
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -38,6 +38,8 @@
 CRASH_LAPSE_S = 2.5
 CRASH_DOWN_S = 4.0
 RETRY_SLACK = 54.0
+# State of a replica that writes no entry any more.
+_UNLISTED = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -310,7 +312,7 @@
     async def _keep_listed(
         self, node: Node, replica: platform_replica.PlatformReplica
     ) -> None:
-        while True:
+        while node.state != _UNLISTED:
             self.list_target(node, replica, node.state)
             await asyncio.sleep(_HEARTBEAT_S)
 
@@ -319,6 +321,11 @@
         node.state = "draining"
         self.list_target(node, node.replica, node.state)
 
+    def stop_listing(self, node: Node) -> None:
+        """Removes a replica's entry for good; it serves on."""
+        node.state = _UNLISTED
+        self.unlist_target(node)
+
     def list_target(
         self,
         node: Node,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -11,13 +11,17 @@
 """
 
 import asyncio
+import dataclasses
 import unittest
 
 import loguru
 
+from ruddergate import environment
+from ruddergate.decisions import removals
 from ruddergate.entry import epochs
 from ruddergate.fleet import condition
 from ruddergate.fleet import store_position
+from ruddergate.fleet import target as targets
 from ruddergate.messages import news
 from ruddergate.relay import published
 from tests import gateway_scene
@@ -137,6 +141,24 @@
 
         gateway_scene.play(scene, vms=9, halls=3)
 
+    def test_live_targets_serve_through_a_restore(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            # All are back under their names, which the copy does not hold.
+            copy = cluster.store.take_copy()
+            for node in cluster.targets.values():
+                cluster.kill(node)
+                cluster.unlist_target(node)
+                cluster.start_target(node)
+            await asyncio.sleep(_LOST_S)
+            cluster.store.restore(copy)
+            for _ in range(40):
+                got = await scene.call("open", "vm-3")
+                self.assertEqual(got.status, 200)
+                await asyncio.sleep(0.1)
+
+        gateway_scene.play(scene, vms=9, halls=1)
+
     def test_epoch_is_shown(self) -> None:
         async def scene(scene: gateway_scene.Scene) -> None:
             await self._restore(scene)
@@ -148,6 +170,126 @@
         gateway_scene.play(scene, vms=3, halls=1)
 
 
+class RemovedTest(unittest.TestCase):
+    """Targets that were removed, and that an older copy lists again.
+
+    A target may end without having said that it leaves: its entry is removed,
+    and it serves on for a while. After a restore the copy listed it as ready,
+    and all VMs sent it calls on the copy's word until its entry lapsed.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def _play_removed(self, vms: int = 9, epoch: str = "1") -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            copy = cluster.store.take_copy()
+            await asyncio.sleep(1.0)
+            node = cluster.targets["service-0"]
+            cluster.stop_listing(node)
+            await asyncio.sleep(_APPLY_S)
+            cluster.store.restore(copy)
+            for _ in range(4):
+                await asyncio.sleep(0.5)
+                for vm in cluster.vms:
+                    found = await scene.count_arrivals(node.replica, "open", vm)
+                    self.assertEqual(found, 0, vm)
+
+        gateway_scene.play(scene, vms=vms, halls=1, epoch=epoch)
+
+    def test_removed_target_is_not_used_on_the_word_of_a_copy(self) -> None:
+        self._play_removed()
+
+    def test_nor_by_vms_that_read_for_themselves(self) -> None:
+        self._play_removed(vms=2)
+
+    def test_nor_of_a_store_without_epochs(self) -> None:
+        self._play_removed(epoch="")
+
+    def test_it_is_used_once_it_has_written_again(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            copy = cluster.store.take_copy()
+            node = cluster.targets["service-0"]
+            cluster.unlist_target(node)
+            await asyncio.sleep(0.1)
+            cluster.store.restore(copy)
+            await asyncio.sleep(_APPLY_S + 1.0)
+            for vm in cluster.vms:
+                found = _find_condition(scene, vm, node.replica.name)
+                self.assertIs(found, condition.Condition.LIVE, vm)
+
+        gateway_scene.play(scene, vms=9, halls=1)
+
+    def test_younger_life_is_used_at_once(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            copy = cluster.store.take_copy()
+            await asyncio.sleep(1.0)
+            node = cluster.targets["service-0"]
+            cluster.stop_listing(node)
+            await asyncio.sleep(_APPLY_S)
+            cluster.kill(node)
+            cluster.store.restore(copy)
+            cluster.start_target(node)
+            await asyncio.sleep(_APPLY_S)
+            for vm in cluster.vms:
+                found = _find_condition(scene, vm, node.replica.name)
+                self.assertIs(found, condition.Condition.LIVE, vm)
+
+        gateway_scene.play(scene, vms=9, halls=1, keeps_names=True)
+
+
+class RemovalsTest(unittest.TestCase):
+    """Entries that a copy may hold of a target that was removed."""
+
+    def setUp(self) -> None:
+        self.removals = removals.Removals()
+
+    def _make(self, born_ms: int, sequence: int) -> targets.Target:
+        return targets.Target(
+            "t",
+            "p",
+            "h",
+            environment.Address("t", 1),
+            condition.Condition.LIVE,
+            1,
+            born_ms,
+            sequence,
+        )
+
+    def test_entries_by_life_and_number(self) -> None:
+        self.removals.note_removed(self._make(5, 7))
+        self.assertFalse(self.removals.is_stale(self._make(5, 7)))
+        self.removals.note_restored()
+        self.assertTrue(self.removals.is_stale(self._make(5, 7)))
+        self.assertTrue(self.removals.is_stale(self._make(5, 0)))
+        self.assertFalse(self.removals.is_stale(self._make(5, 8)))
+        self.assertFalse(self.removals.is_stale(self._make(6, 1)))
+        self.assertFalse(self.removals.is_uncertain(self._make(5, 7)))
+        self.removals.note_listed(self._make(5, 8))
+        self.assertFalse(self.removals.is_stale(self._make(5, 7)))
+
+    def test_entries_without_numbers_are_uncertain(self) -> None:
+        self.removals.note_removed(self._make(5, 0))
+        self.removals.note_restored()
+        self.assertFalse(self.removals.is_stale(self._make(5, 0)))
+        self.assertTrue(self.removals.is_uncertain(self._make(5, 0)))
+        self.assertFalse(self.removals.is_uncertain(self._make(6, 0)))
+
+    def test_oldest_are_forgotten(self) -> None:
+        for number in range(removals.REMOVED_MOST + 1):
+            target = dataclasses.replace(
+                self._make(5, 7), target_id=f"t{number}"
+            )
+            self.removals.note_removed(target)
+        self.removals.note_restored()
+        first = dataclasses.replace(self._make(5, 7), target_id="t0")
+        self.assertFalse(self.removals.is_stale(first))
+
+
 class NewsTest(unittest.TestCase):
     """What VMs of one hall tell each other around a restore."""
 
