Take no proof of settings from a store that has just been restored

Calls ran with a key for 0.3 s more than its removal allows: the removal was acknowledged right before an outage, the restored store showed the settings from before, and each read of it counted as proof that they were the newest. Reads prove nothing of settings in the first second after a VM has seen a restore; what was lost is written again meanwhile, and a key that is in doubt for longer than it may be is refused with a time to come back.

Ruled out: proofs until the settings have changed in the new epoch (they may not have been lost). A restore within 2.8 s of the last proof refuses nobody.

tests.test_store_restored.LostSettingsTest failed before (a call ran 5.0 s after the removal), passes.

--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -63,6 +63,8 @@
             two seconds.
         restored_grace_ms: The same for targets that a restored store does not
             list; from the time of a heartbeat on the next read shows them.
+        rewrite_ms: After a restore, reads prove nothing of settings for so
+            long: what the store has lost is written again meanwhile.
         outage_ms: Time without an answer that counts as out of reach.
     """
 
@@ -74,6 +76,7 @@
     behind_ms: float = BEHIND_LEAST_MS
     lapse_grace_ms: float = 1_500.0
     restored_grace_ms: float = 2_600.0
+    rewrite_ms: float = 1_000.0
     outage_ms: float = BEHIND_LEAST_MS
 
 
@@ -120,6 +123,8 @@
         self._proven_ms = outside.now_ms()
         self._outage_ended_ms = float("-inf")
         self._grace_timer: asyncio.TimerHandle | None = None
+        # Settings that the store lost are there again from this time on.
+        self._rewritten_ms = float("-inf")
         self._is_lost = False
         self._told_ms = 0.0
         self._tries_failed = 0
@@ -413,6 +418,7 @@
         if is_restored:
             self._targets.note_restored()
             lapsed_ms = now_ms + self._pace.restored_grace_ms
+            self._rewritten_ms = now_ms + self._pace.rewrite_ms
         grace = target_list.Grace(lapsed_ms, now_ms + self._pace.lapse_grace_ms)
         self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
@@ -476,7 +482,7 @@
                 store_epoch=changes.position.epoch,
                 store_revision=changes.position.revision,
             )
-        if not changes.problems:
+        if not changes.problems and asked_ms >= self._rewritten_ms:
             self._view.confirm_settings(asked_ms)
 
     def _take_targets(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -342,6 +342,44 @@
             return
 
 
+class LostSettingsTest(unittest.TestCase):
+    """Settings that no VM has read before the store lost them.
+
+    A key was removed right before an outage. The restored store showed the
+    settings from before, and each read of it counted as proof that they were
+    the newest: calls with the key ran until the removal was written again.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_removed_key_is_refused_while_its_removal_is_lost(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            store = cluster.store
+            copy = store.take_copy()
+            removed_s = asyncio.get_running_loop().time()
+            store.trouble = "reset"
+            await asyncio.sleep(4.0)
+            store.restore(copy)
+            store.trouble = ""
+            await asyncio.sleep(0.5)
+            cluster.keys = {"w1": ["another"]}
+            cluster.publish()
+            until_s = removed_s + gateway_cluster.REVOKE_MS / 1000.0
+            await asyncio.sleep(until_s - asyncio.get_running_loop().time())
+            for _ in range(10):
+                for vm in cluster.vms:
+                    got = await scene.call("unsafe", vm)
+                    self.assertEqual(scene.runs(got), [], vm)
+                await asyncio.sleep(0.1)
+            got = await scene.call("unsafe", "vm-0", key="another")
+            self.assertEqual(got.status, 200)
+
+        gateway_scene.play(scene, vms=9, halls=3)
+
+
 class NewsTest(unittest.TestCase):
     """What VMs of one hall tell each other around a restore."""
 
