Go by a peer's settings where a restored store shows older ones

A VM that started after a restore read settings from before it, and ran calls with a key that all others had refused for seconds; so long as the lost settings were not written again. Peers know better: digests name the revision in force, and a VM whose read of the store began after it heard of a later revision, and did not show it, takes no proof of its settings from the store and gets them from that peer. A claim that its peer can't make good is dropped and none is taken of that peer for 30 s.

Ruled out: fetching at once when a later revision is heard of (all VMs would fetch large settings on each change; the next read of the store tells them in nearly all cases), and a wait of each start for peers.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -222,6 +222,8 @@
             take_leaving=self._notices.take_told,
             summarize_rate_limits=self._rate_limiter.summarize,
             merge_rate_limits=self._rate_limiter.merge,
+            find_settings_revision=lambda: view.catalog.revision,
+            note_newer_settings=self.note_newer_settings,
         )
         self._loans = retry_loans.RetryLoans(
             outside,
@@ -274,6 +276,10 @@
                 )
                 return retry_loan.RetriesLent(question.question, lent)
 
+    def note_newer_settings(self, peer: str, revision: int) -> None:
+        """Takes in that a peer goes by later settings than this VM."""
+        self._sync.note_newer_settings(peer, revision)
+
     def _greet(self, peer: str) -> None:
         """Tells a VM that has just started what it should know."""
         self._suspects.greet(peer)
--- a/src/ruddergate/entry/peer_exchange.py
+++ b/src/ruddergate/entry/peer_exchange.py
@@ -90,6 +90,9 @@
         take_leaving: Takes those of a peer, and the peer's name.
         summarize_rate_limits: Returns the rate limits to tell peers.
         merge_rate_limits: Takes those of a peer, and the peer's name.
+        find_settings_revision: Returns the revision of settings in force.
+        note_newer_settings: Takes a peer's name and its revision, if that is
+            a later one.
 
     Attributes:
         loads: What is known of peers.
@@ -122,6 +125,10 @@
         merge_rate_limits: Callable[
             [Sequence[rate_limit.RateLimitUpdate], str], None
         ] = lambda updates, peer: None,
+        find_settings_revision: Callable[[], int] = lambda: 0,
+        note_newer_settings: Callable[
+            [str, int], None
+        ] = lambda peer, revision: None,
     ) -> None:
         self._outside = outside
         self._config = config
@@ -135,6 +142,8 @@
         self._take_leaving = take_leaving
         self._summarize_rate_limits = summarize_rate_limits
         self._merge_rate_limits = merge_rate_limits
+        self._find_settings_revision = find_settings_revision
+        self._note_newer_settings = note_newer_settings
         self._report_peers = note_peers
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
@@ -263,6 +272,7 @@
             lost=self._summarize_lost(),
             leaving=self._summarize_leaving(),
             rate_limits=self._summarize_rate_limits(),
+            settings_revision=self._find_settings_revision(),
         )
 
     def _tell_seeds(
@@ -316,6 +326,7 @@
     ) -> None:
         """Takes digests in, and has those passed on that are news."""
         now_ms = self._outside.now_ms()
+        own_revision = self._find_settings_revision()
         for digest in digests:
             if not _is_sound(digest):
                 self._log.warning("Digest dropped, its sender is no address.")
@@ -329,6 +340,10 @@
                 self._take_leaving(digest.leaving, digest.sender)
             if digest.rate_limits:
                 self._merge_rate_limits(digest.rate_limits, digest.sender)
+            if digest.settings_revision > own_revision:
+                self._note_newer_settings(
+                    digest.sender, digest.settings_revision
+                )
             if pass_on is not None:
                 pass_on(digest)
 
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -16,6 +16,7 @@
 from ruddergate import environment
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
+from ruddergate.decisions import settings_claims
 from ruddergate.decisions import withdrawals
 from ruddergate.entry import epochs
 from ruddergate.entry import scheduler as schedulers
@@ -26,6 +27,7 @@
 from ruddergate.fleet import store_position
 from ruddergate.messages import news
 from ruddergate.relay import published
+from ruddergate.settings import catalog as catalogs
 from ruddergate.telemetry import logs
 
 # A view this old has missed a round of calls.
@@ -132,6 +134,7 @@
         self._store_due_ms = float("-inf")
         self._is_history_lost = False
         self._changes = change_log.ChangeLog()
+        self._claims = settings_claims.SettingsClaims()
         self._log = logs.make_logger("store")
 
     async def run(self) -> None:
@@ -139,6 +142,7 @@
         while True:
             began_ms = self._outside.now_ms()
             pause_ms = await self._take_turn()
+            await self._fetch_claimed()
             pause_ms -= self._outside.now_ms() - began_ms
             await asyncio.sleep(max(_PAUSE_LEAST_MS, pause_ms) / 1000.0)
 
@@ -146,6 +150,10 @@
         """Returns how many entries were none of a target, in all."""
         return self._targets.refused
 
+    def note_newer_settings(self, peer: str, revision: int) -> None:
+        """Notes that a peer goes by later settings than this VM."""
+        self._claims.note(peer, revision, self._outside.now_ms())
+
     def answer_news(self, wanted: news.NewsWanted) -> news.News | None:
         """Returns what this VM knows, for a peer that follows it."""
         position = self._position
@@ -279,13 +287,10 @@
             return None
         catalog, document = None, b""
         if found.settings_revision > self._view.catalog.revision:
-            document = await self.settings.fetch(peer, found.settings_revision)
-            if document is None:
-                return None
-            catalog = self._source.read_settings(document)
-            if isinstance(catalog, str):
-                self._log.warning("Peer's settings refused. {}", catalog)
+            fetched = await self._fetch_settings(peer, found.settings_revision)
+            if fetched is None:
                 return None
+            catalog, document = fetched
         return published.Changes(
             dataclasses.replace(position, revision=found.position),
             catalog,
@@ -299,6 +304,39 @@
             ),
         )
 
+    async def _fetch_settings(
+        self, peer: str, revision: int
+    ) -> tuple[catalogs.Catalog, bytes] | None:
+        """Returns a peer's settings and their document, if they can be had."""
+        document = await self.settings.fetch(peer, revision)
+        if document is None:
+            return None
+        catalog = self._source.read_settings(document)
+        if isinstance(catalog, str):
+            self._log.warning("Peer's settings refused. {}", catalog)
+            return None
+        return catalog, document
+
+    async def _fetch_claimed(self) -> None:
+        """Gets the settings that a peer goes by and the store has lost."""
+        own = self._view.catalog.revision
+        claim = self._claims.find_unmet(own, self._proven_ms)
+        if claim is None:
+            return
+        fetched = await self._fetch_settings(claim.peer, claim.revision)
+        if fetched is None or fetched[0].revision < claim.revision:
+            self._log.warning(
+                "Peer's settings can't be had.",
+                peer=claim.peer,
+                revision=claim.revision,
+            )
+            self._claims.reject(claim.peer, self._outside.now_ms())
+            return
+        self._log.info("Settings of a peer, as the store has lost them.")
+        self._adopt_catalog(*fetched)
+        self._confirm_settings(self._proven_ms)
+        self._scheduler.post(schedulers.ViewChanged())
+
     async def _ask_store(
         self,
     ) -> published.Changes | published.HistoryLost | published.Unavailable:
@@ -470,19 +508,31 @@
     def _take_catalog(
         self, changes: published.Changes, asked_ms: float
     ) -> None:
-        if changes.catalog is not None and self._view.take_catalog(
-            changes.catalog
-        ):
-            self.settings.keep(changes.catalog.revision, changes.document)
-            self._log.info(
-                "Settings {} in force.",
-                changes.catalog.revision,
-                routes=len(changes.catalog),
-                workspaces=len(changes.catalog.workspaces),
-                store_epoch=changes.position.epoch,
-                store_revision=changes.position.revision,
-            )
-        if not changes.problems and asked_ms >= self._rewritten_ms:
+        if changes.catalog is not None:
+            self._adopt_catalog(changes.catalog, changes.document)
+        if not changes.problems:
+            self._confirm_settings(asked_ms)
+
+    def _adopt_catalog(
+        self, catalog: catalogs.Catalog, document: bytes
+    ) -> None:
+        """Goes by settings, unless later ones are in force."""
+        if not self._view.take_catalog(catalog):
+            return
+        self.settings.keep(catalog.revision, document)
+        self._log.info(
+            "Settings {} in force.",
+            catalog.revision,
+            routes=len(catalog),
+            workspaces=len(catalog.workspaces),
+            **self._show_position(),
+        )
+
+    def _confirm_settings(self, asked_ms: float) -> None:
+        """Notes that nothing newer was published, if a read can prove it."""
+        own = self._view.catalog.revision
+        is_known = self._claims.find_unmet(own, asked_ms) is None
+        if is_known and asked_ms >= self._rewritten_ms:
             self._view.confirm_settings(asked_ms)
 
     def _take_targets(
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -21,6 +21,7 @@
         leaving: Lives of targets that have lately told it in answers that they
             leave, as `life.format_life` writes them.
         rate_limits: Limits that targets have lately named or ended.
+        settings_revision: Revision of the published settings in force there.
     """
 
     sender: str
@@ -32,3 +33,4 @@
     lost: bad_news.BadNews = bad_news.NOTHING
     leaving: tuple[str, ...] = ()
     rate_limits: tuple[rate_limit.RateLimitUpdate, ...] = ()
+    settings_revision: int = 0
--- a/tests/test_digest_cost.py
+++ b/tests/test_digest_cost.py
@@ -48,6 +48,7 @@
             bad_news.BadNews(("g",), ("s",), ("h2",)),
             ("i-1@5",),
             (rate_limit.RateLimitUpdate("e", 0.5, 120.0),),
+            13,
         )
         self.fields = [
             "vm:1",
@@ -59,6 +60,7 @@
             [["g"], ["s"], ["h2"]],
             ["i-1@5"],
             [["e", 0.5, 120.0]],
+            13,
         ]
 
     def test_bytes_are_those_of_earlier_releases(self) -> None:
@@ -75,7 +77,14 @@
         early = load_digest.LoadDigest("vm:1", "h", 20, "run", 7, (self.row,))
         data = msgpack.packb((16, self.fields[:6]))
         self.assertEqual(codec.decode(data), early)
-        without_limits = msgspec.structs.replace(self.digest, rate_limits=())
+        without_settings = msgspec.structs.replace(
+            self.digest, settings_revision=0
+        )
+        data = msgpack.packb((16, self.fields[:9]))
+        self.assertEqual(codec.decode(data), without_settings)
+        without_limits = msgspec.structs.replace(
+            without_settings, rate_limits=()
+        )
         data = msgpack.packb((16, self.fields[:8]))
         self.assertEqual(codec.decode(data), without_limits)
         data = msgpack.packb((16, [*self.fields, {"new": 1}]))
