Hand all targets from VM to VM where changes can't be told

A VM that the store turns away goes by its peers' news. After a restore nobody can tell it what has changed since a position of the earlier epoch, so it kept a list from before the restore, sent calls to targets that had left since, and refused keys once its last proof was too old.

News that are not whole are completed with all of the peer's targets at its position, in parts as settings are handed on, and the store is read where they can't be had. An epoch that only a peer has named ends with the next answer of the store that names another.

--- a/src/ruddergate/decisions/settings_copy.py
+++ b/src/ruddergate/decisions/document_copy.py
@@ -1,4 +1,4 @@
-"""Published settings as parts that fit into datagrams."""
+"""Published documents as parts that fit into datagrams."""
 
 from collections.abc import Sequence
 import zlib
--- a/src/ruddergate/entry/epochs.py
+++ b/src/ruddergate/entry/epochs.py
@@ -9,7 +9,7 @@
 def check(
     found: published.Changes,
     since: store_position.StorePosition | None,
-    own_epoch: int,
+    known_epoch: int,
 ) -> published.Changes | published.HistoryLost | published.Unavailable:
     """Returns an answer as far as it can be gone by.
 
@@ -19,16 +19,17 @@
     Args:
         found: The answer. One that names no epoch counts as of the known one.
         since: The position behind which it begins; None for everything.
-        own_epoch: The epoch of what is known.
+        known_epoch: The last epoch that the store itself has named.
     """
     position = found.position
     if position.epoch == store_position.EPOCH_UNKNOWN:
-        position = dataclasses.replace(position, epoch=own_epoch)
-    if position.epoch < own_epoch:
+        position = dataclasses.replace(position, epoch=known_epoch)
+    if position.epoch < known_epoch:
         return published.Unavailable(
-            f"the answer is of epoch {position.epoch}, {own_epoch} is known"
+            f"the answer is of epoch {position.epoch}, {known_epoch} is known"
         )
-    is_other = position.epoch > own_epoch
-    if since is not None and (is_other or position < since):
-        return published.HistoryLost(position.epoch)
+    if since is not None:
+        is_other = position.epoch != since.epoch
+        if is_other or position.revision < since.revision:
+            return published.HistoryLost(position.epoch)
     return dataclasses.replace(found, position=position)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -36,12 +36,13 @@
 from ruddergate.entry import target_notices
 from ruddergate.entry import tools as tool_types
 from ruddergate.entry import view as views
+from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.http import message
 from ruddergate.http import server as http_server
+from ruddergate.messages import document_part
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
-from ruddergate.messages import settings_part
 from ruddergate.relay import door as doors
 from ruddergate.relay import errand as errands
 from ruddergate.relay import orders
@@ -244,6 +245,7 @@
                 str(gateway_config.peers.listen),
                 self._peers.questions.ask_news,
                 self._peers.questions.ask_settings,
+                self._peers.questions.ask_targets,
             ),
             withdrawn,
             self._leaving_check.look,
@@ -268,8 +270,17 @@
         match question:
             case news.NewsWanted():
                 return self._sync.answer_news(question)
-            case settings_part.SettingsWanted():
-                return self._sync.settings.answer(question)
+            case document_part.SettingsWanted():
+                return self._sync.settings.answer(
+                    question.question, question.revision, question.part
+                )
+            case document_part.TargetsWanted():
+                position = store_position.StorePosition(
+                    question.epoch, question.revision
+                )
+                return self._sync.targets.answer(
+                    question.question, position, question.part
+                )
             case retry_loan.RetriesWanted():
                 lent = self.tools.budget.lend(
                     question.retries, question.is_great
--- a/src/ruddergate/entry/peer_questions.py
+++ b/src/ruddergate/entry/peer_questions.py
@@ -9,23 +9,27 @@
 
 from ruddergate import environment
 from ruddergate.fleet import store_position
+from ruddergate.messages import document_part
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
-from ruddergate.messages import settings_part
 from ruddergate.telemetry import logs
 
 Question: TypeAlias = (
-    news.NewsWanted | retry_loan.RetriesWanted | settings_part.SettingsWanted
+    news.NewsWanted
+    | retry_loan.RetriesWanted
+    | document_part.SettingsWanted
+    | document_part.TargetsWanted
 )
 Answer: TypeAlias = (
-    news.News | retry_loan.RetriesLent | settings_part.SettingsPart
+    news.News | retry_loan.RetriesLent | document_part.DocumentPart
 )
 QUESTIONS = (
     news.NewsWanted,
     retry_loan.RetriesWanted,
-    settings_part.SettingsWanted,
+    document_part.SettingsWanted,
+    document_part.TargetsWanted,
 )
-ANSWERS = (news.News, retry_loan.RetriesLent, settings_part.SettingsPart)
+ANSWERS = (news.News, retry_loan.RetriesLent, document_part.DocumentPart)
 # Peers of a hall answer within a few milliseconds, a busy one within some tens.
 ANSWER_TIMEOUT_MS = 120.0
 
@@ -66,13 +70,31 @@
 
     async def ask_settings(
         self, peer: str, revision: int, part: int
-    ) -> settings_part.SettingsPart | None:
+    ) -> document_part.DocumentPart | None:
         """Returns a part of a peer's settings, or None without an answer."""
-        question = settings_part.SettingsWanted(
+        question = document_part.SettingsWanted(
             self._own, self._name_question(), revision, part
         )
+        return await self._ask_part(question, peer)
+
+    async def ask_targets(
+        self, peer: str, position: store_position.StorePosition, part: int
+    ) -> document_part.DocumentPart | None:
+        """Returns a part of a peer's targets, or None without an answer."""
+        question = document_part.TargetsWanted(
+            self._own,
+            self._name_question(),
+            position.epoch,
+            position.revision,
+            part,
+        )
+        return await self._ask_part(question, peer)
+
+    async def _ask_part(
+        self, question: Question, peer: str
+    ) -> document_part.DocumentPart | None:
         found = await self._ask(question, peer)
-        return found if isinstance(found, settings_part.SettingsPart) else None
+        return found if isinstance(found, document_part.DocumentPart) else None
 
     async def ask_retries(
         self, peer: str, retries: float, is_great: bool
--- a/src/ruddergate/entry/source_peers.py
+++ b/src/ruddergate/entry/source_peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 import dataclasses
 
-from ruddergate.entry import settings_exchange
+from ruddergate.entry import document_exchange
 from ruddergate.fleet import store_position
 from ruddergate.messages import news
 
@@ -20,6 +20,7 @@
         own: Name of this VM there.
         ask: Asks one for news since a position; None without an answer.
         ask_settings: Asks one for a part of a revision of the settings.
+        ask_targets: Asks one for a part of its targets at a position.
     """
 
     rank_hall: Callable[[], Sequence[str]]
@@ -27,4 +28,5 @@
     ask: Callable[
         [str, store_position.StorePosition], Awaitable[news.News | None]
     ]
-    ask_settings: settings_exchange.AskPart
+    ask_settings: document_exchange.AskPart[int]
+    ask_targets: document_exchange.AskPart[store_position.StorePosition]
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -18,17 +18,20 @@
 from ruddergate.decisions import proof
 from ruddergate.decisions import settings_claims
 from ruddergate.decisions import withdrawals
+from ruddergate.entry import document_exchange
 from ruddergate.entry import epochs
 from ruddergate.entry import scheduler as schedulers
-from ruddergate.entry import settings_exchange
 from ruddergate.entry import source_peers
 from ruddergate.entry import target_list
 from ruddergate.entry import view as views
 from ruddergate.fleet import store_position
+from ruddergate.fleet import target as targets
+from ruddergate.messages import document_part
 from ruddergate.messages import news
 from ruddergate.relay import published
 from ruddergate.settings import catalog as catalogs
 from ruddergate.telemetry import logs
+from ruddergate.wire import codec
 
 # A view this old has missed a round of calls.
 BEHIND_LEAST_MS = 2_500.0
@@ -97,6 +100,7 @@
 
     Attributes:
         settings: Hands the settings in force to peers.
+        targets: Hands all targets that the store lists to peers.
     """
 
     def __init__(
@@ -112,13 +116,23 @@
     ) -> None:
         self._peers = peers
         self._note_listed = note_listed
-        self.settings = settings_exchange.SettingsExchange(peers.ask_settings)
+        self.settings = document_exchange.DocumentExchange(
+            peers.ask_settings, self._find_settings
+        )
+        self.targets = document_exchange.DocumentExchange(
+            peers.ask_targets, self._find_targets
+        )
         self._outside = outside
         self._source = source
         self._view = view
         self._scheduler = scheduler
         self._pace = pace
         self._position: store_position.StorePosition | None = None
+        self._settings_document = b""
+        # The last epoch that the store itself has named; a peer may be wrong.
+        self._store_epoch = store_position.EPOCH_UNKNOWN
+        # Whether the newest settings of the store could not be read.
+        self._is_unreadable = False
         self._targets = target_list.TargetList(withdrawn)
         # When what is known was last proven to be the newest; at first, when
         # this VM began.
@@ -169,6 +183,7 @@
             position.revision,
             self._outside.now_ms() - self._proven_ms,
             False,
+            self._view.catalog.revision,
             epoch=position.epoch,
         )
         if step is None:
@@ -176,12 +191,26 @@
         return dataclasses.replace(
             told,
             is_whole=True,
-            settings_revision=self._view.catalog.revision,
             listed=step.listed,
             gone=step.gone,
             spoilt=step.spoilt,
         )
 
+    def _find_settings(self, revision: int) -> bytes | None:
+        """Returns the settings in force, if they are of that revision."""
+        if revision != self._view.catalog.revision:
+            return None
+        return self._settings_document
+
+    def _find_targets(
+        self, position: store_position.StorePosition
+    ) -> bytes | None:
+        """Returns all targets, if this VM knows them up to that position."""
+        if position != self._position or self._is_unreadable:
+            return None
+        listed = self._targets.list_published()
+        return codec.encode(document_part.TargetsDocument(listed))
+
     async def _take_turn(self) -> float:
         """Asks the store or peers; returns the time from turn to turn."""
         is_reading = self._is_reader() or self._position is None
@@ -235,24 +264,24 @@
             if found is None or found.epoch < position.epoch:
                 # What it knows, the store has lost.
                 continue
-            if found.epoch > position.epoch:
-                self._is_history_lost = True
-                return False
             proven_ms = proof.find_proven_ms(asked_ms, found.age_ms)
             if proven_ms is None:
                 self._log.warning(
                     "News dropped, their age can't be true.", peer=peer
                 )
                 continue
-            is_behind = found.position < position.revision
-            if is_behind and proven_ms <= self._proven_ms:
+            if _is_behind(found, position):
                 if self._is_fresh():
                     return True
+                if proven_ms > self._proven_ms:
+                    # A store without epochs may have been restored.
+                    return False
                 continue
-            changes = await self._complete_news(peer, found, position)
+            changes = await self._complete_news(peer, found)
             if changes is None:
                 return False
-            self._take(changes, proven_ms, position)
+            is_since = found.is_whole and found.epoch == position.epoch
+            self._take(changes, proven_ms, position if is_since else None)
             if self._is_fresh():
                 return True
         return False
@@ -272,18 +301,20 @@
         return proof.is_fresh(age_ms, self._pace.every_ms)
 
     async def _complete_news(
-        self,
-        peer: str,
-        found: news.News,
-        position: store_position.StorePosition,
+        self, peer: str, found: news.News
     ) -> published.Changes | None:
-        """Returns what a peer told, with its settings where they are newer.
+        """Returns what a peer told, with all that the datagram does not hold.
+
+        That is its settings where they are newer, and all of its targets where
+        it could not tell what has changed.
 
         Returns:
-            The changes, or None if the store is to be read for them: more has
-            changed than a datagram holds, or the settings can't be had.
+            What was told, or None if the store is to be read for it.
         """
-        if not found.is_whole or any(map(self._targets.is_vague, found.listed)):
+        listed = found.listed
+        if not found.is_whole:
+            listed = await self._fetch_targets(peer, found)
+        if listed is None or any(map(self._targets.is_vague, listed)):
             return None
         catalog, document = None, b""
         if found.settings_revision > self._view.catalog.revision:
@@ -292,9 +323,9 @@
                 return None
             catalog, document = fetched
         return published.Changes(
-            dataclasses.replace(position, revision=found.position),
+            store_position.StorePosition(found.epoch, found.position),
             catalog,
-            found.listed,
+            listed,
             found.gone,
             (),
             document,
@@ -304,6 +335,20 @@
             ),
         )
 
+    async def _fetch_targets(
+        self, peer: str, found: news.News
+    ) -> tuple[targets.Target, ...] | None:
+        """Returns all of a peer's targets, if they can be had."""
+        position = store_position.StorePosition(found.epoch, found.position)
+        data = await self.targets.fetch(peer, position)
+        if data is None:
+            return None
+        document = codec.decode(data)
+        if not isinstance(document, document_part.TargetsDocument):
+            self._log.warning("Peer's targets refused.", peer=peer)
+            return None
+        return document.listed
+
     async def _fetch_settings(
         self, peer: str, revision: int
     ) -> tuple[catalogs.Catalog, bytes] | None:
@@ -361,10 +406,9 @@
             )
         if not isinstance(found, published.Changes):
             return found
-        own_epoch = self._view.store_position.epoch
-        found = epochs.check(found, position, own_epoch)
+        found = epochs.check(found, position, self._store_epoch)
         if isinstance(found, published.Changes):
-            self._is_history_lost = False
+            self._store_epoch = found.position.epoch
             self._note_regained()
             self._take(found, began_ms, position)
         return found
@@ -461,6 +505,8 @@
         self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
+        if since is None:
+            self._is_history_lost = False
         self._take_catalog(changes, asked_ms)
         self._note_step(changes, since)
         self._move_to(changes.position)
@@ -508,6 +554,8 @@
     def _take_catalog(
         self, changes: published.Changes, asked_ms: float
     ) -> None:
+        if changes.problems or changes.catalog is not None:
+            self._is_unreadable = bool(changes.problems)
         if changes.catalog is not None:
             self._adopt_catalog(changes.catalog, changes.document)
         if not changes.problems:
@@ -519,7 +567,7 @@
         """Goes by settings, unless later ones are in force."""
         if not self._view.take_catalog(catalog):
             return
-        self.settings.keep(catalog.revision, document)
+        self._settings_document = document
         self._log.info(
             "Settings {} in force.",
             catalog.revision,
@@ -578,3 +626,11 @@
         """Has the view and the scheduler go by the list as it is now."""
         self._view.take_targets(self._targets.listed(), asked_ms)
         self._scheduler.post(schedulers.ViewChanged())
+
+
+def _is_behind(
+    found: news.News, position: store_position.StorePosition
+) -> bool:
+    """Returns whether a peer has read less of the same epoch."""
+    is_same = found.epoch == position.epoch
+    return is_same and found.position < position.revision
--- a/src/ruddergate/entry/target_list.py
+++ b/src/ruddergate/entry/target_list.py
@@ -60,6 +60,14 @@
         """Returns the targets that may be used or are leaving."""
         return tuple(map(self._mark, self._targets.values()))
 
+    def list_published(self) -> tuple[targets.Target, ...]:
+        """Returns what the store lists, as it does."""
+        return tuple(
+            each
+            for target_id, each in self._targets.items()
+            if target_id not in self._kept_until_ms
+        )
+
     def note_restored(self) -> None:
         """Notes that the store was restored from an older copy."""
         self._removals.note_restored()
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -9,6 +9,7 @@
 import msgpack
 import msgspec
 
+from ruddergate.messages import document_part
 from ruddergate.messages import entry_hello
 from ruddergate.messages import entry_load
 from ruddergate.messages import fleet_view
@@ -21,14 +22,17 @@
 from ruddergate.messages import loads
 from ruddergate.messages import news
 from ruddergate.messages import retry_loan
-from ruddergate.messages import settings_part
 from ruddergate.messages import shares
 from ruddergate.messages import suspects
 from ruddergate.messages import tree_parts
 from ruddergate.messages import tree_wanted
 
 Message: TypeAlias = (
-    entry_hello.EntryHello
+    document_part.DocumentPart
+    | document_part.SettingsWanted
+    | document_part.TargetsDocument
+    | document_part.TargetsWanted
+    | entry_hello.EntryHello
     | entry_load.EntryLoad
     | fleet_view.FleetView
     | forward.Forward
@@ -45,8 +49,6 @@
     | news.NewsWanted
     | retry_loan.RetriesLent
     | retry_loan.RetriesWanted
-    | settings_part.SettingsPart
-    | settings_part.SettingsWanted
     | shares.Shares
     | suspects.Suspects
     | tree_parts.TreeParts
@@ -77,9 +79,11 @@
     19: news.News,
     20: retry_loan.RetriesWanted,
     21: retry_loan.RetriesLent,
-    22: settings_part.SettingsWanted,
-    23: settings_part.SettingsPart,
+    22: document_part.SettingsWanted,
+    23: document_part.DocumentPart,
     24: suspects.Suspects,
+    25: document_part.TargetsWanted,
+    26: document_part.TargetsDocument,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_OF = {type_: tag for tag, type_ in _TAGS.items()}
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -10,12 +10,12 @@
 
 from ruddergate import environment
 from ruddergate.decisions import change_log
+from ruddergate.decisions import document_copy
 from ruddergate.decisions import proof
-from ruddergate.decisions import settings_copy
 from ruddergate.fleet import condition
 from ruddergate.fleet import target as targets
+from ruddergate.messages import document_part
 from ruddergate.messages import news
-from ruddergate.messages import settings_part
 from standins import explore
 from standins import gateway_cluster
 from standins import proof_model
@@ -123,15 +123,15 @@
     @hypothesis.given(strategies.binary(max_size=9_000))
     @hypothesis.settings(max_examples=50, deadline=None)
     def test_parts_make_the_document(self, document: bytes) -> None:
-        parts = settings_copy.split(document)
-        self.assertEqual(settings_copy.join(parts), document)
-        self.assertIsNone(settings_copy.join(parts[:-1]))
+        parts = document_copy.split(document)
+        self.assertEqual(document_copy.join(parts), document)
+        self.assertIsNone(document_copy.join(parts[:-1]))
 
     def test_what_is_no_document(self) -> None:
-        self.assertIsNone(settings_copy.join((b"?",)))
-        self.assertIsNone(settings_copy.join(()))
-        too_large = bytes(settings_copy.DOCUMENT_BYTES_MOST + 1)
-        self.assertIsNone(settings_copy.join(settings_copy.split(too_large)))
+        self.assertIsNone(document_copy.join((b"?",)))
+        self.assertIsNone(document_copy.join(()))
+        too_large = bytes(document_copy.DOCUMENT_BYTES_MOST + 1)
+        self.assertIsNone(document_copy.join(document_copy.split(too_large)))
 
 
 class HallTest(unittest.TestCase):
@@ -226,8 +226,8 @@
         async def scene(scene: gateway_scene.Scene) -> None:
             for node in scene.cluster.vms.values():
                 settings = node.gateway._sync.settings
-                settings.answer = lambda wanted: settings_part.SettingsPart(
-                    wanted.question, 1, b"?"
+                settings.answer = lambda question, *_: (
+                    document_part.DocumentPart(question, 1, b"?")
                 )
             scene.cluster.keys = {"w1": ["another"]}
             scene.cluster.publish()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -26,6 +26,7 @@
 from ruddergate.messages import news
 from ruddergate.relay import published
 from standins import gateway_cluster
+from standins import virtual_network
 from tests import gateway_scene
 
 # What the store loses when it is restored.
@@ -440,6 +441,91 @@
         gateway_scene.play(scene, vms=3, halls=1)
 
 
+class ListFromPeersTest(unittest.TestCase):
+    """A restored store that some VMs can't read.
+
+    What changed since a position of an earlier epoch can't be told, so a VM
+    that the store turned away had no way to its targets after a restore, and
+    refused callers once its last proof was too old.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_vms_that_the_store_is_cut_from_have_it_of_peers(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            names = list(cluster.vms)
+            copy = cluster.store.take_copy()
+            for name in names[:6]:
+                cut = virtual_network.Cut(name, "store")
+                cluster.network.cuts.append(cut)
+            await asyncio.sleep(_LOST_S)
+            cluster.store.restore(copy)
+            await asyncio.sleep(_APPLY_S)
+            node = cluster.targets["service-0"]
+            cluster.drain_target(node)
+            await asyncio.sleep(5.0)
+            for name in names:
+                found = _find_condition(scene, name, node.replica.name)
+                self.assertIs(found, condition.Condition.LEAVING, name)
+                self.assertEqual((await scene.call("unsafe", name)).status, 200)
+
+        gateway_scene.play(scene, vms=9, halls=1)
+
+    def test_one_vm_of_a_hall_reads_a_restored_store(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            store = scene.cluster.store
+            copy = store.take_copy()
+            await asyncio.sleep(_LOST_S)
+            store.restore(copy)
+            before = store.calls
+            await asyncio.sleep(_APPLY_S)
+            # Changes, three pages of everything, and a call a second.
+            self.assertLessEqual(store.calls - before, 1 + 3 + 3)
+            for node in scene.cluster.vms.values():
+                view = node.gateway.tools.view
+                self.assertEqual(view.store_position.epoch, 2)
+
+        gateway_scene.play(scene, vms=9, halls=1, engines=10)
+
+    def test_epoch_that_a_peer_makes_up_ends_with_the_peer(self) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            peers = cluster.vms["vm-0"].gateway._peers
+            reader = peers.rank_hall()[0].partition(":")[0]
+            _make_liar(cluster.vms[reader])
+            await asyncio.sleep(_APPLY_S)
+            views = [node.gateway.tools.view for node in cluster.vms.values()]
+            self.assertGreater(
+                max(each.store_position.epoch for each in views), 1
+            )
+            cluster.kill(cluster.vms.pop(reader))
+            await asyncio.sleep(3.0)
+            self.assertEqual({each.store_position.epoch for each in views}, {1})
+            node = cluster.targets["service-0"]
+            cluster.drain_target(node)
+            await asyncio.sleep(_APPLY_S)
+            for vm in cluster.vms:
+                found = _find_condition(scene, vm, node.replica.name)
+                self.assertIs(found, condition.Condition.LEAVING, vm)
+
+        gateway_scene.play(scene, vms=5, halls=1)
+
+
+def _make_liar(node: gateway_cluster.Node) -> None:
+    """Has a VM tell its peers of an epoch that the store has not named."""
+    sync = node.gateway._sync
+    answer_news, find_targets = sync.answer_news, sync._find_targets
+    sync.answer_news = lambda wanted: dataclasses.replace(
+        answer_news(wanted), epoch=10**9, is_whole=False
+    )
+    sync.targets._find = lambda position: find_targets(
+        dataclasses.replace(position, epoch=1)
+    )
+
+
 class ClaimsTest(unittest.TestCase):
     """Revisions that peers claim, against reads of the store."""
 
