Bound how long a missing target is kept by when the store was last away

Calls reached a target 2.8 and 3.3 s after it had been removed right after a restore. It can't be told from one that the copy does not hold yet, and was kept for 2.6 s after the first read; a VM whose call hung in the silent store read it 1.6 s late. The time now ends 2.9 s after the last sign that the store was away, before the VM is held to know of the removal, and a VM reads the store every 0.3 s for 2 s after a restore, so that live targets are seen again within 1.7 s.

Ruled out: a shorter time for all (live targets would be dropped), and shorter time limits of calls (a slow store answers after 0.2 s and more).

--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -14,6 +14,7 @@
 import dataclasses
 
 from ruddergate import environment
+from ruddergate.decisions import absence
 from ruddergate.decisions import change_log
 from ruddergate.decisions import proof
 from ruddergate.decisions import settings_claims
@@ -63,11 +64,11 @@
             back, and its calls are paid for also while the store is away.
         behind_ms: From a view this old on, all is read anew instead of the
             changes: the settings come once then, and not once a change.
-        lapse_grace_ms: How long targets that went off the list while the store
-            was out of reach may still be used: those that live are back within
-            two seconds.
-        restored_grace_ms: The same for targets that a restored store does not
-            list; from the time of a heartbeat on the next read shows them.
+        spoilt_grace_ms: How long targets may still be used whose entry another
+            writer has spoilt.
+        restored_every_ms: Between the beginnings of two calls right after a
+            restore: what was lost is written again in that time.
+        restored_for_ms: How long that lasts.
         rewrite_ms: After a restore, reads prove nothing of settings for so
             long: what the store has lost is written again meanwhile.
         outage_ms: Time without an answer that counts as out of reach.
@@ -79,8 +80,9 @@
     retry_most_ms: float = 500.0
     follower_retry_most_ms: float = 2_000.0
     behind_ms: float = BEHIND_LEAST_MS
-    lapse_grace_ms: float = 1_500.0
-    restored_grace_ms: float = 2_600.0
+    spoilt_grace_ms: float = 1_500.0
+    restored_every_ms: float = 300.0
+    restored_for_ms: float = 2_000.0
     rewrite_ms: float = 1_000.0
     outage_ms: float = BEHIND_LEAST_MS
 
@@ -137,10 +139,13 @@
         # When what is known was last proven to be the newest; at first, when
         # this VM began.
         self._proven_ms = outside.now_ms()
-        self._outage_ended_ms = float("-inf")
+        # Until when targets are kept that lapsed in an outage.
+        self._lapsed_until_ms = float("-inf")
         self._grace_timer: asyncio.TimerHandle | None = None
-        # Settings that the store lost are there again from this time on.
-        self._rewritten_ms = float("-inf")
+        # When this VM saw that the store had been restored.
+        self._restored_ms = float("-inf")
+        # When the last call began that the store did not answer.
+        self._failed_ms = float("-inf")
         self._is_lost = False
         self._told_ms = 0.0
         self._tries_failed = 0
@@ -251,6 +256,9 @@
         Args:
             part: The part of it that a VM takes in a hall with a reader.
         """
+        since_ms = self._outside.now_ms() - self._restored_ms
+        if since_ms < self._pace.restored_for_ms:
+            return self._pace.restored_every_ms
         if proof.is_shared(self._rank_hall()):
             return self._pace.every_ms * part
         return self._pace.every_ms
@@ -404,6 +412,8 @@
             found = await self._source.read_changes(
                 position.revision, self._pace.wait_ms
             )
+        if isinstance(found, published.Unavailable):
+            self._failed_ms = began_ms
         if not isinstance(found, published.Changes):
             return found
         found = epochs.check(found, position, self._store_epoch)
@@ -495,13 +505,16 @@
         now_ms = self._outside.now_ms()
         is_restored = self._is_restored(changes.position)
         if is_restored or asked_ms - self._proven_ms > self._pace.outage_ms:
-            self._outage_ended_ms = now_ms
-        lapsed_ms = self._outage_ended_ms + self._pace.lapse_grace_ms
+            away_ms = max(self._proven_ms, self._failed_ms)
+            self._lapsed_until_ms = absence.find_end_ms(
+                now_ms, away_ms, is_restored
+            )
         if is_restored:
             self._targets.note_restored()
-            lapsed_ms = now_ms + self._pace.restored_grace_ms
-            self._rewritten_ms = now_ms + self._pace.rewrite_ms
-        grace = target_list.Grace(lapsed_ms, now_ms + self._pace.lapse_grace_ms)
+            self._restored_ms = now_ms
+        grace = target_list.Grace(
+            self._lapsed_until_ms, now_ms + self._pace.spoilt_grace_ms
+        )
         self._proven_ms = max(self._proven_ms, asked_ms)
         for problem in changes.problems:
             self._log.warning("Published item refused. {}", problem)
@@ -580,7 +593,7 @@
         """Notes that nothing newer was published, if a read can prove it."""
         own = self._view.catalog.revision
         is_known = self._claims.find_unmet(own, asked_ms) is None
-        if is_known and asked_ms >= self._rewritten_ms:
+        if is_known and asked_ms >= self._restored_ms + self._pace.rewrite_ms:
             self._view.confirm_settings(asked_ms)
 
     def _take_targets(
@@ -607,7 +620,8 @@
         until_ms = self._targets.find_grace_end_ms()
         if until_ms is None:
             return
-        grace_ms = max(0.0, until_ms - self._outside.now_ms())
+        grace_ms = until_ms - self._outside.now_ms()
+        grace_ms = max(_PAUSE_LEAST_MS, grace_ms)
         self._grace_timer = asyncio.get_running_loop().call_later(
             grace_ms / 1000.0, self._end_grace
         )
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -27,19 +27,20 @@
 _METRICS_PORT = 82
 PEER_PORT = 83
 _REPLICA_PORT = 90
-_STORE = environment.Address("store", 70)
+STORE_NAME = "store"
+_STORE = environment.Address(STORE_NAME, 70)
 _ORDER_LIMITS = client.TimeLimits(150.0, 500.0, 500.0)
 _STORE_LIMITS = client.TimeLimits(500.0, 1_500.0, 15_000.0)
 HOST = "app.example"
 KEY = "key-of-w1"
 REVOKE_MS = 5_000.0
-_HEARTBEAT_S = 1.2
+HEARTBEAT_S = 1.2
 # A replica that crashed is off the list after this time, and back after this.
 CRASH_LAPSE_S = 2.5
 CRASH_DOWN_S = 4.0
 RETRY_SLACK = 54.0
 # State of a replica that writes no entry any more.
-_UNLISTED = ""
+UNLISTED = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,10 +109,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A time in which a VM or hall could not answer anybody.
+    """A time in which a VM, a hall or the store could not answer anybody.
 
     Attributes:
-        name: The VM or hall.
+        name: The VM or hall, or STORE_NAME.
         from_s: When it began, on the loop's clock.
         to_s: When it ended.
     """
@@ -158,7 +159,7 @@
 
     async def start(self) -> None:
         """Starts everything and waits until gateways are ready."""
-        process = virtual_process.VirtualProcess("store", "store")
+        process = virtual_process.VirtualProcess(STORE_NAME, STORE_NAME)
         outside = self.network.make_environment(process, 1)
         handler = self.store.make_handler()
         process.start(lambda: outside.serve(handler, _STORE))
@@ -180,6 +181,11 @@
         document = make_configuration(self.keys, self.revision, self.layout)
         self.store.put("op/config", {**document, **changes})
 
+    def write_settings_again(self) -> None:
+        """Writes the last settings again, as after a restore of the store."""
+        document = make_configuration(self.keys, self.revision, self.layout)
+        self.store.put("op/config", document)
+
     def start_vm(self, node: Node) -> None:
         """Starts a gateway's process, for the first time or again."""
         node.starts += 1
@@ -312,9 +318,9 @@
     async def _keep_listed(
         self, node: Node, replica: platform_replica.PlatformReplica
     ) -> None:
-        while node.state != _UNLISTED:
+        while node.state != UNLISTED:
             self.list_target(node, replica, node.state)
-            await asyncio.sleep(_HEARTBEAT_S)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def drain_target(self, node: Node) -> None:
         """Has a replica's entry say from now on that it leaves."""
@@ -323,7 +329,7 @@
 
     def stop_listing(self, node: Node) -> None:
         """Removes a replica's entry for good; it serves on."""
-        node.state = _UNLISTED
+        node.state = UNLISTED
         self.unlist_target(node)
 
     def list_target(
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -161,9 +161,10 @@
 
 
 @contextlib.contextmanager
-def _note_disturbance(
+def note_disturbance(
     cluster: gateway_cluster.GatewayCluster, name: str
 ) -> Iterator[None]:
+    """Notes that a VM or hall, or the store, answers nobody meanwhile."""
     loop = asyncio.get_running_loop()
     from_s = loop.time()
     try:
@@ -188,7 +189,7 @@
 ) -> None:
     node = cluster.vms[chance.choice(sorted(cluster.vms))]
     node.process.freeze()
-    with _note_disturbance(cluster, node.name):
+    with note_disturbance(cluster, node.name):
         await asyncio.sleep(chance.uniform(0.5, 5.0))
     node.process.wake()
 
@@ -233,7 +234,7 @@
 ) -> None:
     cut = virtual_network.Cut(f"hall-{chance.randrange(3)}", "")
     cluster.network.cuts.append(cut)
-    with _note_disturbance(cluster, cut.on):
+    with note_disturbance(cluster, cut.on):
         await asyncio.sleep(chance.uniform(0.5, 5.0))
     cluster.network.cuts.remove(cut)
 
@@ -251,9 +252,10 @@
     most_s: float,
 ) -> None:
     """Has the store answer nobody for a time drawn from a range."""
-    cluster.store.trouble = chance.choice(("busy", "reset", "silent"))
-    await asyncio.sleep(chance.uniform(least_s, most_s))
-    cluster.store.trouble = ""
+    with note_disturbance(cluster, gateway_cluster.STORE_NAME):
+        cluster.store.trouble = chance.choice(("busy", "reset", "silent"))
+        await asyncio.sleep(chance.uniform(least_s, most_s))
+        cluster.store.trouble = ""
 
 
 async def _forget_history(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -17,6 +17,7 @@
 import loguru
 
 from ruddergate import environment
+from ruddergate.decisions import absence
 from ruddergate.decisions import removals
 from ruddergate.decisions import settings_claims
 from ruddergate.entry import epochs
@@ -33,6 +34,8 @@
 _LOST_S = 6.0
 # A target that leaves gets no calls later than this, and settings are in force.
 _APPLY_S = 2.0
+# VMs that reach the store for so long are bound by what it tells.
+_CONTACT_S = 3.0
 
 
 def _find_condition(
@@ -324,6 +327,59 @@
         gateway_scene.play(scene, vms=9, halls=1)
 
 
+class RemovedMeanwhileTest(unittest.TestCase):
+    """Targets removed after the store is back and before a VM has read it.
+
+    They can't be told from those that the copy does not hold yet. VMs whose
+    calls hung while the store was silent read it 1.6 s after its return, kept
+    such a target for another 2.6 s and sent it calls 2.8 s after its removal.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_they_get_no_calls_once_vms_are_in_touch(self) -> None:
+        for away_s in (4.0, 4.4, 4.8, 5.2):
+            with self.subTest(away_s=away_s):
+                self._play(away_s)
+
+    def _play(self, away_s: float) -> None:
+        async def scene(scene: gateway_scene.Scene) -> None:
+            cluster = scene.cluster
+            copy = cluster.store.take_copy()
+            cluster.store.trouble = "silent"
+            await asyncio.sleep(away_s)
+            cluster.store.restore(copy)
+            cluster.store.trouble = ""
+            await asyncio.sleep(0.3)
+            node = cluster.targets["service-0"]
+            cluster.stop_listing(node)
+            await asyncio.sleep(_CONTACT_S - 0.3)
+            for _ in range(5):
+                for vm in cluster.vms:
+                    found = await scene.count_arrivals(node.replica, "open", vm)
+                    self.assertEqual(found, 0, vm)
+                await asyncio.sleep(0.2)
+
+        gateway_scene.play(scene, vms=9, halls=3)
+
+
+class AbsenceTest(unittest.TestCase):
+    """Until when a target is kept that the store does not list."""
+
+    def test_time_goes_by_the_read_and_the_last_sign_before(self) -> None:
+        for read_ms, away_ms, is_restored, until_ms in (
+            (1_000.0, 900.0, False, 2_500.0),
+            (1_000.0, 900.0, True, 2_700.0),
+            (1_000.0, -600.0, True, 2_300.0),
+            (1_000.0, -9_000.0, True, 2_000.0),
+        ):
+            self.assertEqual(
+                absence.find_end_ms(read_ms, away_ms, is_restored), until_ms
+            )
+
+
 async def _wait_for_worst(
     scene: gateway_scene.Scene, node: gateway_cluster.Node
 ) -> None:
