Split the following of the store: calls of it, news of peers, what is taken in

Calls of the store with their pauses and log lines are entry/store_reader.py, peers' news and documents entry/peer_source.py, the pace entry/source_pace.py.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -29,6 +29,7 @@
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import retry_loans
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import source_pace
 from ruddergate.entry import source_peers
 from ruddergate.entry import source_sync
 from ruddergate.entry import status
@@ -84,7 +85,7 @@
     certain_age_max_ms: float
     stop_lag_ms: float
     stop_limit_ms: float
-    pace: source_sync.Pace
+    pace: source_pace.Pace
     retry_share: float
     retry_slack: float
     peers: peer_exchange.PeerConfig
--- /dev/null
+++ b/src/ruddergate/entry/source_pace.py
@@ -0,0 +1,44 @@
+"""How often a VM asks for what the platform's store publishes."""
+
+import dataclasses
+
+# A view this old has missed a round of calls.
+BEHIND_LEAST_MS = 2_500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often the store is asked, in milliseconds.
+
+    Attributes:
+        every_ms: Between the beginnings of two calls. Calls are paid for; a
+            change must be in force within two seconds.
+        wait_ms: Longest wait of a call for a change.
+        retry_ms: After a call that failed.
+        retry_most_ms: After many calls that failed; the pause grows to it.
+        follower_retry_most_ms: The same for a VM that others read for, or
+            that hears fresh proofs of them: they tell it when the store is
+            back, and its calls are paid for also while the store is away.
+        behind_ms: From a view this old on, all is read anew instead of the
+            changes: the settings come once then, and not once a change.
+        spoilt_grace_ms: How long targets may still be used whose entry another
+            writer has spoilt.
+        restored_every_ms: Between the beginnings of two calls right after a
+            restore: what was lost is written again in that time.
+        restored_for_ms: How long that lasts.
+        rewrite_ms: After a restore, reads prove nothing of settings for so
+            long: what the store has lost is written again meanwhile.
+        outage_ms: Time without an answer that counts as out of reach.
+    """
+
+    every_ms: float = 1_300.0
+    wait_ms: float = 0.0
+    retry_ms: float = 150.0
+    retry_most_ms: float = 500.0
+    follower_retry_most_ms: float = 2_000.0
+    behind_ms: float = BEHIND_LEAST_MS
+    spoilt_grace_ms: float = 1_500.0
+    restored_every_ms: float = 300.0
+    restored_for_ms: float = 2_000.0
+    rewrite_ms: float = 1_000.0
+    outage_ms: float = BEHIND_LEAST_MS
--- a/src/ruddergate/entry/source_sync.py
+++ b/src/ruddergate/entry/source_sync.py
@@ -10,7 +10,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 
 from ruddergate import environment
@@ -19,14 +18,14 @@
 from ruddergate.decisions import proof
 from ruddergate.decisions import settings_claims
 from ruddergate.decisions import withdrawals
-from ruddergate.entry import document_exchange
-from ruddergate.entry import epochs
+from ruddergate.entry import peer_source
 from ruddergate.entry import scheduler as schedulers
+from ruddergate.entry import source_pace
 from ruddergate.entry import source_peers
+from ruddergate.entry import store_reader
 from ruddergate.entry import target_list
 from ruddergate.entry import view as views
 from ruddergate.fleet import store_position
-from ruddergate.fleet import target as targets
 from ruddergate.messages import document_part
 from ruddergate.messages import news
 from ruddergate.relay import published
@@ -34,57 +33,11 @@
 from ruddergate.telemetry import logs
 from ruddergate.wire import codec
 
-# A view this old has missed a round of calls.
-BEHIND_LEAST_MS = 2_500.0
 # A turn never follows at once: what is left of a pause may round to nothing.
 _PAUSE_LEAST_MS = 1.0
-# Peers asked in one turn: a reader, and another VM if that one has no news.
-PEERS_ASKED = 2
 # Without news from peers they are asked again after this time, while the store
 # is not asked yet again.
 PEERS_AGAIN_MS = 300.0
-# Each pause between tries is so much longer than the one before.
-_RETRY_GROWTH = 1.3
-# While the store is away, the log says so again after this time.
-_TELL_EVERY_MS = 2_000.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pace:
-    """How often the store is asked, in milliseconds.
-
-    Attributes:
-        every_ms: Between the beginnings of two calls. Calls are paid for; a
-            change must be in force within two seconds.
-        wait_ms: Longest wait of a call for a change.
-        retry_ms: After a call that failed.
-        retry_most_ms: After many calls that failed; the pause grows to it.
-        follower_retry_most_ms: The same for a VM that others read for, or
-            that hears fresh proofs of them: they tell it when the store is
-            back, and its calls are paid for also while the store is away.
-        behind_ms: From a view this old on, all is read anew instead of the
-            changes: the settings come once then, and not once a change.
-        spoilt_grace_ms: How long targets may still be used whose entry another
-            writer has spoilt.
-        restored_every_ms: Between the beginnings of two calls right after a
-            restore: what was lost is written again in that time.
-        restored_for_ms: How long that lasts.
-        rewrite_ms: After a restore, reads prove nothing of settings for so
-            long: what the store has lost is written again meanwhile.
-        outage_ms: Time without an answer that counts as out of reach.
-    """
-
-    every_ms: float = 1_300.0
-    wait_ms: float = 0.0
-    retry_ms: float = 150.0
-    retry_most_ms: float = 500.0
-    follower_retry_most_ms: float = 2_000.0
-    behind_ms: float = BEHIND_LEAST_MS
-    spoilt_grace_ms: float = 1_500.0
-    restored_every_ms: float = 300.0
-    restored_for_ms: float = 2_000.0
-    rewrite_ms: float = 1_000.0
-    outage_ms: float = BEHIND_LEAST_MS
 
 
 class SourceSync:
@@ -111,28 +64,30 @@
         source: published.Source,
         view: views.View,
         scheduler: schedulers.Scheduler,
-        pace: Pace,
+        pace: source_pace.Pace,
         peers: source_peers.SourcePeers,
         withdrawn: withdrawals.Withdrawals,
         note_listed: Callable[[], None] = lambda: None,
     ) -> None:
-        self._peers = peers
-        self._note_listed = note_listed
-        self.settings = document_exchange.DocumentExchange(
-            peers.ask_settings, self._find_settings
+        self._peers = peer_source.PeerSource(
+            outside,
+            peers,
+            source.read_settings,
+            self._find_settings,
+            self._find_targets,
         )
-        self.targets = document_exchange.DocumentExchange(
-            peers.ask_targets, self._find_targets
+        self.settings = self._peers.settings
+        self.targets = self._peers.targets
+        self._reader = store_reader.StoreReader(
+            outside, source, view, pace, self._find_age_ms
         )
+        self._note_listed = note_listed
         self._outside = outside
-        self._source = source
         self._view = view
         self._scheduler = scheduler
         self._pace = pace
         self._position: store_position.StorePosition | None = None
         self._settings_document = b""
-        # The last epoch that the store itself has named; a peer may be wrong.
-        self._store_epoch = store_position.EPOCH_UNKNOWN
         # Whether the newest settings of the store could not be read.
         self._is_unreadable = False
         self._targets = target_list.TargetList(withdrawn)
@@ -144,13 +99,6 @@
         self._grace_timer: asyncio.TimerHandle | None = None
         # When this VM saw that the store had been restored.
         self._restored_ms = float("-inf")
-        # When the last call began that the store did not answer.
-        self._failed_ms = float("-inf")
-        self._is_lost = False
-        self._told_ms = 0.0
-        self._tries_failed = 0
-        # Before this time the store is not asked again after a failure.
-        self._store_due_ms = float("-inf")
         self._is_history_lost = False
         self._changes = change_log.ChangeLog()
         self._claims = settings_claims.SettingsClaims()
@@ -186,7 +134,7 @@
         told = news.News(
             wanted.question,
             position.revision,
-            self._outside.now_ms() - self._proven_ms,
+            self._find_age_ms(),
             False,
             self._view.catalog.revision,
             epoch=position.epoch,
@@ -218,37 +166,35 @@
 
     async def _take_turn(self) -> float:
         """Asks the store or peers; returns the time from turn to turn."""
-        is_reading = self._is_reader() or self._position is None
-        if is_reading and self._is_store_due() and await self._read_store():
+        is_reading = self._peers.is_reader() or self._position is None
+        if is_reading and self._reader.is_due() and await self._read_store():
             return self._find_every_ms(proof.READER_PART)
         if self._position is not None and await self._ask_peers():
             return self._find_every_ms(proof.FOLLOWER_PART)
-        if self._is_store_due() and await self._read_store():
+        if self._reader.is_due() and await self._read_store():
             return self._find_every_ms(proof.FOLLOWER_PART)
-        left_ms = self._store_due_ms - self._outside.now_ms()
-        return min(PEERS_AGAIN_MS, left_ms)
-
-    def _is_store_due(self) -> bool:
-        return self._outside.now_ms() >= self._store_due_ms
+        return min(PEERS_AGAIN_MS, self._reader.find_wait_ms())
 
     async def _read_store(self) -> bool:
         """Returns whether the store has answered."""
-        found = await self._ask_store()
-        if isinstance(found, published.Changes):
-            self._tries_failed = 0
-            self._store_due_ms = float("-inf")
-            return True
-        self._note_failure(found)
-        pause_ms = self._draw_pause_ms()
-        self._tries_failed += 1
-        self._store_due_ms = self._outside.now_ms() + pause_ms
-        return False
+        is_urgent = self._peers.is_reader() and not self._is_fresh()
+        pace = self._pace
+        found = await self._reader.read(
+            None if self._must_read_all() else self._position,
+            pace.retry_most_ms if is_urgent else pace.follower_retry_most_ms,
+        )
+        if found is None:
+            return False
+        self._take(found.changes, found.asked_ms, found.since)
+        return True
 
-    def _rank_hall(self) -> Sequence[str]:
-        return self._peers.rank_hall()
+    def _must_read_all(self) -> bool:
+        return self._is_history_lost or self._find_age_ms() > (
+            self._pace.behind_ms
+        )
 
-    def _is_reader(self) -> bool:
-        return proof.is_reader(self._peers.own, self._rank_hall())
+    def _find_age_ms(self) -> float:
+        return self._outside.now_ms() - self._proven_ms
 
     def _find_every_ms(self, part: float) -> float:
         """Returns the time from turn to turn.
@@ -259,13 +205,13 @@
         since_ms = self._outside.now_ms() - self._restored_ms
         if since_ms < self._pace.restored_for_ms:
             return self._pace.restored_every_ms
-        if proof.is_shared(self._rank_hall()):
+        if self._peers.is_shared():
             return self._pace.every_ms * part
         return self._pace.every_ms
 
     async def _ask_peers(self) -> bool:
         """Returns whether a peer had a proof that is fresh enough."""
-        for peer in self._choose_peers():
+        for peer in self._peers.choose():
             asked_ms = self._outside.now_ms()
             position = self._position
             found = await self._peers.ask(peer, position)
@@ -285,8 +231,10 @@
                     # A store without epochs may have been restored.
                     return False
                 continue
-            changes = await self._complete_news(peer, found)
-            if changes is None:
+            changes = await self._peers.complete(
+                peer, found, self._view.catalog.revision
+            )
+            if changes is None or self._is_vague(changes):
                 return False
             is_since = found.is_whole and found.epoch == position.epoch
             self._take(changes, proven_ms, position if is_since else None)
@@ -294,81 +242,11 @@
                 return True
         return False
 
-    def _choose_peers(self) -> list[str]:
-        """Returns whom to ask: a reader first, and then any other VM."""
-        ranked = [name for name in self._rank_hall() if name != self._peers.own]
-        if not ranked:
-            return []
-        chance = self._outside.random
-        first = chance.choice(ranked[: proof.READERS])
-        rest = [name for name in ranked if name != first]
-        return [first, *chance.sample(rest, min(len(rest), PEERS_ASKED - 1))]
+    def _is_vague(self, changes: published.Changes) -> bool:
+        return any(map(self._targets.is_vague, changes.targets))
 
     def _is_fresh(self) -> bool:
-        age_ms = self._outside.now_ms() - self._proven_ms
-        return proof.is_fresh(age_ms, self._pace.every_ms)
-
-    async def _complete_news(
-        self, peer: str, found: news.News
-    ) -> published.Changes | None:
-        """Returns what a peer told, with all that the datagram does not hold.
-
-        That is its settings where they are newer, and all of its targets where
-        it could not tell what has changed.
-
-        Returns:
-            What was told, or None if the store is to be read for it.
-        """
-        listed = found.listed
-        if not found.is_whole:
-            listed = await self._fetch_targets(peer, found)
-        if listed is None or any(map(self._targets.is_vague, listed)):
-            return None
-        catalog, document = None, b""
-        if found.settings_revision > self._view.catalog.revision:
-            fetched = await self._fetch_settings(peer, found.settings_revision)
-            if fetched is None:
-                return None
-            catalog, document = fetched
-        return published.Changes(
-            store_position.StorePosition(found.epoch, found.position),
-            catalog,
-            listed,
-            found.gone,
-            (),
-            document,
-            tuple(
-                published.Spoilt(each, f"a peer could not read it: {peer}")
-                for each in found.spoilt
-            ),
-        )
-
-    async def _fetch_targets(
-        self, peer: str, found: news.News
-    ) -> tuple[targets.Target, ...] | None:
-        """Returns all of a peer's targets, if they can be had."""
-        position = store_position.StorePosition(found.epoch, found.position)
-        data = await self.targets.fetch(peer, position)
-        if data is None:
-            return None
-        document = codec.decode(data)
-        if not isinstance(document, document_part.TargetsDocument):
-            self._log.warning("Peer's targets refused.", peer=peer)
-            return None
-        return document.listed
-
-    async def _fetch_settings(
-        self, peer: str, revision: int
-    ) -> tuple[catalogs.Catalog, bytes] | None:
-        """Returns a peer's settings and their document, if they can be had."""
-        document = await self.settings.fetch(peer, revision)
-        if document is None:
-            return None
-        catalog = self._source.read_settings(document)
-        if isinstance(catalog, str):
-            self._log.warning("Peer's settings refused. {}", catalog)
-            return None
-        return catalog, document
+        return proof.is_fresh(self._find_age_ms(), self._pace.every_ms)
 
     async def _fetch_claimed(self) -> None:
         """Gets the settings that a peer goes by and the store has lost."""
@@ -376,7 +254,7 @@
         claim = self._claims.find_unmet(own, self._proven_ms)
         if claim is None:
             return
-        fetched = await self._fetch_settings(claim.peer, claim.revision)
+        fetched = await self._peers.fetch_settings(claim.peer, claim.revision)
         if fetched is None or fetched[0].revision < claim.revision:
             self._log.warning(
                 "Peer's settings can't be had.",
@@ -390,102 +268,6 @@
         self._confirm_settings(self._proven_ms)
         self._scheduler.post(schedulers.ViewChanged())
 
-    async def _ask_store(
-        self,
-    ) -> published.Changes | published.HistoryLost | published.Unavailable:
-        """Reads the store and takes in what it tells."""
-        if not self._must_read_all():
-            found = await self._ask_since(self._position)
-            if not isinstance(found, published.HistoryLost):
-                return found
-            self._note_history_lost(found)
-        return await self._ask_since(None)
-
-    async def _ask_since(
-        self, position: store_position.StorePosition | None
-    ) -> published.Changes | published.HistoryLost | published.Unavailable:
-        """Reads what came behind a position, or everything."""
-        began_ms = self._outside.now_ms()
-        if position is None:
-            found = await self._source.read_all()
-        else:
-            found = await self._source.read_changes(
-                position.revision, self._pace.wait_ms
-            )
-        if isinstance(found, published.Unavailable):
-            self._failed_ms = began_ms
-        if not isinstance(found, published.Changes):
-            return found
-        found = epochs.check(found, position, self._store_epoch)
-        if isinstance(found, published.Changes):
-            self._store_epoch = found.position.epoch
-            self._note_regained()
-            self._take(found, began_ms, position)
-        return found
-
-    def _note_history_lost(self, found: published.HistoryLost) -> None:
-        self._is_history_lost = True
-        self._log.info(
-            "History lost, all is read anew.",
-            store_epoch=found.epoch,
-            **self._show_position(),
-        )
-
-    def _must_read_all(self) -> bool:
-        return self._is_history_lost or self._is_behind()
-
-    def _is_behind(self) -> bool:
-        age_ms = self._outside.now_ms() - self._proven_ms
-        return age_ms > self._pace.behind_ms
-
-    def _draw_pause_ms(self) -> float:
-        """Returns the time to the next try; VMs are not to ask in step."""
-        pace = self._pace
-        grown_ms = pace.retry_ms * _RETRY_GROWTH**self._tries_failed
-        most_ms = pace.follower_retry_most_ms
-        if self._is_reader() and not self._is_fresh():
-            most_ms = pace.retry_most_ms
-        return min(most_ms, grown_ms) * self._outside.random.uniform(0.7, 1.0)
-
-    def _note_failure(
-        self, found: published.HistoryLost | published.Unavailable
-    ) -> None:
-        if isinstance(found, published.HistoryLost):
-            self._note_history_lost(found)
-            return
-        now_ms = self._outside.now_ms()
-        if not self._is_lost:
-            self._is_lost = True
-            self._told_ms = now_ms
-            self._log.warning("Store lost. {}", found.detail)
-        elif now_ms - self._told_ms >= _TELL_EVERY_MS:
-            self._told_ms = now_ms
-            self._log.warning(
-                "Store still lost. {}",
-                found.detail,
-                away_ms=round(now_ms - self._proven_ms),
-                revision=self._view.catalog.revision,
-            )
-
-    def _note_regained(self) -> None:
-        if self._is_lost:
-            self._is_lost = False
-            away_ms = self._outside.now_ms() - self._proven_ms
-            self._log.info(
-                "Store regained.",
-                away_ms=round(away_ms),
-                **self._show_position(),
-            )
-
-    def _show_position(self) -> dict[str, int]:
-        """Returns up to where this VM knows the store, for logs."""
-        if self._position is None:
-            return {}
-        return {
-            "known_epoch": self._position.epoch,
-            "known_revision": self._position.revision,
-        }
-
     def _take(
         self,
         changes: published.Changes,
@@ -505,7 +287,7 @@
         now_ms = self._outside.now_ms()
         is_restored = self._is_restored(changes.position)
         if is_restored or asked_ms - self._proven_ms > self._pace.outage_ms:
-            away_ms = max(self._proven_ms, self._failed_ms)
+            away_ms = max(self._proven_ms, self._reader.failed_ms)
             self._lapsed_until_ms = absence.find_end_ms(
                 now_ms, away_ms, is_restored
             )
@@ -539,7 +321,7 @@
                 "Store restored from a copy.",
                 store_epoch=position.epoch,
                 store_revision=position.revision,
-                **self._show_position(),
+                **self._view.store_position.describe(),
             )
         self._position = position
         self._view.store_position = position
@@ -586,7 +368,7 @@
             catalog.revision,
             routes=len(catalog),
             workspaces=len(catalog.workspaces),
-            **self._show_position(),
+            **self._view.store_position.describe(),
         )
 
     def _confirm_settings(self, asked_ms: float) -> None:
--- a/src/ruddergate/fleet/store_position.py
+++ b/src/ruddergate/fleet/store_position.py
@@ -20,3 +20,7 @@
 
     epoch: int
     revision: int
+
+    def describe(self) -> dict[str, int]:
+        """Returns it as fields of a log line."""
+        return {"known_epoch": self.epoch, "known_revision": self.revision}
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -8,7 +8,7 @@
 from ruddergate.entry import config as configs
 from ruddergate.entry import gateway as gateways
 from ruddergate.entry import peer_exchange
-from ruddergate.entry import source_sync
+from ruddergate.entry import source_pace
 from ruddergate.http import client
 from ruddergate.http import server
 from ruddergate.platform import callers
@@ -229,7 +229,7 @@
             certain_age_max_ms=key_age_max_ms,
             stop_lag_ms=2_600.0,
             stop_limit_ms=7_600.0,
-            pace=source_sync.Pace(),
+            pace=source_pace.Pace(),
             retry_share=0.15,
             retry_slack=RETRY_SLACK,
             peers=peer_exchange.PeerConfig(
