--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -60,6 +60,7 @@
         keeps_names: Whether a replica that starts again has the name that it
             had, and tells when it started.
         epoch: What the store names as its epoch; empty for none.
+        pace: How often gateways ask the store.
     """
 
     vms: int = 3
@@ -73,6 +74,7 @@
     aim_scale: float = 1.0
     keeps_names: bool = False
     epoch: str = "1"
+    pace: source_pace.Pace = source_pace.Pace()
 
 
 _LAYOUT = Layout()
@@ -229,7 +231,7 @@
             certain_age_max_ms=key_age_max_ms,
             stop_lag_ms=2_600.0,
             stop_limit_ms=7_600.0,
-            pace=source_pace.Pace(),
+            pace=self.layout.pace,
             retry_share=0.15,
             retry_slack=RETRY_SLACK,
             peers=peer_exchange.PeerConfig(
