--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -16,6 +16,7 @@
 from ruddergate.fleet import target as targets
 from ruddergate.messages import document_part
 from ruddergate.messages import news
+from standins import epoch_model
 from standins import explore
 from standins import gateway_cluster
 from standins import proof_model
@@ -64,6 +65,25 @@
         self.assertFalse(proof.is_reader("vm-1", names))
 
 
+class EpochModelTest(unittest.TestCase):
+    """Every interleaving of a reader, a follower and a restore of the store."""
+
+    def explore(self, compares_epochs: bool) -> explore.Explored:
+        return explore.explore(
+            epoch_model.make_first(),
+            lambda state: epoch_model.steps(state, compares_epochs),
+            epoch_model.is_true,
+        )
+
+    def test_no_change_is_missed_across_a_restore(self) -> None:
+        found = self.explore(True)
+        self.assertEqual(found.trail, ())
+        self.assertGreater(found.states, 10_000)
+
+    def test_one_would_be_by_revisions_alone(self) -> None:
+        self.assertIn("restore", self.explore(False).trail)
+
+
 def _make_target(name: str, state: condition.Condition) -> targets.Target:
     return targets.Target(
         name, "p", "h", environment.Address("1.1.1.1", 1), state
