--- /dev/null
+++ b/standins/played_seeds.py
@@ -0,0 +1,54 @@
+"""Plays seeds of random schedules, several at once, and tells what failed."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+import concurrent.futures
+import functools
+from typing import Protocol
+
+import loguru
+
+
+class Played(Protocol):
+    """What came of a seed.
+
+    Attributes:
+        broken: What went wrong, a sentence each.
+        counts: What it brought about.
+    """
+
+    broken: list[str]
+    counts: Mapping[str, int]
+
+
+def play_all(
+    play: Callable[[int], Played], first: int, count: int, jobs: int
+) -> int:
+    """Plays seeds, prints those that failed, and returns an exit status.
+
+    Args:
+        play: Plays one seed, in a process of its own.
+        first: First seed.
+        count: Number of seeds.
+        jobs: Seeds that are played at once.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    failed = 0
+    seeds = range(first, first + count)
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        all_played = pool.map(functools.partial(_play_silently, play), seeds)
+        for seed, played in zip(seeds, all_played, strict=True):
+            failed += bool(played.broken)
+            counts.update(played.counts)
+            for each in played.broken:
+                print(f"seed {seed}: {each}", flush=True)
+    for name, number in sorted(counts.items()):
+        print(f"{name}: {number}")
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+def _play_silently(play: Callable[[int], Played], seed: int) -> Played:
+    loguru.logger.remove()
+    return play(seed)
--- a/standins/rate_limit_schedules.py
+++ b/standins/rate_limit_schedules.py
@@ -9,18 +9,17 @@
 import asyncio
 import collections
 from collections.abc import Iterable
-import concurrent.futures
 import dataclasses
 import random
 import sys
 
 import cyclopts
-import loguru
 
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
 from standins import gateway_schedules
+from standins import played_seeds
 from standins import rate_limit_check
 from standins import virtual_process
 
@@ -201,25 +200,7 @@
         count: Number of seeds.
         jobs: Seeds that are played at once, each by a process.
     """
-    counts: collections.Counter[str] = collections.Counter()
-    failed = 0
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
-        seeds = range(first, first + count)
-        all_played = pool.map(_play_silently, seeds)
-        for seed, played in zip(seeds, all_played, strict=True):
-            failed += bool(played.broken)
-            counts += played.counts
-            for each in played.broken:
-                print(f"seed {seed}: {each}", flush=True)
-    for name, number in sorted(counts.items()):
-        print(f"{name}: {number}")
-    print(f"{count - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
-def _play_silently(seed: int) -> Played:
-    loguru.logger.remove()
-    return play(seed)
+    return played_seeds.play_all(play, first, count, jobs)
 
 
 if __name__ == "__main__":
--- a/standins/restore_schedules.py
+++ b/standins/restore_schedules.py
@@ -9,19 +9,18 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import concurrent.futures
 import dataclasses
 import random
 import sys
 
 import cyclopts
-import loguru
 
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_promises
 from standins import gateway_schedules
 from standins import platform_store
+from standins import played_seeds
 from standins import restore_checks
 from standins import virtual_network
 from standins import virtual_process
@@ -285,26 +284,7 @@
         count: Number of seeds.
         jobs: Seeds that are played at once, each by a process.
     """
-    counts: dict[str, int] = {}
-    failed = 0
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
-        seeds = range(first, first + count)
-        all_played = pool.map(_play_silently, seeds)
-        for seed, played in zip(seeds, all_played, strict=True):
-            failed += bool(played.broken)
-            for name, number in played.counts.items():
-                counts[name] = counts.get(name, 0) + number
-            for each in played.broken:
-                print(f"seed {seed}: {each}", flush=True)
-    for name, number in sorted(counts.items()):
-        print(f"{name}: {number}")
-    print(f"{count - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
-def _play_silently(seed: int) -> Played:
-    loguru.logger.remove()
-    return play(seed)
+    return played_seeds.play_all(play, first, count, jobs)
 
 
 if __name__ == "__main__":
--- a/standins/withdrawal_schedules.py
+++ b/standins/withdrawal_schedules.py
@@ -10,14 +10,12 @@
 import asyncio
 import collections
 from collections.abc import Iterable
-import concurrent.futures
 import dataclasses
 import functools
 import random
 import sys
 
 import cyclopts
-import loguru
 
 from ruddergate.fleet import life as lives
 from standins import gateway_caller
@@ -26,6 +24,7 @@
 from standins import gateway_schedules
 from standins import peer_liar
 from standins import platform_replica
+from standins import played_seeds
 from standins import virtual_process
 from standins import withdrawal_ways
 
@@ -54,12 +53,12 @@
     Attributes:
         broken: What went wrong, a sentence each.
         statuses: How often callers got each status.
-        ways: How often each way to know of a leaving was taken.
+        counts: How often each way to know of a leaving was taken.
     """
 
     broken: list[str]
     statuses: dict[int, int]
-    ways: collections.Counter[str]
+    counts: collections.Counter[str]
 
 
 def play(seed: int) -> Played:
@@ -309,25 +308,7 @@
         count: Number of seeds.
         jobs: Seeds that are played at once, each by a process.
     """
-    ways: collections.Counter[str] = collections.Counter()
-    failed = 0
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
-        seeds = range(first, first + count)
-        all_played = pool.map(_play_silently, seeds)
-        for seed, played in zip(seeds, all_played, strict=True):
-            failed += bool(played.broken)
-            ways += played.ways
-            for each in played.broken:
-                print(f"seed {seed}: {each}", flush=True)
-    for name, times in sorted(ways.items()):
-        print(f"{name}: {times}")
-    print(f"{count - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
-def _play_silently(seed: int) -> Played:
-    loguru.logger.remove()
-    return play(seed)
+    return played_seeds.play_all(play, first, count, jobs)
 
 
 if __name__ == "__main__":
