--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from ruddergate.fleet import condition
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import platform_replica
@@ -64,6 +65,20 @@
             await self.call(route, vm)
         return len(replica.arrivals) - before
 
+    def find_condition(
+        self, vm: str, node: gateway_cluster.Node
+    ) -> condition.Condition | None:
+        """Returns what a VM believes of a target; None if it is not listed."""
+        listed = self.cluster.vms[vm].gateway.tools.view.listing.targets
+        return next(
+            (
+                each.condition
+                for each in listed
+                if each.target_id == node.replica.name
+            ),
+            None,
+        )
+
     def spoil(self, prefix: str, count: int | None = None, **wrong) -> None:
         """Has the replicas of a name misbehave."""
         names = sorted(self.cluster.targets)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -16,14 +16,9 @@
 
 import loguru
 
-from ruddergate import environment
-from ruddergate.decisions import absence
-from ruddergate.decisions import removals
-from ruddergate.decisions import settings_claims
 from ruddergate.entry import epochs
 from ruddergate.fleet import condition
 from ruddergate.fleet import store_position
-from ruddergate.fleet import target as targets
 from ruddergate.messages import news
 from ruddergate.relay import published
 from standins import gateway_cluster
@@ -34,23 +29,6 @@
 _LOST_S = 6.0
 # A target that leaves gets no calls later than this, and settings are in force.
 _APPLY_S = 2.0
-# VMs that reach the store for so long are bound by what it tells.
-_CONTACT_S = 3.0
-
-
-def _find_condition(
-    scene: gateway_scene.Scene, vm: str, target_id: str
-) -> condition.Condition | None:
-    """Returns what a VM believes of a target; None if it is not listed."""
-    view = scene.cluster.vms[vm].gateway.tools.view
-    return next(
-        (
-            each.condition
-            for each in view.listing.targets
-            if each.target_id == target_id
-        ),
-        None,
-    )
 
 
 class RestoredTest(unittest.TestCase):
@@ -77,7 +55,7 @@
         scene.cluster.drain_target(node)
         await asyncio.sleep(_APPLY_S)
         for vm in scene.cluster.vms:
-            found = _find_condition(scene, vm, node.replica.name)
+            found = scene.find_condition(vm, node)
             self.assertIs(found, condition.Condition.LEAVING, vm)
             self.assertEqual(
                 await scene.count_arrivals(node.replica, "open", vm), 0, vm
@@ -121,7 +99,7 @@
             scene.cluster.kill(node)
             await asyncio.sleep(_APPLY_S)
             for vm in scene.cluster.vms:
-                found = _find_condition(scene, vm, node.replica.name)
+                found = scene.find_condition(vm, node)
                 self.assertIs(found, condition.Condition.LEAVING, vm)
 
         gateway_scene.play(scene, vms=9, halls=1)
@@ -176,336 +154,6 @@
         gateway_scene.play(scene, vms=3, halls=1)
 
 
-class RemovedTest(unittest.TestCase):
-    """Targets that were removed, and that an older copy lists again.
-
-    A target may end without having said that it leaves: its entry is removed,
-    and it serves on for a while. After a restore the copy listed it as ready,
-    and all VMs sent it calls on the copy's word until its entry lapsed. Its
-    number there says nothing: a heartbeat that only counts up is no change, and
-    so the last number that a VM has seen may be an old one.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        loguru.logger.remove()
-
-    def _play_removed(self, vms: int = 9, epoch: str = "1") -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            copy = cluster.store.take_copy()
-            await asyncio.sleep(1.0)
-            node = cluster.targets["service-0"]
-            cluster.stop_listing(node)
-            await asyncio.sleep(_APPLY_S)
-            cluster.store.restore(copy)
-            for _ in range(4):
-                await asyncio.sleep(0.5)
-                for vm in cluster.vms:
-                    found = await scene.count_arrivals(node.replica, "open", vm)
-                    self.assertEqual(found, 0, vm)
-
-        gateway_scene.play(scene, vms=vms, halls=1, epoch=epoch)
-
-    def test_removed_target_is_not_used_on_the_word_of_a_copy(self) -> None:
-        self._play_removed()
-
-    def test_nor_by_vms_that_read_for_themselves(self) -> None:
-        self._play_removed(vms=2)
-
-    def test_nor_of_a_store_without_epochs(self) -> None:
-        self._play_removed(epoch="")
-
-    def test_it_is_used_once_it_has_written_again(self) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            copy = cluster.store.take_copy()
-            node = cluster.targets["service-0"]
-            cluster.unlist_target(node)
-            await asyncio.sleep(0.1)
-            cluster.store.restore(copy)
-            # A heartbeat, and a second read of everything.
-            await asyncio.sleep(_APPLY_S + 1.3)
-            for vm in cluster.vms:
-                found = _find_condition(scene, vm, node.replica.name)
-                self.assertIs(found, condition.Condition.LIVE, vm)
-
-        gateway_scene.play(scene, vms=9, halls=1)
-
-    def test_younger_life_is_used_at_once(self) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            copy = cluster.store.take_copy()
-            await asyncio.sleep(1.0)
-            node = cluster.targets["service-0"]
-            cluster.stop_listing(node)
-            await asyncio.sleep(_APPLY_S)
-            cluster.kill(node)
-            cluster.store.restore(copy)
-            cluster.start_target(node)
-            await asyncio.sleep(_APPLY_S)
-            for vm in cluster.vms:
-                found = _find_condition(scene, vm, node.replica.name)
-                self.assertIs(found, condition.Condition.LIVE, vm)
-
-        gateway_scene.play(scene, vms=9, halls=1, keeps_names=True)
-
-
-class RemovalsTest(unittest.TestCase):
-    """Entries that a copy may hold of a target that was removed."""
-
-    def setUp(self) -> None:
-        self.removals = removals.Removals()
-        self.removals.note_removed(self._make(5, 7))
-
-    def _make(self, born_ms: int, sequence: int) -> targets.Target:
-        return targets.Target(
-            "t",
-            "p",
-            "h",
-            environment.Address("t", 1),
-            condition.Condition.LIVE,
-            1,
-            born_ms,
-            sequence,
-        )
-
-    def test_within_an_epoch_an_entry_is_a_new_one(self) -> None:
-        self.assertTrue(self.removals.take_entry(self._make(5, 7), True))
-
-    def test_entry_of_the_copy_is_stale_whatever_its_number(self) -> None:
-        self.removals.note_restored()
-        self.assertFalse(self.removals.take_entry(self._make(5, 9), True))
-        self.assertFalse(self.removals.take_entry(self._make(5, 9), True))
-        self.assertTrue(self.removals.take_entry(self._make(5, 10), True))
-        self.assertTrue(self.removals.take_entry(self._make(5, 10), True))
-
-    def test_change_after_the_restore_is_none_of_the_copy(self) -> None:
-        self.removals.note_restored()
-        self.assertFalse(self.removals.take_entry(self._make(5, 9), True))
-        self.assertTrue(self.removals.take_entry(self._make(5, 9), False))
-
-    def test_younger_life_is_used(self) -> None:
-        self.removals.note_restored()
-        self.assertTrue(self.removals.take_entry(self._make(6, 1), True))
-
-    def test_second_restore_compares_anew(self) -> None:
-        self.removals.note_restored()
-        self.assertFalse(self.removals.take_entry(self._make(5, 6), True))
-        self.removals.note_restored()
-        self.assertFalse(self.removals.take_entry(self._make(5, 7), True))
-
-    def test_oldest_are_forgotten(self) -> None:
-        for number in range(removals.REMOVED_MOST):
-            target = dataclasses.replace(
-                self._make(5, 7), target_id=f"t{number}"
-            )
-            self.removals.note_removed(target)
-        self.removals.note_restored()
-        self.assertTrue(self.removals.take_entry(self._make(5, 7), True))
-
-
-class YoungerThanCopyTest(unittest.TestCase):
-    """Targets that started after the copy was taken.
-
-    The copy does not list them, and they are back with their next heartbeat.
-    All VMs dropped them 1.5 s after the restore, sooner than that is read.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        loguru.logger.remove()
-
-    def test_no_live_target_is_dropped(self) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            copy = cluster.store.take_copy()
-            node = cluster.targets["service-0"]
-            cluster.kill(node)
-            cluster.unlist_target(node)
-            cluster.start_target(node)
-            await asyncio.sleep(_LOST_S)
-            await _wait_for_worst(scene, node)
-            cluster.store.restore(copy)
-            for _ in range(50):
-                await asyncio.sleep(0.1)
-                for vm in cluster.vms:
-                    found = _find_condition(scene, vm, node.replica.name)
-                    self.assertIs(found, condition.Condition.LIVE, vm)
-
-        gateway_scene.play(scene, vms=9, halls=1)
-
-
-class RemovedMeanwhileTest(unittest.TestCase):
-    """Targets removed after the store is back and before a VM has read it.
-
-    They can't be told from those that the copy does not hold yet. VMs whose
-    calls hung while the store was silent read it 1.6 s after its return, kept
-    such a target for another 2.6 s and sent it calls 2.8 s after its removal.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        loguru.logger.remove()
-
-    def test_they_get_no_calls_once_vms_are_in_touch(self) -> None:
-        for away_s in (4.0, 4.4, 4.8, 5.2):
-            with self.subTest(away_s=away_s):
-                self._play(away_s)
-
-    def _play(self, away_s: float) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            copy = cluster.store.take_copy()
-            cluster.store.trouble = "silent"
-            await asyncio.sleep(away_s)
-            cluster.store.restore(copy)
-            cluster.store.trouble = ""
-            await asyncio.sleep(0.3)
-            node = cluster.targets["service-0"]
-            cluster.stop_listing(node)
-            await asyncio.sleep(_CONTACT_S - 0.3)
-            for _ in range(5):
-                for vm in cluster.vms:
-                    found = await scene.count_arrivals(node.replica, "open", vm)
-                    self.assertEqual(found, 0, vm)
-                await asyncio.sleep(0.2)
-
-        gateway_scene.play(scene, vms=9, halls=3)
-
-
-class AbsenceTest(unittest.TestCase):
-    """Until when a target is kept that the store does not list."""
-
-    def test_time_goes_by_the_read_and_the_last_sign_before(self) -> None:
-        for read_ms, away_ms, is_restored, until_ms in (
-            (1_000.0, 900.0, False, 2_500.0),
-            (1_000.0, 900.0, True, 2_700.0),
-            (1_000.0, -600.0, True, 2_300.0),
-            (1_000.0, -9_000.0, True, 2_000.0),
-        ):
-            self.assertEqual(
-                absence.find_end_ms(read_ms, away_ms, is_restored), until_ms
-            )
-
-
-async def _wait_for_worst(
-    scene: gateway_scene.Scene, node: gateway_cluster.Node
-) -> None:
-    """Waits until a target has just written and the reader is about to read.
-
-    The target's next heartbeat is then read two reads after the restore.
-    """
-    store = scene.cluster.store
-    loop = asyncio.get_running_loop()
-    calls, called_s, sequence = store.calls, 0.0, node.sequence
-    while True:
-        await asyncio.sleep(0.01)
-        if store.calls > calls:
-            calls, called_s = store.calls, loop.time()
-        has_written = node.sequence > sequence
-        sequence = node.sequence
-        if has_written and 0.85 < loop.time() - called_s < 0.95:
-            return
-
-
-class LostSettingsTest(unittest.TestCase):
-    """Settings that no VM has read before the store lost them.
-
-    A key was removed right before an outage. The restored store showed the
-    settings from before, and each read of it counted as proof that they were
-    the newest: calls with the key ran until the removal was written again.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        loguru.logger.remove()
-
-    def test_removed_key_is_refused_while_its_removal_is_lost(self) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            cluster = scene.cluster
-            store = cluster.store
-            copy = store.take_copy()
-            removed_s = asyncio.get_running_loop().time()
-            store.trouble = "reset"
-            await asyncio.sleep(4.0)
-            store.restore(copy)
-            store.trouble = ""
-            await asyncio.sleep(0.5)
-            cluster.keys = {"w1": ["another"]}
-            cluster.publish()
-            until_s = removed_s + gateway_cluster.REVOKE_MS / 1000.0
-            await asyncio.sleep(until_s - asyncio.get_running_loop().time())
-            for _ in range(10):
-                for vm in cluster.vms:
-                    got = await scene.call("unsafe", vm)
-                    self.assertEqual(scene.runs(got), [], vm)
-                await asyncio.sleep(0.1)
-            got = await scene.call("unsafe", "vm-0", key="another")
-            self.assertEqual(got.status, 200)
-
-        gateway_scene.play(scene, vms=9, halls=3)
-
-
-class StartedAfterTest(unittest.TestCase):
-    """VMs that start while the store shows settings from before a restore.
-
-    They read older settings than their peers go by, and a key that had been
-    removed for long worked on them again until the store showed its removal.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        loguru.logger.remove()
-
-    async def _start_on_older(
-        self, scene: gateway_scene.Scene, *names: str
-    ) -> None:
-        """Starts VMs on a store that has lost the removal of a key."""
-        cluster = scene.cluster
-        copy = cluster.store.take_copy()
-        cluster.keys = {"w1": ["another"]}
-        cluster.publish()
-        await asyncio.sleep(_LOST_S)
-        cluster.store.restore(copy)
-        for name in names:
-            cluster.kill(cluster.vms[name])
-            cluster.start_vm(cluster.vms[name])
-
-    def _play(self, vms: int, halls: int) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            names = [f"vm-{number}" for number in range(1, vms, 2)]
-            await self._start_on_older(scene, *names)
-            await asyncio.sleep(1.5)
-            for _ in range(10):
-                for vm in scene.cluster.vms:
-                    got = await scene.call("unsafe", vm)
-                    self.assertEqual(scene.runs(got), [], vm)
-                await asyncio.sleep(0.2)
-            for vm in scene.cluster.vms:
-                got = await scene.call("unsafe", vm, key="another")
-                self.assertEqual(got.status, 200, vm)
-
-        gateway_scene.play(scene, vms=vms, halls=halls)
-
-    def test_they_go_by_their_peers_settings(self) -> None:
-        self._play(vms=9, halls=1)
-
-    def test_also_where_each_reads_for_itself(self) -> None:
-        self._play(vms=6, halls=3)
-
-    def test_claim_that_is_not_made_good_refuses_nobody_for_long(self) -> None:
-        async def scene(scene: gateway_scene.Scene) -> None:
-            gateway = scene.cluster.vms["vm-0"].gateway
-            for _ in range(20):
-                gateway.note_newer_settings("vm-9:83", 10**6)
-                await asyncio.sleep(0.3)
-                got = await scene.call("unsafe")
-                self.assertEqual(got.status, 200)
-
-        gateway_scene.play(scene, vms=3, halls=1)
-
-
 class ListFromPeersTest(unittest.TestCase):
     """A restored store that some VMs can't read.
 
@@ -533,7 +181,7 @@
             cluster.drain_target(node)
             await asyncio.sleep(5.0)
             for name in names:
-                found = _find_condition(scene, name, node.replica.name)
+                found = scene.find_condition(name, node)
                 self.assertIs(found, condition.Condition.LEAVING, name)
                 self.assertEqual((await scene.call("unsafe", name)).status, 200)
 
@@ -573,7 +221,7 @@
             cluster.drain_target(node)
             await asyncio.sleep(_APPLY_S)
             for vm in cluster.vms:
-                found = _find_condition(scene, vm, node.replica.name)
+                found = scene.find_condition(vm, node)
                 self.assertIs(found, condition.Condition.LEAVING, vm)
 
         gateway_scene.play(scene, vms=5, halls=1)
@@ -591,40 +239,6 @@
     )
 
 
-class ClaimsTest(unittest.TestCase):
-    """Revisions that peers claim, against reads of the store."""
-
-    def setUp(self) -> None:
-        self.claims = settings_claims.SettingsClaims()
-
-    def test_claim_heard_after_a_read_began_is_no_contradiction(self) -> None:
-        self.claims.note("a", 7, 100.0)
-        self.assertIsNone(self.claims.find_unmet(6, 100.0))
-        self.assertEqual(self.claims.find_unmet(6, 101.0).revision, 7)
-
-    def test_later_claim_of_a_peer_replaces_its_former(self) -> None:
-        self.claims.note("a", 7, 100.0)
-        self.claims.note("a", 7, 300.0)
-        self.assertIsNotNone(self.claims.find_unmet(6, 200.0))
-        self.claims.note("a", 8, 300.0)
-        self.assertIsNone(self.claims.find_unmet(6, 200.0))
-
-    def test_claims_that_are_met_are_forgotten(self) -> None:
-        self.claims.note("a", 7, 100.0)
-        self.claims.note("b", 9, 100.0)
-        self.assertEqual(self.claims.find_unmet(7, 200.0).peer, "b")
-        self.assertIsNone(self.claims.find_unmet(9, 200.0))
-
-    def test_peer_that_was_rejected_is_heard_again_later(self) -> None:
-        self.claims.note("a", 7, 100.0)
-        self.claims.reject("a", 200.0)
-        self.claims.note("a", 8, 300.0)
-        self.assertIsNone(self.claims.find_unmet(6, 400.0))
-        later_ms = 201.0 + settings_claims.REJECTED_MS
-        self.claims.note("a", 8, later_ms)
-        self.assertIsNotNone(self.claims.find_unmet(6, later_ms + 1.0))
-
-
 class NewsTest(unittest.TestCase):
     """What VMs of one hall tell each other around a restore."""
 
