Soak: mechanisms taken out, and gateways waited for until they listen

--without NAME runs gateways without epochs, removals of keys, ages of proofs, or without telling peers of leavings or limits. On a busy machine gateways listened after the 2 s that callers waited, and 190 of 255 calls found nobody; callers begin once all listen.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -38,6 +39,8 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _LOGS = _ROOT / "soak-logs"
 _START_S = 2.0
+# 100 gateways on five cores listen after some ten seconds.
+_START_MOST_S = 60.0
 _PLAY_S = 6.0
 # Leavings bind after some seconds without trouble, and keys after five.
 _FLEET_PLAY_S = 12.0
@@ -65,6 +68,8 @@
     limits: bool = False
     # Whether gateways know each other, and the store is restored from copies.
     fleet: bool = False
+    # What gateways run without, see soak_ablations; empty for nothing.
+    without: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +110,8 @@
         self._gateways: list[asyncio.subprocess.Process] = []
         self._commands: list[list[str]] = []
         self._fronts: list[int] = []
+        # Where each gateway answers whether it is ready.
+        self._ready: list[tuple[str, int]] = []
         self._ending: set[int] = set()
         self._got: list[tuple[int, gateway_caller.Got]] = []
         self._leavings: list[soak_withdrawals.Leaving] = []
@@ -180,11 +187,30 @@
                 own[3] = peer_port
                 flags["--seeds"] = self._name_seeds(peer_port)
             self._commands.append(
-                _make_command(number, host, own, store.port, flags)
+                _make_command(
+                    number,
+                    host,
+                    own,
+                    store.port,
+                    flags,
+                    self._sizes.without,
+                )
             )
             self._gateways.append(await self._run_gateway(number))
+            self._ready.append((host, own[1]))
+        await asyncio.gather(*map(self._await_start, self._ready))
         await asyncio.sleep(_START_S)
 
+    async def _await_start(self, address: tuple[str, int]) -> None:
+        """Returns once a gateway listens; many of them start slowly."""
+        until_s = time.monotonic() + _START_MOST_S
+        while time.monotonic() < until_s:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*address)
+                writer.close()
+                return
+            await asyncio.sleep(0.1)
+
     def _name_seeds(self, port: int) -> str:
         hosts = [f"127.0.1.{number + 1}" for number in range(_SEEDS)]
         return ",".join(f"{host}:{port}" for host in (*hosts, _DEAD_SEED))
@@ -439,6 +465,7 @@
     own: list[int],
     store_port: int,
     more: dict[str, str],
+    without: str,
 ) -> list[str]:
     flags = {
         "--vm-id": f"vm-{number}",
@@ -452,7 +479,10 @@
         **more,
     }
     words = [word for pair in flags.items() for word in pair]
-    return [sys.executable, str(_ROOT / "deploy" / "gateway.py"), *words]
+    program = [str(_ROOT / "deploy" / "gateway.py")]
+    if without:
+        program = ["-m", "standins.soak_ablations", without]
+    return [sys.executable, *program, *words]
 
 
 def play(
@@ -486,6 +516,7 @@
         *(["--withdraws"] if sizes.withdraws else []),
         *(["--limits"] if sizes.limits else []),
         *(["--fleet"] if sizes.fleet else []),
+        *([f"--without {sizes.without}"] if sizes.without else []),
     ]
     return " ".join(words)
 
@@ -500,6 +531,7 @@
     withdraws: bool = False,
     limits: bool = False,
     fleet: bool = False,
+    without: str = "",
     logs: pathlib.Path = _LOGS,
 ) -> int:
     """Plays many seeds; logs of those that fail are kept.
@@ -513,6 +545,7 @@
         withdraws: Whether replicas leave and say so in their answers alone.
         limits: Whether replicas name rate limits.
         fleet: Whether gateways know each other, and the store is restored.
+        without: What gateways run without, see soak_ablations.
         logs: Folder for the logs of seeds that fail, a folder each.
     """
     loguru.logger.remove()
@@ -523,6 +556,7 @@
         withdraws=withdraws,
         limits=limits,
         fleet=fleet,
+        without=without,
     )
     failed = 0
     total: collections.Counter[int] = collections.Counter()
--- /dev/null
+++ b/standins/soak_ablations.py
@@ -0,0 +1,100 @@
+"""Gateways with one mechanism taken out, which the soak is to notice.
+
+`python -m standins.soak_ablations NAME FLAGS` runs ruddergate-gateway without
+it; `python -m standins.soak --fleet --without NAME` plays such a fleet.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import sys
+
+from ruddergate.cli import gateway
+from ruddergate.decisions import change_log
+from ruddergate.decisions import proof
+from ruddergate.decisions import withdrawals
+from ruddergate.entry import epochs
+from ruddergate.entry import rate_limiter
+from ruddergate.entry import source_sync
+from ruddergate.entry import view as views
+from ruddergate.platform import store
+
+
+def _ignore_epochs() -> None:
+    """Has positions ordered by their revisions alone."""
+    find_since = change_log.ChangeLog.find_since
+
+    def find(
+        log: change_log.ChangeLog, position: int, until: int
+    ) -> change_log.Step | None:
+        if position > until:
+            return change_log.Step(until, until, False)
+        return find_since(log, position, until)
+
+    store._read_epoch = lambda fields: 0
+    change_log.ChangeLog.find_since = find
+    epochs.check = lambda found, since, known_epoch: found
+    source_sync._is_behind = lambda found, position: False
+
+
+def _keep_keys() -> None:
+    """Has keys work that were removed."""
+    take = views.View.take_catalog
+
+    def take_catalog(view: views.View, offered: object) -> bool:
+        before = view.catalog.workspaces
+        is_taken = take(view, offered)
+        if is_taken:
+            view.catalog.workspaces = {**before, **view.catalog.workspaces}
+        return is_taken
+
+    views.View.take_catalog = take_catalog
+
+
+def _ignore_ages() -> None:
+    """Has a peer's proof count as of the moment of the question."""
+    proof.find_proven_ms = lambda asked_ms, age_ms: asked_ms
+
+
+def _keep_leavings() -> None:
+    """Has no peer told of targets that say in answers that they leave."""
+    withdrawals.Withdrawals.summarize = lambda self, now_ms: ()
+
+
+def _keep_limits() -> None:
+    """Has no peer told of rate limits."""
+    rate_limiter.RateLimiter.summarize = lambda self: ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ablation:
+    """A mechanism that can be taken out.
+
+    Attributes:
+        name: Its name on the command line.
+        apply: Takes it out of this process.
+    """
+
+    name: str
+    apply: Callable[[], None]
+
+
+ABLATIONS = (
+    Ablation("epochs", _ignore_epochs),
+    Ablation("key-removals", _keep_keys),
+    Ablation("proof-ages", _ignore_ages),
+    Ablation("leavings", _keep_leavings),
+    Ablation("limits", _keep_limits),
+)
+
+
+def main() -> None:
+    """Runs a gateway; the first argument names what is taken out."""
+    name = sys.argv.pop(1)
+    for each in ABLATIONS:
+        if each.name == name:
+            each.apply()
+    gateway.run()
+
+
+if __name__ == "__main__":
+    main()
