Soak: gateway processes in a module of their own

standins/soak.py had grown to 590 lines; starting, pausing, stopping and killing gateways is standins/soak_gateways.py.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -8,12 +8,10 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import pathlib
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -31,6 +29,7 @@
 from standins import platform_replica
 from standins import soak_caller
 from standins import soak_fleet
+from standins import soak_gateways
 from standins import soak_proxy
 from standins import soak_rate_limits
 from standins import soak_store
@@ -39,8 +38,6 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _LOGS = _ROOT / "soak-logs"
 _START_S = 2.0
-# 100 gateways on five cores listen after some ten seconds.
-_START_MOST_S = 60.0
 _PLAY_S = 6.0
 # Leavings bind after some seconds without trouble, and keys after five.
 _FLEET_PLAY_S = 12.0
@@ -49,7 +46,6 @@
 _DEAD_SEED = "127.0.1.250"
 # The last calls end, and what was set aside lapses by itself.
 _SETTLE_S = 4.0
-_GRACE_S = 3.0
 _LOOPBACK = "127.0.0.1"
 _ROUTES = ("short", "short", "long", "once", "unsafe", "safe")
 
@@ -93,7 +89,6 @@
     def __init__(self, seed: int, sizes: Sizes, folder: pathlib.Path) -> None:
         self._chance = random.Random(seed)
         self._sizes = sizes
-        self._folder = folder
         # Callers' keys; one of them goes in a fleet.
         self._keys = [gateway_cluster.KEY] * 3
         if sizes.fleet:
@@ -107,15 +102,12 @@
         self.counts = self._published.counts
         self._proxies: list[soak_proxy.Proxy] = []
         self._replicas: list[platform_replica.PlatformReplica] = []
-        self._gateways: list[asyncio.subprocess.Process] = []
-        self._commands: list[list[str]] = []
+        self._gateways = soak_gateways.SoakGateways(
+            self._chance, folder, sizes.without
+        )
         self._fronts: list[int] = []
-        # Where each gateway answers whether it is ready.
-        self._ready: list[tuple[str, int]] = []
-        self._ending: set[int] = set()
         self._got: list[tuple[int, gateway_caller.Got]] = []
         self._leavings: list[soak_withdrawals.Leaving] = []
-        self._upsets: list[soak_withdrawals.Upset] = []
 
     async def play(self) -> tuple[list[str], dict[int, int]]:
         """Returns broken promises and counts of statuses."""
@@ -129,17 +121,17 @@
             self._replicas, all_got, self._was_disturbed
         )
         broken += soak_withdrawals.find_broken(
-            self._leavings, self._upsets, self._got
+            self._leavings, self._gateways.upsets, self._got
         )
         broken += soak_fleet.find_broken(
             self._published,
             self._leavings,
-            self._upsets,
+            self._gateways.upsets,
             self._got,
             self.counts,
         )
         broken += soak_rate_limits.find_broken(
-            self._replicas, self._upsets, self._got
+            self._replicas, self._gateways.upsets, self._got
         )
         return broken, gateway_schedules.count_statuses(all_got)
 
@@ -178,43 +170,27 @@
         peer_port = _private.find_free_port()
         for number in range(self._sizes.gateways):
             host = f"127.0.1.{number + 1}" if self._sizes.fleet else _LOOPBACK
-            own = [_private.find_free_port() for _ in range(4)]
-            self._fronts.append((await self._add_proxy(own[0], host)).port)
-            flags = {}
+            ports = [_private.find_free_port() for _ in range(4)]
+            self._fronts.append((await self._add_proxy(ports[0], host)).port)
+            seeds = ""
             if self._sizes.fleet:
                 store = await self._add_proxy(store_port)
                 self._store_proxies.append(store)
-                own[3] = peer_port
-                flags["--seeds"] = self._name_seeds(peer_port)
-            self._commands.append(
-                _make_command(
-                    number,
+                ports[3] = peer_port
+                seeds = _name_seeds(peer_port)
+            halls = 3 if self._sizes.fleet else 2
+            await self._gateways.add(
+                soak_gateways.Place(
                     host,
-                    own,
+                    f"hall-{number % halls}",
+                    tuple(ports),
                     store.port,
-                    flags,
-                    self._sizes.without,
+                    seeds,
                 )
             )
-            self._gateways.append(await self._run_gateway(number))
-            self._ready.append((host, own[1]))
-        await asyncio.gather(*map(self._await_start, self._ready))
+        await self._gateways.await_listening()
         await asyncio.sleep(_START_S)
 
-    async def _await_start(self, address: tuple[str, int]) -> None:
-        """Returns once a gateway listens; many of them start slowly."""
-        until_s = time.monotonic() + _START_MOST_S
-        while time.monotonic() < until_s:
-            with contextlib.suppress(OSError):
-                _, writer = await asyncio.open_connection(*address)
-                writer.close()
-                return
-            await asyncio.sleep(0.1)
-
-    def _name_seeds(self, port: int) -> str:
-        hosts = [f"127.0.1.{number + 1}" for number in range(_SEEDS)]
-        return ",".join(f"{host}:{port}" for host in (*hosts, _DEAD_SEED))
-
     async def _serve(self, handler: environment.StreamHandler) -> int:
         server = await asyncio.start_server(handler, "127.0.0.1")
         return server.sockets[0].getsockname()[1]
@@ -245,12 +221,6 @@
             asyncio.ensure_future(replica.engine.run())
         self._published.add(replica, f"127.0.0.1:{proxy.port}")
 
-    async def _run_gateway(self, number: int) -> asyncio.subprocess.Process:
-        log = open(self._folder / f"gateway-{number}.log", "ab")  # noqa: SIM115
-        return await asyncio.create_subprocess_exec(
-            *self._commands[number], stdout=log, stderr=log, cwd=_ROOT
-        )
-
     async def _call_on(self, caller: int, until_s: float) -> None:
         gateway = caller % len(self._fronts)
         kept = soak_caller.KeptCaller(self._fronts[gateway])
@@ -284,9 +254,9 @@
             self._trouble_proxy,
             self._trouble_proxy,
             self._spoil_replica,
-            self._pause_gateway,
-            self._kill_gateway,
-            self._stop_gateway,
+            self._gateways.pause,
+            self._gateways.kill,
+            self._gateways.stop,
             self._change_settings,
         )
         if self._sizes.withdraws:
@@ -353,14 +323,14 @@
         number = self._chance.randrange(len(self._store_proxies))
         proxy = self._store_proxies[number]
         self.counts["gateways parted from the store"] += 1
-        self._note_upset(number)
+        self._gateways.note_upset(number)
         proxy.mode = self._chance.choice(
             (soak_proxy.Mode.SILENCE, soak_proxy.Mode.CUT_BACK)
         )
         await asyncio.sleep(self._chance.uniform(0.5, 3.0))
         proxy.mode = soak_proxy.Mode.PASS
         proxy.reset_all()
-        self._note_upset(number)
+        self._gateways.note_upset(number)
 
     async def _remove_key_early(self) -> None:
         """Removes a key, so early that its time ends while callers call."""
@@ -390,46 +360,6 @@
         replica.leaving = ""
         self._published.list_anew(replica)
 
-    async def _pause_gateway(self) -> None:
-        number = self._chance.randrange(len(self._gateways))
-        process = self._gateways[number]
-        self._note_upset(number)
-        if _signal(process, signal.SIGSTOP):
-            await asyncio.sleep(self._chance.uniform(0.2, 2.0))
-            _signal(process, signal.SIGCONT)
-            self._note_upset(number)
-
-    async def _kill_gateway(self) -> None:
-        number = self._chance.randrange(len(self._gateways))
-        await self._end_gateway(number, signal.SIGKILL)
-
-    async def _stop_gateway(self) -> None:
-        number = self._chance.randrange(len(self._gateways))
-        _signal(self._gateways[number], signal.SIGHUP)
-        await self._end_gateway(number, signal.SIGTERM)
-
-    async def _end_gateway(self, number: int, how: signal.Signals) -> None:
-        if number in self._ending:
-            # It is on its way out: another signal, but one new start.
-            _signal(self._gateways[number], how)
-            return
-        self._ending.add(number)
-        process = self._gateways[number]
-        self._note_upset(number)
-        _signal(process, how)
-        try:
-            await asyncio.wait_for(process.wait(), _GRACE_S)
-        except TimeoutError:
-            _signal(process, signal.SIGKILL)
-            await process.wait()
-        self._gateways[number] = await self._run_gateway(number)
-        self._note_upset(number)
-        self._ending.discard(number)
-
-    def _note_upset(self, number: int) -> None:
-        upset = soak_withdrawals.Upset(number, time.monotonic())
-        self._upsets.append(upset)
-
     async def _change_settings(self) -> None:
         self._published.publish()
         if self._chance.random() < 0.5:
@@ -440,49 +370,14 @@
     async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
-        for process in self._gateways:
-            _signal(process, signal.SIGCONT)
-            _signal(process, signal.SIGKILL)
-            await process.wait()
+        await self._gateways.end_all()
         for proxy in self._proxies:
             await proxy.stop()
 
 
-def _signal(process: asyncio.subprocess.Process, how: signal.Signals) -> bool:
-    """Sends a signal to a process of ours that still runs."""
-    if process.returncode is not None:
-        return False
-    try:
-        process.send_signal(how)
-    except ProcessLookupError:
-        return False
-    return True
-
-
-def _make_command(
-    number: int,
-    host: str,
-    own: list[int],
-    store_port: int,
-    more: dict[str, str],
-    without: str,
-) -> list[str]:
-    flags = {
-        "--vm-id": f"vm-{number}",
-        "--hall": f"hall-{number % 3 if more else number % 2}",
-        "--listen": f"{host}:{own[0]}",
-        "--ready-listen": f"{host}:{own[1]}",
-        "--metrics-listen": f"{host}:{own[2]}",
-        "--peer-listen": f"{host}:{own[3]}",
-        "--store-address": f"127.0.0.1:{store_port}",
-        "--grace-s": str(_GRACE_S),
-        **more,
-    }
-    words = [word for pair in flags.items() for word in pair]
-    program = [str(_ROOT / "deploy" / "gateway.py")]
-    if without:
-        program = ["-m", "standins.soak_ablations", without]
-    return [sys.executable, *program, *words]
+def _name_seeds(port: int) -> str:
+    hosts = [f"127.0.1.{number + 1}" for number in range(_SEEDS)]
+    return ",".join(f"{host}:{port}" for host in (*hosts, _DEAD_SEED))
 
 
 def play(
