--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import enum
 import math
 import random
 
@@ -20,6 +21,22 @@
 _CHUNK_BYTES = 16_384
 
 
+class CutMode(enum.Enum):
+    """What a network partition does to connections.
+
+    Attributes:
+        SILENT: New connections hang, and nothing arrives on open ones.
+        RESET: New connections are refused, and open ones are reset.
+        REFUSED: New connections are refused, and open ones live on.
+        NEW_SILENT: New connections hang, and open ones live on.
+    """
+
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSED = "refused"
+    NEW_SILENT = "new_silent"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cut:
     """A network partition.
@@ -27,10 +44,16 @@
     Attributes:
         on: Node or hall that is cut off.
         from_: Node or hall that it can't reach; empty for everything else.
+        mode: What it does to connections.
     """
 
     on: str
     from_: str
+    mode: CutMode = CutMode.SILENT
+
+
+_HANGING_MODES = (CutMode.SILENT, CutMode.NEW_SILENT)
+_REFUSING_MODES = (CutMode.RESET, CutMode.REFUSED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +82,12 @@
         self._is_closed = False
         self._idle_at_s = 0.0
 
+    def find_ends(
+        self,
+    ) -> tuple[processes.VirtualProcess, processes.VirtualProcess]:
+        """Returns the process that sends and the one that receives."""
+        return self._source, self._sink
+
     def send(self, data: bytes) -> None:
         """Sends bytes; empty bytes mark the end of the stream."""
         latency_s = self._network.latency_s(self._source, self._sink)
@@ -142,6 +171,12 @@
     async def wait_closed(self) -> None:
         """Returns at once."""
 
+    def find_ends(
+        self,
+    ) -> tuple[processes.VirtualProcess, processes.VirtualProcess]:
+        """Returns the process that writes and the one that reads."""
+        return self._outgoing.find_ends()
+
     def abort(self) -> None:
         """Resets this end of the connection, as when its peer has died."""
         self.is_broken = True
@@ -184,8 +219,33 @@
         one: processes.VirtualProcess,
         other: processes.VirtualProcess,
     ) -> bool:
-        """Returns whether two nodes can't reach each other."""
-        return any(_separates(cut, one, other) for cut in self.cuts)
+        """Returns whether nothing sent between two nodes arrives."""
+        return self._has_cut(one, other, (CutMode.SILENT,))
+
+    def cut(self, cut: Cut) -> None:
+        """Puts a cut in force; resets open streams if it is of that mode."""
+        self.cuts.append(cut)
+        if cut.mode is not CutMode.RESET:
+            return
+        separated = [
+            writer
+            for writers in self._writers.values()
+            for writer in writers
+            if _separates(cut, *writer.find_ends())
+        ]
+        for writer in sorted(separated, key=lambda each: self._sequence[each]):
+            writer.abort()
+
+    def _has_cut(
+        self,
+        one: processes.VirtualProcess,
+        other: processes.VirtualProcess,
+        modes: tuple[CutMode, ...],
+    ) -> bool:
+        return any(
+            cut.mode in modes and _separates(cut, one, other)
+            for cut in self.cuts
+        )
 
     def latency_s(
         self,
@@ -307,8 +367,10 @@
         owner, _ = self._listeners.get(address, (None, None))
         if owner is not None:
             await asyncio.sleep(2.0 * self.latency_s(source, owner))
-            while self.is_cut(source, owner):
+            while self._has_cut(source, owner, _HANGING_MODES):
                 await asyncio.sleep(_RETRY_S)
+            if self._has_cut(source, owner, _REFUSING_MODES):
+                raise ConnectionRefusedError(f"connection refused: {address}")
         sink, handler = self._listeners.get(address, (None, None))
         if sink is None:
             raise ConnectionRefusedError(f"connection refused: {address}")
