VMs without links to targets reach them through peers

Callers of a VM that had lost its links to all targets were refused: 5 of 50 and 2 of 21 first tries were served there, 64 of 65 and 80 of 80 elsewhere.

Cause: a VM had one way to a target, its own link, while peers that it gossips with all the time reached the same targets.

Change: connections to targets are raced over two ways, as in Happy Eyeballs. The direct way goes first; if it fails or takes over 50 ms, a peer is asked to carry the connection (messages.detour, TCP on the port of the datagrams). What is raced is the connection, before anything is sent, so a request is still sent once; the request, its retries, tokens and deadline stay with the VM that took it, and orders and probes take the same way. Links remember which targets only peers reach, and whether that is all; peers are tried first then, until probes find the direct way again. Peers tell in their digests how many connections they carry. Responses are passed back in chunks, so that the end of a peer does not look like that of a response.

A refused connection counts as the end of a target only if another target of the hall can be connected to right after it.

The digest has one more field; earlier releases ignore it, and carry nothing.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -36,7 +36,7 @@
 _READY_FRACTION = 0.5
 # Targets answer orders and accept connections within a few milliseconds;
 # reservations are renewed every 800 ms.
-_ORDER_TIMEOUTS = client.Timeouts(150.0, 500.0, 500.0)
+_ORDER_TIMEOUTS = client.Timeouts(200.0, 500.0, 500.0)
 # Fraction of the permitted retry ratio that is used. First attempts are counted
 # here when they start, and by the fleet's operators in windows that may differ.
 _RETRY_FRACTION = 0.75
@@ -154,9 +154,9 @@
     )
     platform = gateways.Platform(
         caller_protocol=callers.make_caller_protocol(),
-        make_send=lambda on_hints: upstream.make_send(env, on_hints),
-        make_orders=lambda on_hints: orders.make_orders(
-            env, _ORDER_TIMEOUTS, on_hints
+        make_send=upstream.make_send,
+        make_orders=lambda target_env, on_hints: orders.make_orders(
+            target_env, _ORDER_TIMEOUTS, on_hints
         ),
         source=store.make_source(
             env,
--- /dev/null
+++ b/src/ruddergate/decisions/carriers.py
@@ -0,0 +1,52 @@
+"""Which peer carries a connection to a target that this VM can't reach."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+# What a peer reports that carries no connections: it is of an earlier release,
+# stops, or has lost its own links.
+CARRIES_NONE = -1
+# Connections that a VM carries for peers at once. Their buffers take a tenth of
+# a small VM's memory, and its own callers go first.
+MAX_CARRIED = 192
+# A peer in this VM's hall or the target's saves a hop between halls. It is
+# chosen until it carries this many times as much as another one, and this many
+# connections more.
+_LOCAL_LOAD_FACTOR = 1.5
+_LOCAL_LOAD_MARGIN = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Carrier:
+    """A peer that may carry connections.
+
+    Attributes:
+        name: Its address.
+        hall: Its data hall.
+        carried: Connections that it carries now.
+    """
+
+    name: str
+    hall: str
+    carried: int
+
+
+def choose(
+    carriers: Sequence[Carrier], halls: frozenset[str], rng: random.Random
+) -> Carrier | None:
+    """Returns the better of two random carriers, one of them in some halls.
+
+    Two random choices spread connections almost as evenly as a comparison of
+    all peers, whose reported loads all VMs would act on at once.
+    """
+    if not carriers:
+        return None
+    other = rng.choice(carriers)
+    local = [each for each in carriers if each.hall in halls]
+    if not local:
+        second = rng.choice(carriers)
+        return min(other, second, key=lambda each: each.carried)
+    near = rng.choice(local)
+    limit = _LOCAL_LOAD_FACTOR * other.carried + _LOCAL_LOAD_MARGIN
+    return near if near.carried <= limit else other
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from ruddergate.decisions import carriers
 from ruddergate.decisions import gap_class
 from ruddergate.decisions import length_band
 from ruddergate.decisions import loss_reports
@@ -45,6 +46,7 @@
         sequence: Sequence number of its last digest.
         rows: Its work by target.
         losses: The losses that it last reported.
+        carried: Connections that it carries for peers, as it last reported.
         awaiting_since_ms: When a digest was first sent to it as relay since it
             last sent one itself; None if nothing is awaited from it.
     """
@@ -55,6 +57,7 @@
     sequence: int
     rows: dict[str, dispatched.Dispatched]
     losses: loss_report.LossReport = loss_report.EMPTY
+    carried: int = carriers.CARRIES_NONE
     awaiting_since_ms: float | None = None
 
 
@@ -114,6 +117,7 @@
         peer.received_ms = now_ms
         peer.incarnation = digest.incarnation
         peer.sequence = digest.sequence
+        peer.carried = digest.carried
         self._replace_rows(digest.sender, peer, digest.rows)
         self._merge_losses(peer, digest.losses)
         return True
@@ -231,6 +235,14 @@
         members[self._own] = self._attributes.hall
         return members
 
+    def list_carriers(self, now_ms: float) -> list[carriers.Carrier]:
+        """Returns the peers that carry connections, as heard of recently."""
+        return [
+            carriers.Carrier(name, peer.attributes.hall, peer.carried)
+            for name, peer in self._peers.items()
+            if peer.carried >= 0 and now_ms - peer.received_ms <= DIGEST_TTL_MS
+        ]
+
     def collect_sums(self) -> tuple[dispatched.Dispatched, ...]:
         """Returns the sums that have changed since the last call.
 
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -14,11 +14,13 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.decisions import draining
+from ruddergate.decisions import links
 from ruddergate.decisions import retries
 from ruddergate.entry import canceller as cancellers
 from ruddergate.entry import config as configs
 from ruddergate.entry import context as contexts
 from ruddergate.entry import crash_detector
+from ruddergate.entry import detour_server
 from ruddergate.entry import drain_check
 from ruddergate.entry import in_flight
 from ruddergate.entry import peer_gossip
@@ -36,6 +38,7 @@
 from ruddergate.entry import store_peers
 from ruddergate.entry import store_sync
 from ruddergate.entry import target_availability
+from ruddergate.entry import target_connector
 from ruddergate.entry import view as views
 from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
@@ -54,6 +57,8 @@
 from ruddergate.telemetry import traces
 
 _POLL_MS = 20.0
+# If another process holds the port for peers, it is tried again after this.
+_REBIND_MS = 2_000.0
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -98,15 +103,20 @@
 
     Attributes:
         caller_protocol: Parses requests of callers and writes responses.
-        make_send: Returns a function that sends a request to a target; given a
-            function that is called with each response's hints.
-        make_orders: Returns the orders to targets; given the same function.
+        make_send: Returns a function that sends a request to a target; given
+            the environment in which to connect to targets, and a function that
+            is called with each response's hints.
+        make_orders: Returns the orders to targets; given the same.
         source: Calls to the store.
     """
 
     caller_protocol: caller_protocols.CallerProtocol
-    make_send: Callable[[hint_types.OnHints], upstream_requests.Send]
-    make_orders: Callable[[hint_types.OnHints], orders.Orders]
+    make_send: Callable[
+        [environment.Environment, hint_types.OnHints], upstream_requests.Send
+    ]
+    make_orders: Callable[
+        [environment.Environment, hint_types.OnHints], orders.Orders
+    ]
     source: published.Source
 
 
@@ -184,7 +194,29 @@
             take_rate_token=self._rate_limiter.take_token,
             return_rate_token=self._rate_limiter.return_token,
         )
-        self._orders = platform.make_orders(self._on_hints)
+        self._connector = target_connector.TargetConnector(
+            env,
+            config.hall,
+            target_connector.Peers(
+                str(gateway_config.peers.listen),
+                lambda: self._peers.list_carriers(),
+            ),
+            lambda: view.listing.targets,
+            lambda: self._peers.note_change(),
+            metrics,
+        )
+        self._detours = detour_server.DetourServer(
+            env,
+            self._connector.links,
+            self._connector.connect_directly,
+            self._connector.find_target,
+            lambda target: self._availability.check_admission((target,)),
+            lambda host: self._peers.is_peer_host(host),
+            metrics,
+        )
+        self._orders = platform.make_orders(
+            self._connector.make_environment(is_order=True), self._on_hints
+        )
         self._keeper = reservation_keeper.ReservationKeeper(
             env,
             self._rate_limiter.charge_orders(self._orders),
@@ -213,7 +245,9 @@
         self._handler = relay_handler.RelayHandler(
             self.context,
             platform.caller_protocol,
-            platform.make_send(self._on_hints),
+            platform.make_send(
+                self._connector.make_environment(is_order=False), self._on_hints
+            ),
             self._keeper,
             relay_admit.SettingsAgeLimits(
                 gateway_config.settings_age_max_ms,
@@ -237,6 +271,7 @@
             merge_rate_limits=self._rate_limiter.merge_gossip,
             find_settings_revision=lambda: view.catalog.revision,
             note_newer_settings=self.note_newer_settings,
+            count_carried=self._detours.summarize,
         )
         self._retry_transfers = retry_transfers.RetryTransfers(
             env,
@@ -332,6 +367,8 @@
             asyncio.ensure_future(self._quarantine_gossip.run()),
             asyncio.ensure_future(self._drain_check.run()),
             asyncio.ensure_future(self._rate_limiter.run(self._orders.probe)),
+            asyncio.ensure_future(self._connector.run()),
+            asyncio.ensure_future(self._serve_peers()),
         ]
         servers = [
             await self._serve(
@@ -364,6 +401,23 @@
         handler = http_server.make_stream_handler(handle, self._config.limits)
         return await self._env.serve(handler, address)
 
+    async def _serve_peers(self) -> None:
+        """Carries connections of peers; retries until the port is free."""
+        while True:
+            try:
+                server = await self._env.serve(
+                    self._detours.serve, self._gateway_config.peers.listen
+                )
+            except OSError as error:
+                self._log.error("Could not listen for peers. {}", error)
+                await asyncio.sleep(_REBIND_MS / 1000.0)
+                continue
+            self._detours.is_stopping = False
+            try:
+                await asyncio.Event().wait()
+            finally:
+                server.close()
+
     async def _serve_caller(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -404,6 +458,10 @@
         """Returns whether another connection of a caller would be served."""
         return len(self._connections) < self._config.limits.connections_max
 
+    def _count_open(self) -> int:
+        """Returns the open connections of callers and those carried."""
+        return len(self._connections) + self._detours.carried
+
     async def _answer_ready(
         self, incoming: message.IncomingRequest
     ) -> message.Response:
@@ -411,6 +469,7 @@
             not self._is_stopping
             and self._has_fresh_settings()
             and self._has_room()
+            and self._connector.links.state is not links.State.ISOLATED
         )
         return message.Response(_OK if is_ready else _UNAVAILABLE, {}, b"")
 
@@ -418,7 +477,12 @@
         self, incoming: message.IncomingRequest
     ) -> message.Response:
         if incoming.path == "/status":
-            return status.make_status(self.context, False, self._is_stopping)
+            return status.make_status(
+                self.context,
+                False,
+                self._is_stopping,
+                self._describe_links(),
+            )
         status.set_gauges(self.context)
         metrics = self.context.metrics
         metrics.reservations.set({}, len(self._keeper))
@@ -429,20 +493,36 @@
         metrics.backing_off_targets.set(
             {}, self._availability.count_backing_off()
         )
+        metrics.carried_connections.set({}, self._detours.carried)
+        metrics.broken_links.set({}, self._connector.links.count_broken())
+        for each in links.State:
+            is_state = each is self._connector.links.state
+            metrics.links_state.set({"state": each.value}, int(is_state))
         metrics.log_lines_dropped.set({}, logs.count_dropped_lines())
         return metric_types.render(metrics.registry)
 
+    def _describe_links(self) -> dict[str, object]:
+        """Returns the state of the links to targets, for the status page."""
+        return {
+            "links": self._connector.links.state.value,
+            "broken_links": self._connector.links.count_broken(),
+            "carried": self._detours.carried,
+            "carriers": len(self._peers.list_carriers()),
+        }
+
     async def _stop(self, callers: asyncio.Server) -> None:
         config = self._gateway_config
         self._log.info("Planned stop begins.", open=len(self._open_requests))
         began_ms = self._env.now_ms()
         self._is_stopping = True
+        self._detours.is_stopping = True
+        self._peers.note_change()
         # Callers still connect until the load balancer has noticed.
         await asyncio.sleep(config.stop_lag_ms / 1000.0)
         callers.close()
         self._connections.close_idle()
         until_ms = began_ms + config.stop_limit_ms
-        while len(self._connections) and self._env.now_ms() < until_ms:
+        while self._count_open() and self._env.now_ms() < until_ms:
             await asyncio.sleep(_POLL_MS / 1000.0)
             self._connections.close_idle()
         self._log.info("Planned stop ends.", open=len(self._open_requests))
--- a/src/ruddergate/entry/peer_gossip.py
+++ b/src/ruddergate/entry/peer_gossip.py
@@ -14,6 +14,7 @@
 from typing import TypeAlias
 
 from ruddergate import environment
+from ruddergate.decisions import carriers
 from ruddergate.decisions import peer_groups
 from ruddergate.decisions import peer_loads
 from ruddergate.entry import digest_relay
@@ -95,6 +96,8 @@
         find_settings_revision: Returns the revision of settings in force.
         note_newer_settings: Called with a peer's name and its settings
             revision, if that is later than this VM's.
+        count_carried: Returns the number of connections carried for peers, or
+            `carriers.CARRIES_NONE`.
 
     Attributes:
         loads: Known loads of peers.
@@ -131,6 +134,7 @@
         note_newer_settings: Callable[
             [str, int], None
         ] = lambda peer, revision: None,
+        count_carried: Callable[[], int] = lambda: carriers.CARRIES_NONE,
     ) -> None:
         self._env = env
         self._config = config
@@ -147,6 +151,7 @@
         self._find_settings_revision = find_settings_revision
         self._note_newer_settings = note_newer_settings
         self._notify_peer_count = on_peer_count
+        self._count_carried = count_carried
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
             self._own, peer_groups.VmAttributes(hall, config.link_mbps)
@@ -193,6 +198,16 @@
         """Returns the peers of this hall that were heard from recently."""
         return [name for name in self.rank_hall() if name != self._own]
 
+    def list_carriers(self) -> list[carriers.Carrier]:
+        """Returns the peers that carry connections to targets."""
+        return self.loads.list_carriers(self._env.now_ms())
+
+    def is_peer_host(self, host: str) -> bool:
+        """Returns whether a known peer has this host."""
+        return any(
+            name.rpartition(":")[0] == host for name in self.loads.list_peers()
+        )
+
     def rank_hall(self) -> list[str]:
         """Returns this hall's VMs, this one included.
 
@@ -278,6 +293,7 @@
             draining=self._summarize_draining(),
             rate_limits=self._summarize_rate_limits(),
             settings_revision=self._find_settings_revision(),
+            carried=self._count_carried(),
         )
 
     def _send_to_seeds(
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -16,14 +16,13 @@
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import scheduler_messages
+from ruddergate.entry import target_connector
 from ruddergate.relay import orders
 from ruddergate.relay import response_event as response_events
 from ruddergate.relay import upstream_request as upstream_requests
 
-# A reachable target accepts a connection within a few milliseconds. A lost
-# packet is retransmitted only after a second, which is too long to wait. With
-# this timeout, a short prompt due in 300 ms can still be in time elsewhere.
-CONNECT_TIMEOUT_MS = 150.0
+# Longer than what all ways to a target may take together.
+CONNECT_TIMEOUT_MS = target_connector.TOTAL_TIMEOUT_MS + 30.0
 # How long a target may be silent before the request fails over to another one,
 # where the route allows that: a multiple of the route's `latency_slo_ms` for
 # the first event, and of its `gap_slo_ms` for later ones, with a minimum.
--- a/src/ruddergate/entry/status.py
+++ b/src/ruddergate/entry/status.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import math
+import types
 
 from ruddergate.entry import context as contexts
 from ruddergate.entry import feed as feeds
@@ -69,9 +71,19 @@
 
 
 def make_status(
-    context: contexts.EntryContext, agent_connected: bool, stopping: bool
+    context: contexts.EntryContext,
+    agent_connected: bool,
+    stopping: bool,
+    details: Mapping[str, object] = types.MappingProxyType({}),
 ) -> message.Response:
-    """Returns the state that this VM uses, and how old it is."""
+    """Returns the state that this VM uses, and how old it is.
+
+    Args:
+        context: Shared objects of the entry.
+        agent_connected: Whether the entry is connected to its agent.
+        stopping: Whether a planned stop has begun.
+        details: Further fields.
+    """
     now_ms = context.env.now_ms()
     view = context.view
     age_ms = view.age_ms(now_ms)
@@ -107,6 +119,7 @@
         "view_age_ms": _round_age(age_ms),
         "peers": list(view.list_vm_ids()),
         "waiting_cost_ms": context.scheduler.waiting_by_class(),
+        **details,
         "targets": targets,
     }
     return message.make_json_response(200, document)
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -32,6 +32,14 @@
 TCP_USER_TIMEOUT_MS = 6_000
 
 
+class UnreachableError(TimeoutError):
+    """An address can't be reached; whether anything listens is unknown."""
+
+
+class NotSentError(ConnectionError):
+    """A peer did not pass on what was written; none of it left that peer."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
     """Where a process listens.
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -125,6 +125,8 @@
         """Reads status and headers; returns a fault if that fails."""
         try:
             event = await self._next_event()
+        except environment.NotSentError as error:
+            return Fault(False, True, f"not sent: {error}")
         except (OSError, h11.RemoteProtocolError) as error:
             return Fault(True, False, f"no response: {error}")
         if not isinstance(event, h11.Response):
@@ -198,8 +200,9 @@
     try:
         async with asyncio.timeout(connect_ms / 1000.0):
             reader, writer = await env.connect(address)
-    except TimeoutError:
-        return Fault(False, True, f"connecting to {address} timed out")
+    except TimeoutError as error:
+        detail = str(error) or "timed out"
+        return Fault(False, True, f"connecting to {address} failed: {detail}")
     except OSError as error:
         return Fault(False, False, f"connecting to {address} failed: {error}")
     return Exchange(reader, writer)
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -24,6 +24,8 @@
         rate_limits: Rate limits that targets recently reported or ended.
         settings_revision: Revision of the published settings in force at the
             gateway.
+        carried: Connections to targets that it carries for peers; -1 if it
+            carries none at present.
     """
 
     sender: str
@@ -36,3 +38,4 @@
     draining: tuple[str, ...] = ()
     rate_limits: tuple[rate_limit.RateLimitUpdate, ...] = ()
     settings_revision: int = 0
+    carried: int = -1
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -124,6 +124,26 @@
         self.reservations = self._gauge(
             "ruddergate_reservations", "Reservations held at engines."
         )
+        self.detours = self._counter(
+            "ruddergate_detours_total",
+            "Connections to targets tried through a peer, by result.",
+        )
+        self.carried_requests = self._counter(
+            "ruddergate_carried_total",
+            "Connections to targets that peers asked for, by result.",
+        )
+        self.carried_connections = self._gauge(
+            "ruddergate_carried_connections",
+            "Connections to targets carried for peers.",
+        )
+        self.broken_links = self._gauge(
+            "ruddergate_broken_links",
+            "Targets that only peers have reached lately.",
+        )
+        self.links_state = self._gauge(
+            "ruddergate_links_state",
+            "How this VM reaches targets: 1 for the state that it is in.",
+        )
         self.log_lines_dropped = self._gauge(
             "ruddergate_log_lines_left_out", "Log lines dropped, in total."
         )
--- a/src/ruddergate/wire/codec.py
+++ b/src/ruddergate/wire/codec.py
@@ -9,6 +9,7 @@
 import msgpack
 import msgspec
 
+from ruddergate.messages import detour
 from ruddergate.messages import document_part
 from ruddergate.messages import entry_hello
 from ruddergate.messages import entry_load
@@ -28,7 +29,10 @@
 from ruddergate.messages import tree_request
 
 Message: TypeAlias = (
-    document_part.DocumentPart
+    detour.DetourBegin
+    | detour.DetourReply
+    | detour.DetourRequest
+    | document_part.DocumentPart
     | document_part.SettingsRequest
     | document_part.TargetsDocument
     | document_part.TargetsRequest
@@ -84,6 +88,9 @@
     24: poison_reports.PoisonReports,
     25: document_part.TargetsRequest,
     26: document_part.TargetsDocument,
+    27: detour.DetourRequest,
+    28: detour.DetourReply,
+    29: detour.DetourBegin,
 }
 _SCALARS = (str, int, float, bool, bytes)
 _TAG_BY_TYPE = {type_: tag for tag, type_ in _TAGS.items()}
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -164,6 +164,11 @@
             if not self.is_broken:
                 self._outgoing.send(b"")
 
+    def get_extra_info(self, name: str) -> tuple[str, int] | None:
+        """Returns the address of the peer; its port is not known."""
+        _, peer = self.find_ends()
+        return (peer.name, 0) if name == "peername" else None
+
     def is_closing(self) -> bool:
         """Returns whether the stream is closed."""
         return self._is_closed
