A refused connection is no proof that a target has ended

Cause: one VM's refused connection counted as certain, was gossiped as such and nothing took it back.

Change: a target has ended only if a peer is refused, too, and most of three other targets of the hall accept the peer's connections right then; without peers the VM's own link is verified in the same way. The belief is dropped when the target responds, and after 5 s in any case: the list has dropped a target that really ended by then.

--- a/src/ruddergate/decisions/links.py
+++ b/src/ruddergate/decisions/links.py
@@ -16,8 +16,6 @@
 # A broken link to a target is forgotten this long after it was last found
 # broken; the next connection then tries the direct way first.
 BROKEN_TTL_MS = 30_000.0
-# Targets of which is remembered when they were last reached directly.
-MAX_REACHED = 256
 # This VM reaches nothing if neither way led to this many targets, and none was
 # reached for this time. A live target may be silent for a second.
 MIN_UNREACHED = 3
@@ -57,16 +55,10 @@
         self._unreached: set[str] = set()
         # When either way last led to a target.
         self._any_reached_ms = float("-inf")
-        # When targets were last reached directly, the latest last.
-        self._reached_ms: dict[str, float] = {}
         self._successes = 0
 
     def note_reached(self, address: str, now_ms: float) -> None:
         """Notes that a target was reached directly."""
-        self._reached_ms.pop(address, None)
-        self._reached_ms[address] = now_ms
-        if len(self._reached_ms) > MAX_REACHED:
-            del self._reached_ms[next(iter(self._reached_ms))]
         if address in self._broken:
             # Links to other targets have probably come back with this one.
             self._broken.clear()
@@ -76,10 +68,6 @@
         if self._successes >= MIN_SUCCESSES:
             self.state = State.DIRECT
 
-    def find_reached_ms(self, address: str) -> float:
-        """Returns when a target was last reached directly."""
-        return self._reached_ms.get(address, float("-inf"))
-
     def note_failed(self) -> None:
         """Notes that a direct connection to some target failed."""
         self._successes = 0
--- a/src/ruddergate/entry/detour_client.py
+++ b/src/ruddergate/entry/detour_client.py
@@ -17,13 +17,15 @@
     """A connection that was not made.
 
     Attributes:
-        is_refused: Whether nothing listens at the target's address, as seen
-            over a link that works.
+        has_ended: Whether nothing listens at the target's address, as seen over
+            a link that works.
         detail: One sentence for logs.
+        is_refused: Whether the connection was refused, over whatever link.
     """
 
-    is_refused: bool
+    has_ended: bool
     detail: str
+    is_refused: bool = False
 
 
 async def connect(
@@ -67,9 +69,9 @@
         return Failure(False, f"peer {carrier}: malformed reply")
     if reply.result == detour.DetourResult.CONNECTED:
         return None
-    is_refused = reply.result == detour.DetourResult.REFUSED
+    has_ended = reply.result == detour.DetourResult.REFUSED
     detail = f"peer {carrier}: {reply.result}, {reply.detail}"
-    return Failure(is_refused, detail)
+    return Failure(has_ended, detail)
 
 
 class _Reader:
--- a/src/ruddergate/entry/detour_server.py
+++ b/src/ruddergate/entry/detour_server.py
@@ -37,7 +37,8 @@
     Args:
         env: Clock and streams.
         own_links: State of this VM's links to targets.
-        connect: Connects to a target directly.
+        connect: Connects to a target directly, and verifies the link if that
+            is refused.
         find_target: Returns the target listed at an address, if any.
         check_admission: Returns a refusal if a target accepts no requests now.
         is_peer_host: Returns whether a host is that of a known peer.
@@ -147,7 +148,7 @@
         pair = await self._connect(target.address)
         if isinstance(pair, detour_client.Failure):
             result = results.UNREACHABLE
-            if pair.is_refused:
+            if pair.has_ended:
                 result = results.REFUSED
             return _reply(result, pair.detail), None
         return _reply(results.CONNECTED, ""), pair
--- a/src/ruddergate/entry/ended_incarnations.py
+++ b/src/ruddergate/entry/ended_incarnations.py
@@ -10,36 +10,47 @@
 
 from ruddergate.fleet import incarnation as incarnations
 
-# Ended incarnations kept for attempts that begin later. The list of targets has
-# dropped an incarnation long before this many others have ended.
+# Ended incarnations kept for attempts that begin later.
 _MAX_KEPT = 512
+# How long. The list of targets has dropped an incarnation by then; one that is
+# still listed has not ended, whatever a VM without links concluded.
+KEPT_MS = 5_000.0
 
 
 class EndedIncarnations:
-    """Incarnations that have certainly ended; owned by the scheduler task."""
+    """Incarnations that seem to have ended; owned by the scheduler task."""
 
     def __init__(self) -> None:
-        self._ended: dict[incarnations.Incarnation, None] = {}
+        # When each was last reported, the latest last.
+        self._ended: dict[incarnations.Incarnation, float] = {}
         self._waiters: dict[
             asyncio.Future[incarnations.Incarnation], frozenset
         ] = {}
 
-    def note(self, incarnation: incarnations.Incarnation) -> None:
+    def note(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> None:
         """Records that an incarnation has ended."""
-        self._ended[incarnation] = None
+        self._ended.pop(incarnation, None)
+        self._ended[incarnation] = now_ms
         if len(self._ended) > _MAX_KEPT:
             del self._ended[next(iter(self._ended))]
         for waiter, awaited in self._waiters.items():
             if incarnation in awaited and not waiter.done():
                 waiter.set_result(incarnation)
 
+    def refute(self, incarnation: incarnations.Incarnation) -> None:
+        """Records that an incarnation has responded."""
+        self._ended.pop(incarnation, None)
+
     async def wait_for_any(
-        self, awaited: Iterable[incarnations.Incarnation]
+        self, awaited: Iterable[incarnations.Incarnation], now_ms: float
     ) -> incarnations.Incarnation:
         """Waits until one of the incarnations has ended, and returns it."""
         wanted = frozenset(awaited)
         for incarnation in wanted:
-            if incarnation in self._ended:
+            ended_ms = self._ended.get(incarnation, float("-inf"))
+            if now_ms - ended_ms <= KEPT_MS:
                 return incarnation
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = wanted
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -208,7 +208,7 @@
         self._detours = detour_server.DetourServer(
             env,
             self._connector.links,
-            self._connector.connect_directly,
+            self._connector.connect_and_verify,
             self._connector.find_target,
             lambda target: self._availability.check_admission((target,)),
             lambda host: self._peers.is_peer_host(host),
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -246,9 +246,9 @@
         helpers = [
             placement.target.incarnation for placement in self._placements[1:]
         ]
-        incarnation = (
-            await self._context.scheduler.incarnation_ends.wait_for_any(helpers)
-        )
+        ends = self._context.scheduler.incarnation_ends
+        now_ms = self._context.env.now_ms()
+        incarnation = await ends.wait_for_any(helpers, now_ms)
         request = self._request
         is_large = length_band.is_long(request.prompt_tokens)
         is_repeatable = request.payload.route.repeatable
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -16,6 +16,7 @@
 from ruddergate import environment
 from ruddergate.decisions import carriers
 from ruddergate.decisions import links
+from ruddergate.decisions import rendezvous
 from ruddergate.entry import detour_client
 from ruddergate.fleet import target as targets
 from ruddergate.telemetry import logs
@@ -37,8 +38,9 @@
 # Interval of probes of the direct way while connections go through peers.
 # Jitter spreads the return of many VMs.
 PROBE_INTERVAL_MS = (300.0, 600.0)
-# Targets connected to at once in order to verify a link.
-_VERIFIED_TARGETS = 2
+# Targets connected to at once in order to verify a link, most of which must
+# accept. One that does shows little: a cut may leave out a few targets.
+VERIFIED_TARGETS = 3
 
 Connection: TypeAlias = environment.StreamPair | detour_client.Failure
 Connect: TypeAlias = Callable[[], Awaitable[Connection]]
@@ -136,12 +138,14 @@
         )
         try:
             connection = await self._run_race(name, race)
+            if not self._peers.list_carriers():
+                connection = await self._verify_refusal(address, connection)
             self._note_race(name, race, connection)
         finally:
             self._keep(race.abandon())
         if not isinstance(connection, detour_client.Failure):
             return connection
-        if connection.is_refused:
+        if connection.has_ended:
             raise ConnectionRefusedError(connection.detail)
         raise environment.UnreachableError(connection.detail)
 
@@ -206,18 +210,30 @@
         name = str(address)
         try:
             pair = await self._try_direct(address)
-        except TimeoutError as error:
-            self.links.note_failed()
-            return detour_client.Failure(False, str(error) or "timed out")
         except OSError as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            if is_refused and await self._verify_link(address):
-                return detour_client.Failure(True, str(error))
             self.links.note_failed()
-            return detour_client.Failure(False, str(error))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            detail = str(error) or "timed out"
+            return detour_client.Failure(False, detail, is_refused)
         self._note(lambda: self.links.note_reached(name, self._env.now_ms()))
         return pair
 
+    async def connect_and_verify(
+        self, address: environment.Address
+    ) -> Connection:
+        """Connects over this VM's own link, and verifies it if refused."""
+        connection = await self.connect_directly(address)
+        return await self._verify_refusal(address, connection)
+
+    async def _verify_refusal(
+        self, address: environment.Address, connection: Connection
+    ) -> Connection:
+        """Returns whether a target has ended if a connection was refused."""
+        if _is_up(connection) or not connection.is_refused:
+            return connection
+        has_ended = await self._verify_link(address)
+        return dataclasses.replace(connection, has_ended=has_ended)
+
     async def _try_direct(
         self, address: environment.Address
     ) -> environment.StreamPair:
@@ -225,23 +241,23 @@
             return await self._env.connect(address)
 
     async def _verify_link(self, address: environment.Address) -> bool:
-        """Returns whether other targets can be reached directly.
+        """Returns whether most targets near an address can be reached directly.
 
         A cut network may refuse connections, too. A refused connection shows
         that nothing listens only if the link to that hall works.
         """
         target = self.find_target(str(address))
-        others = [
-            each.address
+        others = {
+            str(each.address): each.address
             for each in self._list_targets()
             if each.address != address
             and (target is None or each.hall == target.hall)
-        ]
-        # Those reached last are the least likely to have ended as well.
-        others.sort(key=lambda each: self.links.find_reached_ms(str(each)))
-        chosen = others[-_VERIFIED_TARGETS:]
-        results = await asyncio.gather(*map(self._is_reachable, chosen))
-        return any(results)
+        }
+        chosen = rendezvous.choose(str(address), others, VERIFIED_TARGETS)
+        results = await asyncio.gather(
+            *(self._is_reachable(others[name]) for name in chosen)
+        )
+        return 2 * sum(results) > len(chosen)
 
     async def _is_reachable(self, address: environment.Address) -> bool:
         try:
@@ -268,7 +284,7 @@
                 self._metrics.detours.inc({"result": "connected"})
                 return connection
             failure = connection
-            if failure.is_refused:
+            if failure.has_ended:
                 self._metrics.detours.inc({"result": "refused"})
                 return failure
             self._metrics.detours.inc({"result": "failed"})
@@ -288,8 +304,7 @@
         except TimeoutError:
             detail = f"peer {carrier.name}: timed out"
             connection = detour_client.Failure(False, detail)
-        is_failure = isinstance(connection, detour_client.Failure)
-        if is_failure and not connection.is_refused:
+        if not _is_final(connection):
             until_ms = self._env.now_ms() + CARRIER_PAUSE_MS
             self._paused_until_ms[carrier.name] = until_ms
         return connection
@@ -412,7 +427,7 @@
                     return self._use(each)
         direct, detour = self._direct.result(), self._detour.result()
         detail = f"direct: {direct.detail}; {detour.detail}"
-        return detour_client.Failure(False, detail)
+        return detour_client.Failure(False, detail, direct.is_refused)
 
     def _use(self, task: asyncio.Future) -> Connection:
         self._used = task
@@ -458,7 +473,7 @@
 
 def _is_final(connection: Connection) -> bool:
     """Returns whether the other way can add nothing to this result."""
-    return _is_up(connection) or connection.is_refused
+    return _is_up(connection) or connection.has_ended
 
 
 def _close_unused(task: asyncio.Future) -> None:
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -47,10 +47,11 @@
         self._loss_reports.note_unreachable(
             target.hall, target.incarnation, False, now_ms
         )
-        self.ended.note(target.incarnation)
+        self.ended.note(target.incarnation, now_ms)
 
     def note_answered(self, target: targets.Target, now_ms: float) -> None:
         """Records that a target has responded."""
+        self.ended.refute(target.incarnation)
         self._reachability.note_reached(target.hall)
         self._loss_reports.note_reached(target.hall, target.incarnation, now_ms)
 
@@ -72,7 +73,7 @@
     ) -> None:
         """Avoids for a short time what peers reported as unreachable."""
         for name in report.terminated:
-            self.ended.note(incarnations.parse_incarnation(name))
+            self.ended.note(incarnations.parse_incarnation(name), now_ms)
         for name in (*report.terminated, *report.unresponsive):
             estimate = find_estimate(incarnations.parse_incarnation(name))
             if estimate is not None:
--- a/tests/test_false_ends.py
+++ b/tests/test_false_ends.py
@@ -23,10 +23,11 @@
     believed = []
     for vm, node in cluster.vms.items():
         ends = node.gateway.context.scheduler.incarnation_ends
+        now_ms = node.gateway.context.env.now_ms()
         for each in node.gateway.context.view.listing.targets:
             try:
                 async with asyncio.timeout(0.001):
-                    await ends.wait_for_any([each.incarnation])
+                    await ends.wait_for_any([each.incarnation], now_ms)
                 believed.append(f"{vm}: {each.target_id}")
             except TimeoutError:
                 continue
