Retry-After: a wait that is not known is no reason to refuse

Callers that came while no target was usable for a moment were refused and told to come back in 26 days.

Cause: the rate at which the queue empties is 0 then, and the predicted wait was the queued cost divided by almost nothing.

Change: without a usable target the wait counts as unknown and the request queues until its deadline; a predicted wait is told as 10 s at most.

tests.test_queueing.RetryAfterTest failed before (10,000,000 and 100,000,000 ms told; a refusal where the pause may end at once).

--- a/src/ruddergate/decisions/queueing.py
+++ b/src/ruddergate/decisions/queueing.py
@@ -19,6 +19,9 @@
 # Time constant of the exponential decay of what a class was recently served.
 SERVED_DECAY_MS = 10_000.0
 _MIN_RETRY_AFTER_MS = 100.0
+# A wait that is predicted to be longer says little: the rate at which a queue
+# empties changes as targets fail and return.
+MAX_RETRY_AFTER_MS = 10_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +121,7 @@
             return outcomes.refuse(
                 outcomes.Reason.CANNOT_FINISH_IN_TIME,
                 f"about {wait_ms + job.unloaded_ms:.0f} ms would be needed",
-                max(_MIN_RETRY_AFTER_MS, wait_ms),
+                _bound_retry_after_ms(wait_ms),
             )
         class_ = self._find_class(job.priority)
         bound_ms = job.priority.queue_cost_ms_max
@@ -126,7 +129,7 @@
             return outcomes.refuse(
                 outcomes.Reason.QUEUE_FULL,
                 f"the queue of class {job.priority.name} is full",
-                max(_MIN_RETRY_AFTER_MS, wait_ms / 2.0),
+                _bound_retry_after_ms(wait_ms / 2.0),
             )
         self._add_job(class_, job)
         return None
@@ -194,14 +197,18 @@
     ) -> float:
         """Returns how long a new job of this class and band would wait.
 
-        Longer prompts are left out: their lanes block no shorter ones.
+        Longer prompts are left out: their lanes block no shorter ones. The
+        result is 0 if no target can be used at the moment: when one can is
+        unknown, and is often soon.
         """
+        rate = self._drain_rate()
+        if rate <= 0.0:
+            return 0.0
         ahead_ms = sum(
             class_.cost_up_to(band)
             for class_ in self._classes.values()
             if class_.priority.rank >= priority.rank
         )
-        rate = max(1e-6, self._drain_rate())
         floor_rate = rate * max(0.0, priority.floor_percent) / 100.0
         class_ = self._classes.get(priority.name)
         class_ms = class_.cost_up_to(band) if class_ else 0.0
@@ -287,3 +294,7 @@
     if not lanes:
         return None
     return min(lanes, key=lambda lane: workspace.lanes[lane][0].deadline_ms)
+
+
+def _bound_retry_after_ms(wait_ms: float) -> float:
+    return min(MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms))
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -115,3 +115,30 @@
         self.assertEqual(queue.remove_expired(40.0), [])
         self.assertEqual([x.job_id for x in queue.remove_expired(60.0)], ["a"])
         self.assertEqual(len(queue), 0)
+
+
+class RetryAfterTest(unittest.TestCase):
+    """Retry-After of refusals while targets can't be used for a moment.
+
+    The rate at which a queue empties is 0 then. Dividing by almost nothing told
+    callers to come back in 26 days.
+    """
+
+    def test_unknown_wait_is_no_reason_to_refuse(self) -> None:
+        queue = queueing.Queue(lambda: 0.0)
+        self.assertIsNone(queue.offer(make_job("first"), 0.0))
+        self.assertIsNone(queue.offer(make_job("second"), 0.0))
+
+    def test_full_queue_names_a_bounded_time(self) -> None:
+        queue = queueing.Queue(lambda: 0.0)
+        self.assertIsNone(queue.offer(make_job("first", cost_ms=9_999.0), 0.0))
+        refusal = queue.offer(make_job("second"), 0.0)
+        self.assertIs(refusal.reason, outcomes.Reason.QUEUE_FULL)
+        self.assertLessEqual(refusal.retry_after_ms, 10_000.0)
+
+    def test_long_wait_names_a_bounded_time(self) -> None:
+        queue = queueing.Queue(lambda: 1e-5)
+        self.assertIsNone(queue.offer(make_job("first"), 0.0))
+        refusal = queue.offer(make_job("second"), 0.0)
+        self.assertIs(refusal.reason, outcomes.Reason.CANNOT_FINISH_IN_TIME)
+        self.assertLessEqual(refusal.retry_after_ms, 10_000.0)
