Refusals without a way to targets say when to come back

Callers of a VM that reached no target got a 503 without Retry-After, after nine connections that failed. The range used where no target is free applies now; it is random, so that callers don't return together. A VM without any way to targets refuses at once and is not ready (tests.test_lost_links.NoWayTest, the first of which failed before).

--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -68,8 +68,8 @@
 MIN_LATE_WAIT_MS = 1_200.0
 # Puts the ranks of late requests below those of all others.
 _LATE_RANK_OFFSET = 1_000_000
-# Range of the retry-after when no target is free; random, so that callers don't
-# come back all at once.
+# Range of the retry-after when no target is free or can be reached; random, so
+# that callers don't come back all at once.
 _NO_TARGET_RETRY_MS = (400.0, 1_200.0)
 
 
@@ -160,7 +160,7 @@
     if outcome.reason not in _KEEP_TARGET_REASONS:
         progress.excluded |= {placement.target.target_id}
     if outcome.reason in _UNSENT_REASONS:
-        return _conclude_unsent(outcome, progress)
+        return _conclude_unsent(outcome, progress, context)
     progress.counted_attempts += 1
     can_continue = route.is_resumable or not progress.has_head
     if not can_continue or progress.count_targets_used() >= route.targets_max:
@@ -169,7 +169,9 @@
 
 
 def _conclude_unsent(
-    outcome: outcomes.NotServed, progress: relay_progress.Progress
+    outcome: outcomes.NotServed,
+    progress: relay_progress.Progress,
+    context: contexts.EntryContext,
 ) -> response_events.Event | None:
     """Returns the outcome, or None to try again.
 
@@ -177,10 +179,14 @@
     targets of the route nor against the retry budget.
     """
     progress.unsent_attempts += 1
-    is_quarantined = outcome.reason is outcomes.Reason.QUARANTINED
-    if is_quarantined or progress.unsent_attempts > MAX_UNSENT_ATTEMPTS:
+    if outcome.reason is outcomes.Reason.QUARANTINED:
         return _conclude(outcome, progress)
-    return None
+    if progress.unsent_attempts <= MAX_UNSENT_ATTEMPTS:
+        return None
+    if outcome.retry_after_ms is None:
+        retry_after_ms = context.env.random.uniform(*_NO_TARGET_RETRY_MS)
+        outcome = dataclasses.replace(outcome, retry_after_ms=retry_after_ms)
+    return _conclude(outcome, progress)
 
 
 def _is_helper_failure(
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -103,5 +103,43 @@
                 self._check_share(9, 6, mode)
 
 
+class NoWayTest(unittest.TestCase):
+    """All VMs lose their links: nobody can be served."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_callers_are_refused_at_once_and_told_when_to_return(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            cut_from_targets(cluster, 3, virtual_network.CutMode.SILENT)
+            results = await call_all_vms(fixture, 3.0)
+            self.assertEqual({each.status for each in results}, {503})
+            delays = [float(each.headers["retry-after"]) for each in results]
+            self.assertLessEqual(max(delays), 2.0)
+            self.assertGreater(len(set(delays)), len(delays) // 2)
+            last = await call_all_vms(fixture, 0.5)
+            self.assertLess(max(each.took_ms for each in last), 100.0)
+            for vm in cluster.vms:
+                self.assertEqual(await fixture.caller.check_ready(vm), 503)
+
+        gateway_fixture.run_scenario(scenario)
+
+    def test_service_returns_with_the_links(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            cut_from_targets(cluster, 3, virtual_network.CutMode.SILENT)
+            await call_all_vms(fixture, 4.0)
+            cluster.network.cuts.clear()
+            await asyncio.sleep(1.5)
+            for vm in cluster.vms:
+                self.assertEqual(await fixture.caller.check_ready(vm), 200)
+            results = await call_all_vms(fixture, 1.0)
+            self.assertEqual(count_served(results), 1.0)
+
+        gateway_fixture.run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
