A VM that reaches no hall reports none as unreachable

Sound VMs avoided halls 54 times within 12 s because VMs of their hall, which had lost their own links, reported them one after the other.

Cause: a hall was reported by whoever found two of its targets unreachable.

Change: it is reported only by a VM that has reached another hall since the first of these failures. tests.test_loss_reports.UnreachableHallTest failed before (both halls reported).

--- a/src/ruddergate/decisions/loss_reports.py
+++ b/src/ruddergate/decisions/loss_reports.py
@@ -71,9 +71,24 @@
         losses[incarnation] = now_ms
         return True
 
-    def note_hall_unreachable(self, hall: str, now_ms: float) -> None:
-        """Notes a hall that seems cut off."""
+    def note_hall_unreachable(
+        self, hall: str, since_ms: float, now_ms: float
+    ) -> bool:
+        """Notes a hall that seems cut off.
+
+        Args:
+            hall: The hall.
+            since_ms: When targets of it were first found unreachable.
+            now_ms: Time.
+
+        Returns:
+            Whether it will be reported. If no hall was reached since then, this
+            VM may be the one that is cut off.
+        """
+        if all(at_ms < since_ms for at_ms in self._reached_ms.values()):
+            return False
         self._unreachable_halls[hall] = now_ms
+        return True
 
     def summarize(self, now_ms: float) -> loss_report.LossReport:
         """Returns the losses to report to peers now."""
--- a/src/ruddergate/decisions/reachability.py
+++ b/src/ruddergate/decisions/reachability.py
@@ -45,6 +45,16 @@
         state.avoid_ms = min(MAX_AVOID_MS, state.avoid_ms * 2.0)
         return True
 
+    def find_first_failure_ms(self, hall: str, now_ms: float) -> float:
+        """Returns when the recent failures in a hall began."""
+        state = self._halls.setdefault(hall, _Hall())
+        recent = (
+            at_ms
+            for at_ms in state.failed_ms.values()
+            if now_ms - at_ms <= WINDOW_MS
+        )
+        return min(recent, default=now_ms)
+
     def note_reported(self, hall: str, now_ms: float) -> bool:
         """Notes that a peer in this VM's hall reported a hall as unreachable.
 
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -36,8 +36,13 @@
         if self._reachability.note_connect_failure(
             hall, target.target_id, now_ms
         ):
-            self._log.warning("Hall {} is unreachable.", hall)
-            self._loss_reports.note_hall_unreachable(hall, now_ms)
+            since_ms = self._reachability.find_first_failure_ms(hall, now_ms)
+            is_reported = self._loss_reports.note_hall_unreachable(
+                hall, since_ms, now_ms
+            )
+            self._log.warning(
+                "Hall {} is unreachable.", hall, is_reported=is_reported
+            )
         self._loss_reports.note_unreachable(
             hall, target.incarnation, True, now_ms
         )
--- a/tests/test_loss_reports.py
+++ b/tests/test_loss_reports.py
@@ -1,14 +1,19 @@
 """Reports of unreachable targets between VMs: what is sent and applied."""
 
 import asyncio
+import random
 import unittest
 
 import loguru
 
+from ruddergate import environment
 from ruddergate.decisions import loss_reports
 from ruddergate.decisions import reachability
+from ruddergate.entry import target_losses
+from ruddergate.fleet import condition
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import loss_report
+from ruddergate.fleet import target as targets
 from standins import gateway_cluster
 from tests import gateway_fixture
 
@@ -16,6 +21,44 @@
 _HALL = "h"
 
 
+class UnreachableHallTest(unittest.TestCase):
+    """Halls that a VM reports as unreachable.
+
+    A VM that loses its links finds all halls unreachable, one after the other.
+    Its peers in the same hall would avoid all of them, for no reason.
+    """
+
+    def setUp(self) -> None:
+        self.losses = target_losses.TargetLosses(random.Random(1))
+        for number, hall in enumerate(("h0", "h1")):
+            self.losses.note_answered(_make_target(hall, 9), 10.0 * number)
+
+    def test_vm_that_reaches_nothing_reports_no_hall(self) -> None:
+        for number in range(2):
+            for hall in ("h0", "h1"):
+                target = _make_target(hall, number)
+                self.losses.note_unreachable(target, 100.0 + number)
+        self.assertTrue(self.losses.is_suspect("h0", 110.0))
+        self.assertEqual(self.losses.summarize(110.0).unreachable_halls, ())
+
+    def test_vm_that_reaches_another_hall_reports_it(self) -> None:
+        self.losses.note_unreachable(_make_target("h0", 1), 100.0)
+        self.losses.note_answered(_make_target("h1", 1), 105.0)
+        self.losses.note_unreachable(_make_target("h0", 2), 110.0)
+        reported = self.losses.summarize(120.0).unreachable_halls
+        self.assertEqual(reported, ("h0",))
+
+
+def _make_target(hall: str, number: int) -> targets.Target:
+    return targets.Target(
+        f"{hall}-{number}",
+        "pool",
+        hall,
+        environment.Address("host", 1),
+        condition.Condition.LIVE,
+    )
+
+
 class LossReportsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.losses = loss_reports.LossReports()
