--- a/src/ruddergate/decisions/carriers.py
+++ b/src/ruddergate/decisions/carriers.py
@@ -11,10 +11,8 @@
 # a small VM's memory, and its own callers go first.
 MAX_CARRIED = 192
 # A peer in this VM's hall or the target's saves a hop between halls. It is
-# chosen until it carries this many times as much as another one, and this many
-# connections more.
-_LOCAL_LOAD_FACTOR = 1.5
-_LOCAL_LOAD_MARGIN = 2
+# chosen unless it carries this many more connections than another one.
+_LOCAL_MARGIN = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,5 +46,5 @@
         second = rng.choice(carriers)
         return min(other, second, key=lambda each: each.carried)
     near = rng.choice(local)
-    limit = _LOCAL_LOAD_FACTOR * other.carried + _LOCAL_LOAD_MARGIN
-    return near if near.carried <= limit else other
+    is_loaded = near.carried > other.carried + _LOCAL_MARGIN
+    return other if is_loaded else near
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -282,6 +282,7 @@
             connection = await self._connect_through(carrier, address, is_order)
             if not isinstance(connection, detour_client.Failure):
                 self._metrics.detours.inc({"result": "connected"})
+                self._log_detour(carrier, address, is_order)
                 return connection
             failure = connection
             if failure.has_ended:
@@ -309,6 +310,24 @@
             self._paused_until_ms[carrier.name] = until_ms
         return connection
 
+    def _log_detour(
+        self,
+        carrier: carriers.Carrier,
+        address: environment.Address,
+        is_order: bool,
+    ) -> None:
+        if is_order:
+            return
+        self._log.info(
+            "Connected to {} through peer {}.",
+            address,
+            carrier.name,
+            request_id=logs.find_request_id(),
+            state=self.links.state.value,
+            carrier_hall=carrier.hall,
+            carrier_carried=carrier.carried,
+        )
+
     def _choose_carrier(
         self, address: environment.Address, tried: set[str]
     ) -> carriers.Carrier | None:
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -18,6 +18,7 @@
 from ruddergate.relay import hints as hint_types
 from ruddergate.relay import response_event as response_events
 from ruddergate.relay import upstream_request as upstream_requests
+from ruddergate.telemetry import logs
 
 _MISDIRECTED = 421
 _REDIRECTION = 300
@@ -46,11 +47,12 @@
     async def send(
         upstream_request: upstream_requests.UpstreamRequest,
     ) -> AsyncIterator[response_events.Event]:
-        exchange = await client.connect(
-            env,
-            upstream_request.target.address,
-            upstream_request.timeouts.connect_ms,
-        )
+        with logs.bind_request(_find_request_id(upstream_request)):
+            exchange = await client.connect(
+                env,
+                upstream_request.target.address,
+                upstream_request.timeouts.connect_ms,
+            )
         if isinstance(exchange, client.Fault):
             yield _make_target_lost(exchange)
             return
--- a/src/ruddergate/telemetry/logs.py
+++ b/src/ruddergate/telemetry/logs.py
@@ -1,6 +1,9 @@
 """Structured logs: short messages, each bound to a component (`part`)."""
 
 import atexit
+from collections.abc import Iterator
+import contextlib
+import contextvars
 import datetime as dt
 import sys
 import traceback
@@ -23,6 +26,7 @@
 
 # Writers of this process, one for each call of `configure`.
 _WRITERS: list[line_writer.LineWriter] = []
+_REQUEST_ID = contextvars.ContextVar("request_id", default="")
 
 
 def count_dropped_lines() -> int:
@@ -81,6 +85,21 @@
     return "".join(lines)
 
 
+@contextlib.contextmanager
+def bind_request(request_id: str) -> Iterator[None]:
+    """Sets the request that `find_request_id` returns meanwhile."""
+    token = _REQUEST_ID.set(request_id)
+    try:
+        yield
+    finally:
+        _REQUEST_ID.reset(token)
+
+
+def find_request_id() -> str:
+    """Returns the request that this task works for, or empty."""
+    return _REQUEST_ID.get()
+
+
 def make_logger(component: str) -> "Logger":
     """Returns a logger that binds the name of a component to its lines."""
     return loguru.logger.bind(part=component, request_id="")
