--- a/src/ruddergate/entry/ended_incarnations.py
+++ b/src/ruddergate/entry/ended_incarnations.py
@@ -39,6 +39,14 @@
             if incarnation in awaited and not waiter.done():
                 waiter.set_result(incarnation)
 
+    def list_recent(self, now_ms: float) -> list[incarnations.Incarnation]:
+        """Returns the incarnations that seem to have ended."""
+        return [
+            incarnation
+            for incarnation, ended_ms in self._ended.items()
+            if now_ms - ended_ms <= KEPT_MS
+        ]
+
     def refute(self, incarnation: incarnations.Incarnation) -> None:
         """Records that an incarnation has responded."""
         self._ended.pop(incarnation, None)
@@ -48,9 +56,8 @@
     ) -> incarnations.Incarnation:
         """Waits until one of the incarnations has ended, and returns it."""
         wanted = frozenset(awaited)
-        for incarnation in wanted:
-            ended_ms = self._ended.get(incarnation, float("-inf"))
-            if now_ms - ended_ms <= KEPT_MS:
+        for incarnation in self.list_recent(now_ms):
+            if incarnation in wanted:
                 return incarnation
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = wanted
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -241,17 +241,14 @@
             return await self._env.connect(address)
 
     async def _verify_link(self, address: environment.Address) -> bool:
-        """Returns whether most targets near an address can be reached directly.
+        """Returns whether most targets like this one can be reached directly.
 
         A cut network may refuse connections, too. A refused connection shows
-        that nothing listens only if the link to that hall works.
+        that nothing listens only if the link to such targets works.
         """
-        target = self.find_target(str(address))
         others = {
             str(each.address): each.address
-            for each in self._list_targets()
-            if each.address != address
-            and (target is None or each.hall == target.hall)
+            for each in self._list_similar(address)
         }
         chosen = rendezvous.choose(str(address), others, VERIFIED_TARGETS)
         results = await asyncio.gather(
@@ -259,6 +256,22 @@
         )
         return 2 * sum(results) > len(chosen)
 
+    def _list_similar(
+        self, address: environment.Address
+    ) -> list[targets.Target]:
+        """Returns other targets that are cut off together with a target.
+
+        A cut may separate a VM from one pool, or from one hall, alone.
+        """
+        listed = self._list_targets()
+        target = self.find_target(str(address))
+        others = [each for each in listed if each.address != address]
+        if target is None:
+            return others
+        of_pool = [each for each in others if each.pool == target.pool]
+        of_both = [each for each in of_pool if each.hall == target.hall]
+        return of_both or of_pool or others
+
     async def _is_reachable(self, address: environment.Address) -> bool:
         try:
             _, writer = await self._try_direct(address)
--- a/tests/test_false_ends.py
+++ b/tests/test_false_ends.py
@@ -18,20 +18,15 @@
 _CALL_INTERVAL_S = 0.05
 
 
-async def _find_ended(cluster: gateway_cluster.GatewayCluster) -> list[str]:
+def _find_ended(cluster: gateway_cluster.GatewayCluster) -> list[str]:
     """Returns which live targets VMs believe to have ended."""
-    believed = []
-    for vm, node in cluster.vms.items():
-        ends = node.gateway.context.scheduler.incarnation_ends
-        now_ms = node.gateway.context.env.now_ms()
-        for each in node.gateway.context.view.listing.targets:
-            try:
-                async with asyncio.timeout(0.001):
-                    await ends.wait_for_any([each.incarnation], now_ms)
-                believed.append(f"{vm}: {each.target_id}")
-            except TimeoutError:
-                continue
-    return believed
+    return [
+        f"{vm}: {each.target_id}"
+        for vm, node in cluster.vms.items()
+        for each in node.gateway.context.scheduler.incarnation_ends.list_recent(
+            node.gateway.context.env.now_ms()
+        )
+    ]
 
 
 class FalseEndTest(unittest.TestCase):
@@ -61,7 +56,7 @@
                 await asyncio.sleep(_CALL_INTERVAL_S)
             cluster.network.cuts.clear()
             await asyncio.gather(*pending)
-            self.assertEqual(await _find_ended(cluster), [])
+            self.assertEqual(_find_ended(cluster), [])
             for vm in cluster.vms:
                 result = await fixture.call(
                     "long", vm, prompt_tokens=600_000, output_tokens=460
