Carried connections: peers are known by name; links verified in the same pool

Cause: peers were recognized by the source address of their connection, which is not the one that they listen at where a host has several. The address that the request names is looked up among known peers instead; only listed targets can be reached through a VM, as before.

A VM that reaches no target refuses before an attempt begins; it logged 18 lines for each request.

--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -83,6 +83,9 @@
     def __len__(self) -> int:
         return len(self._peers)
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._peers
+
     def list_peers(self) -> list[str]:
         """Returns the addresses of all known peers."""
         return list(self._peers)
--- a/src/ruddergate/entry/context.py
+++ b/src/ruddergate/entry/context.py
@@ -71,6 +71,7 @@
             the step that sends.
         return_rate_token: Undoes `take_rate_token` for a request that was not
             sent after all.
+        check_links: Returns a refusal if no way leads to any target.
     """
 
     env: environment.Environment
@@ -93,6 +94,7 @@
         [targets.Target, str], outcomes.NotServed | None
     ] = _grant_rate_token
     return_rate_token: Callable[[targets.Target], None] = lambda target: None
+    check_links: Callable[[], outcomes.NotServed | None] = lambda: None
 
     @property
     def owner(self) -> str:
--- a/src/ruddergate/entry/detour_server.py
+++ b/src/ruddergate/entry/detour_server.py
@@ -41,7 +41,7 @@
             is refused.
         find_target: Returns the target listed at an address, if any.
         check_admission: Returns a refusal if a target accepts no requests now.
-        is_peer_host: Returns whether a host is that of a known peer.
+        is_peer: Returns whether a known peer has this address.
         metrics: Metrics of the process.
 
     Attributes:
@@ -60,7 +60,7 @@
         ],
         find_target: Callable[[str], targets.Target | None],
         check_admission: Callable[[targets.Target], outcomes.NotServed | None],
-        is_peer_host: Callable[[str], bool],
+        is_peer: Callable[[str], bool],
         metrics: metric_types.EntryMetrics,
     ) -> None:
         self.carried = 0
@@ -70,7 +70,7 @@
         self._connect = connect
         self._find_target = find_target
         self._check_admission = check_admission
-        self._is_peer_host = is_peer_host
+        self._is_peer = is_peer
         self._metrics = metrics
         self._logged = repeat_filter.RepeatFilter()
         self._log = logs.make_logger("detour")
@@ -86,20 +86,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection of a peer."""
-        host = (writer.get_extra_info("peername") or ("",))[0]
-        with contextlib.closing(writer):
-            if not self._is_peer_host(host):
-                if self._logged.is_new(host, "unknown"):
-                    self._log.warning("Rejected a connection of {}.", host)
-                return
-            self.carried += 1
-            try:
+        self.carried += 1
+        try:
+            with contextlib.closing(writer):
                 await self._carry(reader, writer)
-            except (OSError, TimeoutError) as error:
-                # Either end closed or reset its connection, which ends both.
-                self._log.debug("Connection of {} ended: {}", host, error)
-            finally:
-                self.carried -= 1
+        except OSError as error:
+            # Either end closed or reset its connection, which ends both.
+            self._log.debug("A carried connection ended: {}", error)
+        finally:
+            self.carried -= 1
 
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -108,7 +103,10 @@
         async with asyncio.timeout(REQUEST_TIMEOUT_MS / 1000.0):
             request = await chunks.read_message()
         if not isinstance(request, detour.DetourRequest):
-            self._log.warning("Ignoring malformed request for a connection.")
+            self._log_rejected("malformed request")
+            return
+        if not self._is_peer(request.sender):
+            self._log_rejected(f"{request.sender:.80} is not a peer")
             return
         result, pair = await self._open(request)
         self._metrics.carried_requests.inc({"result": result.result})
@@ -132,6 +130,12 @@
             target_writer.write(data)
             await _copy_until_end(reader, target_writer, target_reader, writer)
 
+    def _log_rejected(self, detail: str) -> None:
+        """Logs a rejected connection unless the last one was like it."""
+        self._metrics.carried_requests.inc({"result": "rejected"})
+        if self._logged.is_new("", detail):
+            self._log.warning("Rejected a connection: {}.", detail)
+
     async def _open(
         self, request: detour.DetourRequest
     ) -> tuple[detour.DetourReply, environment.StreamPair | None]:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -193,6 +193,7 @@
             check_admission=self._check_admission,
             take_rate_token=self._rate_limiter.take_token,
             return_rate_token=self._rate_limiter.return_token,
+            check_links=lambda: self._connector.check_links(),
         )
         self._connector = target_connector.TargetConnector(
             env,
@@ -211,7 +212,7 @@
             self._connector.connect_and_verify,
             self._connector.find_target,
             lambda target: self._availability.check_admission((target,)),
-            lambda host: self._peers.is_peer_host(host),
+            lambda name: self._peers.is_peer(name),
             metrics,
         )
         self._orders = platform.make_orders(
--- a/src/ruddergate/entry/peer_gossip.py
+++ b/src/ruddergate/entry/peer_gossip.py
@@ -202,11 +202,9 @@
         """Returns the peers that carry connections to targets."""
         return self.loads.list_carriers(self._env.now_ms())
 
-    def is_peer_host(self, host: str) -> bool:
-        """Returns whether a known peer has this host."""
-        return any(
-            name.rpartition(":")[0] == host for name in self.loads.list_peers()
-        )
+    def is_peer(self, name: str) -> bool:
+        """Returns whether a VM with this address is a known peer."""
+        return name in self.loads
 
     def rank_hall(self) -> list[str]:
         """Returns this hall's VMs, this one included.
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -85,6 +85,7 @@
     """
     progress = relay_progress.Progress(request.payload.last_event_id)
     refusal = context.quarantine.check_admission(request)
+    refusal = refusal or context.check_links()
     if refusal is not None:
         yield refusal
         return
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -11,9 +11,11 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import heapq
 from typing import TypeAlias
 
 from ruddergate import environment
+from ruddergate import outcomes
 from ruddergate.decisions import carriers
 from ruddergate.decisions import links
 from ruddergate.decisions import rendezvous
@@ -38,6 +40,9 @@
 # Interval of probes of the direct way while connections go through peers.
 # Jitter spreads the return of many VMs.
 PROBE_INTERVAL_MS = (300.0, 600.0)
+# Range of the retry-after of a VM that reaches no target. Another VM may serve
+# at once; if none does, callers should not return together.
+_ISOLATED_RETRY_MS = (400.0, 1_200.0)
 # Targets connected to at once in order to verify a link, most of which must
 # accept. One that does shows little: a cut may leave out a few targets.
 VERIFIED_TARGETS = 3
@@ -138,7 +143,7 @@
         )
         try:
             connection = await self._run_race(name, race)
-            if not self._peers.list_carriers():
+            if not _is_final(connection) and not self._peers.list_carriers():
                 connection = await self._verify_refusal(address, connection)
             self._note_race(name, race, connection)
         finally:
@@ -149,6 +154,16 @@
             raise ConnectionRefusedError(connection.detail)
         raise environment.UnreachableError(connection.detail)
 
+    def check_links(self) -> outcomes.NotServed | None:
+        """Returns a refusal if no way leads to any target."""
+        if self.links.state is not links.State.ISOLATED:
+            return None
+        return outcomes.refuse(
+            outcomes.Reason.NO_TARGET,
+            "this VM reaches no target",
+            self._env.random.uniform(*_ISOLATED_RETRY_MS),
+        )
+
     async def run(self) -> None:
         """Probes the direct way while connections go through peers."""
         while True:
@@ -246,31 +261,32 @@
         A cut network may refuse connections, too. A refused connection shows
         that nothing listens only if the link to such targets works.
         """
-        others = {
-            str(each.address): each.address
-            for each in self._list_similar(address)
-        }
-        chosen = rendezvous.choose(str(address), others, VERIFIED_TARGETS)
+        chosen = self._choose_similar(address)
         results = await asyncio.gather(
-            *(self._is_reachable(others[name]) for name in chosen)
+            *(self._is_reachable(each.address) for each in chosen)
         )
         return 2 * sum(results) > len(chosen)
 
-    def _list_similar(
+    def _choose_similar(
         self, address: environment.Address
     ) -> list[targets.Target]:
-        """Returns other targets that are cut off together with a target.
+        """Returns targets that are likely to be cut off together with another.
 
-        A cut may separate a VM from one pool, or from one hall, alone.
+        A cut may separate a VM from one pool, or from one hall, alone. In a
+        small pool the others may have ended, so other pools fill up the number.
         """
-        listed = self._list_targets()
         target = self.find_target(str(address))
-        others = [each for each in listed if each.address != address]
-        if target is None:
-            return others
-        of_pool = [each for each in others if each.pool == target.pool]
-        of_both = [each for each in of_pool if each.hall == target.hall]
-        return of_both or of_pool or others
+
+        def rank(other: targets.Target) -> tuple[bool, bool, int]:
+            is_other_pool = target is not None and other.pool != target.pool
+            is_other_hall = target is not None and other.hall != target.hall
+            score = rendezvous.score(str(address), str(other.address))
+            return is_other_pool, is_other_hall, score
+
+        others = [
+            each for each in self._list_targets() if each.address != address
+        ]
+        return heapq.nsmallest(VERIFIED_TARGETS, others, key=rank)
 
     async def _is_reachable(self, address: environment.Address) -> bool:
         try:
@@ -293,7 +309,7 @@
                 return failure
             tried.add(carrier.name)
             connection = await self._connect_through(carrier, address, is_order)
-            if not isinstance(connection, detour_client.Failure):
+            if _is_up(connection):
                 self._metrics.detours.inc({"result": "connected"})
                 self._log_detour(carrier, address, is_order)
                 return connection
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -31,6 +31,7 @@
 from standins import soak_draining
 from standins import soak_fleet
 from standins import soak_gateways
+from standins import soak_links
 from standins import soak_proxy
 from standins import soak_rate_limits
 from standins import soak_store
@@ -67,6 +68,8 @@
     # Whether gateways are peers of each other and the store is restored from
     # older copies.
     fleet: bool = False
+    # Whether gateways lose their links to targets; needs `fleet`.
+    links: bool = False
     # Mechanism that the gateways run without, see soak_ablations; empty for
     # none.
     without: str = ""
@@ -115,6 +118,8 @@
         self._caller_ports: list[int] = []
         self._responses: list[tuple[int, gateway_caller.CallResult]] = []
         self._drain_periods: list[soak_draining.DrainPeriod] = []
+        self._folder = folder
+        self._link_losses: list[soak_links.LinkLoss] = []
 
     async def run(self) -> tuple[list[str], dict[int, int]]:
         """Returns violated guarantees and the number of each status."""
@@ -140,6 +145,12 @@
         violations += soak_rate_limits.find_violations(
             self._replicas, self._gateways.interruptions, self._responses
         )
+        violations += soak_links.find_violations(
+            self._link_losses,
+            self._gateways.interruptions,
+            self._responses,
+            self.counts,
+        )
         return violations, gateway_schedules.count_statuses(all_responses)
 
     async def _run_faults_and_callers(self) -> None:
@@ -156,6 +167,8 @@
         ]
         if self._options.fleet:
             faults.append(asyncio.ensure_future(self._remove_key_early()))
+        if self._options.links:
+            faults.append(asyncio.ensure_future(self._cut_links(until_s)))
         await asyncio.gather(*calls, *faults)
         for proxy in self._proxies:
             proxy.mode = soak_proxy.Mode.FORWARD
@@ -196,11 +209,36 @@
                     tuple(ports),
                     store.port,
                     seeds,
+                    self._find_cut_file(number)
+                    if self._options.links
+                    else None,
                 )
             )
         await self._gateways.wait_until_listening()
         await asyncio.sleep(_STARTUP_S)
 
+    def _find_cut_file(self, number: int) -> pathlib.Path:
+        """Returns the file during whose existence a gateway has no links."""
+        return (self._folder / f"cut-{number}").resolve()
+
+    async def _cut_links(self, until_s: float) -> None:
+        """Cuts some gateways, but not all, from all targets, repeatedly."""
+        while time.monotonic() < until_s - 2.0:
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            count = self._rng.randrange(1, self._options.gateways)
+            chosen = self._rng.sample(range(self._options.gateways), count)
+            mode = self._rng.choice(soak_links.MODES)
+            self.counts[f"cuts of links, {mode}"] += 1
+            from_s = time.monotonic()
+            for number in chosen:
+                self._find_cut_file(number).write_text(mode)
+            await asyncio.sleep(self._rng.uniform(2.0, 5.0))
+            for number in chosen:
+                self._find_cut_file(number).unlink()
+            self._link_losses.append(
+                soak_links.LinkLoss(frozenset(chosen), from_s, time.monotonic())
+            )
+
     async def _serve(self, handler: environment.StreamHandler) -> int:
         server = await asyncio.start_server(handler, "127.0.0.1")
         return server.sockets[0].getsockname()[1]
@@ -426,6 +464,7 @@
         *(["--withdraws"] if options.withdraws else []),
         *(["--limits"] if options.limits else []),
         *(["--fleet"] if options.fleet else []),
+        *(["--links"] if options.links else []),
         *([f"--without {options.without}"] if options.without else []),
     ]
     return " ".join(arguments)
@@ -441,6 +480,7 @@
     withdraws: bool = False,
     limits: bool = False,
     fleet: bool = False,
+    links: bool = False,
     without: str = "",
     logs: pathlib.Path = _LOG_FOLDER,
 ) -> int:
@@ -455,6 +495,7 @@
         withdraws: Whether replicas drain and announce it in responses only.
         limits: Whether replicas announce rate limits.
         fleet: Whether gateways are peers and the store is restored.
+        links: Whether gateways lose their links to targets; needs `fleet`.
         without: Mechanism that gateways run without, see soak_ablations.
         logs: Folder for the logs of failed seeds, one subfolder each.
     """
@@ -466,6 +507,7 @@
         withdraws=withdraws,
         limits=limits,
         fleet=fleet,
+        links=links,
         without=without,
     )
     failed = 0
--- a/standins/soak_ablations.py
+++ b/standins/soak_ablations.py
@@ -13,6 +13,7 @@
 from ruddergate.decisions import change_log
 from ruddergate.decisions import draining
 from ruddergate.decisions import freshness
+from ruddergate.entry import peer_gossip
 from ruddergate.entry import rate_limiter
 from ruddergate.entry import store_epochs
 from ruddergate.entry import store_sync
@@ -66,6 +67,11 @@
     rate_limiter.RateLimiter.summarize = lambda self: ()
 
 
+def _carry_nothing() -> None:
+    """Makes no gateway carry connections of peers."""
+    peer_gossip.PeerGossip.list_carriers = lambda self: []
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ablation:
     """A mechanism that can be disabled.
@@ -85,16 +91,21 @@
     Ablation("proof-ages", _ignore_reply_ages),
     Ablation("leavings", _stop_drain_gossip),
     Ablation("limits", _stop_limit_gossip),
+    Ablation("detours", _carry_nothing),
 )
 
 
 def main() -> None:
     """Runs a gateway; the first argument names the disabled mechanism."""
-    name = sys.argv.pop(1)
+    apply(sys.argv.pop(1))
+    gateway.run()
+
+
+def apply(name: str) -> None:
+    """Disables a mechanism in this process."""
     for each in ABLATIONS:
         if each.name == name:
             each.apply()
-    gateway.run()
 
 
 if __name__ == "__main__":
--- a/standins/soak_gateways.py
+++ b/standins/soak_gateways.py
@@ -27,6 +27,8 @@
         ports: Ports for callers, readiness, metrics and peers.
         store_port: Port of the store, or of a proxy before it.
         seeds: Addresses of seed peers, comma-separated; empty for none.
+        cut_file: File during whose existence its links to targets are cut;
+            None to run it without that.
     """
 
     host: str
@@ -34,6 +36,7 @@
     ports: tuple[int, int, int, int]
     store_port: int
     seeds: str = ""
+    cut_file: pathlib.Path | None = None
 
 
 class SoakGateways:
@@ -174,4 +177,9 @@
     program = [str(_ROOT / "deploy" / "gateway.py")]
     if without:
         program = ["-m", "standins.soak_ablations", without]
+    if config.cut_file is not None:
+        kept = f"{config.store_port},{peers}"
+        options = [str(config.cut_file), kept]
+        ablation = ["--without", without] if without else []
+        program = ["-m", "standins.soak_links", *options, *ablation]
     return [sys.executable, *program, *arguments]
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -196,6 +196,7 @@
         address: environment.Address,
         prepare: Callable[[gateway_fixture.Fixture], None] = lambda _: None,
         process: virtual_process.VirtualProcess | None = None,
+        own: str = f"vm-0:{_PEER_PORT}",
     ) -> detour_client.Failure:
         """Returns why vm-1 does not carry a connection."""
         found = []
@@ -209,7 +210,7 @@
                 found.append(
                     await detour_client.connect(
                         env,
-                        f"vm-0:{_PEER_PORT}",
+                        own,
                         f"vm-1:{_PEER_PORT}",
                         address,
                         False,
@@ -229,7 +230,8 @@
     def test_connections_of_strangers(self) -> None:
         stranger = virtual_process.VirtualProcess("stranger", "")
         address = environment.Address("service-0", 90)
-        failure = self._connect(address, process=stranger)
+        own = f"stranger:{_PEER_PORT}"
+        failure = self._connect(address, process=stranger, own=own)
         self.assertFalse(failure.has_ended)
 
     def test_more_connections_than_the_limit(self) -> None:
