--- a/tests/test_link_schedules.py
+++ b/tests/test_link_schedules.py
@@ -13,6 +13,8 @@
 # Two VMs cut off from the same target, one of which carries for the other: both
 # are refused there, and nowhere else.
 _CONFIRMED_BY_A_CUT_PEER = 138
+# Two VMs, and cuts that reset connections.
+_FEW_VMS = 3
 
 
 class LinkSchedulesTest(unittest.TestCase):
@@ -31,6 +33,10 @@
         result = link_schedules.run_schedule(_FIRST_SEED, "detour")
         self.assertTrue(any("served" in each for each in result.broken))
 
+    def test_check_fails_if_refused_connections_are_proof(self) -> None:
+        result = link_schedules.run_schedule(_FEW_VMS, "proof")
+        self.assertTrue(any("has ended" in each for each in result.broken))
+
 
 if __name__ == "__main__":
     unittest.main()
