--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -102,6 +102,20 @@
             with self.subTest(mode):
                 self._check_share(9, 6, mode)
 
+    def test_two_vms_that_each_reach_one_half(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            halves = sorted(cluster.targets)[::2], sorted(cluster.targets)[1::2]
+            for vm, half in zip(("vm-0", "vm-1"), halves, strict=True):
+                for target in half:
+                    cluster.network.cut(virtual_network.Cut(vm, target))
+            results = await call_all_vms(fixture, _CUT_S)
+            self.assertGreaterEqual(count_served(results), 0.95)
+            broken = gateway_guarantees.find_broken(cluster, results)
+            self.assertEqual(broken, [])
+
+        gateway_fixture.run_scenario(scenario, vms=2, engines=6)
+
     def test_whole_hall_is_in_time_from_the_first_call_on(self) -> None:
         # Peers nearby are tried first, and have lost their links as well.
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
