Connector: the race and the way through peers are modules of their own

Moved unchanged: connection_race.py (two ways, the first that is up) and peer_connector.py (which peers are tried, for how long).

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -23,6 +23,7 @@
 from ruddergate.entry import detour_server
 from ruddergate.entry import drain_check
 from ruddergate.entry import in_flight
+from ruddergate.entry import peer_connector
 from ruddergate.entry import peer_gossip
 from ruddergate.entry import peer_rpc
 from ruddergate.entry import poll_config
@@ -198,7 +199,7 @@
         self._connector = target_connector.TargetConnector(
             env,
             config.hall,
-            target_connector.Peers(
+            peer_connector.Peers(
                 str(gateway_config.peers.listen),
                 lambda: self._peers.list_carriers(),
             ),
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -1,42 +1,32 @@
 """Connects to targets: directly, or through a peer if that fails.
 
-The two ways are raced, as in Happy Eyeballs (RFC 8305): the second one begins
-when the first one fails or takes longer than usual, and the first connection
-that is up is used. Nothing has been sent by then, so a request is sent once.
+The two ways are raced. Nothing has been sent before one of them is used, so a
+request is sent once.
 """
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import heapq
-from typing import TypeAlias
 
 from ruddergate import environment
 from ruddergate import outcomes
-from ruddergate.decisions import carriers
 from ruddergate.decisions import links
 from ruddergate.decisions import rendezvous
+from ruddergate.entry import connection_race
 from ruddergate.entry import detour_client
+from ruddergate.entry import peer_connector
 from ruddergate.fleet import target as targets
 from ruddergate.telemetry import logs
 from ruddergate.telemetry import metrics as metric_types
 
-# A direct connection takes a few milliseconds. After this time the way through
-# a peer is tried as well.
-DETOUR_DELAY_MS = 50.0
 # A lost packet is retransmitted only after a second, which is too long to wait.
 # With this timeout a short prompt due in 300 ms can still be in time elsewhere.
 DIRECT_TIMEOUT_MS = 150.0
 # For both ways together.
 TOTAL_TIMEOUT_MS = 170.0
-# Peers tried in turn for one connection, and how long each may take.
-MAX_CARRIERS_TRIED = 3
-CARRIER_TIMEOUT_MS = 60.0
-# A peer that could not carry a connection is not chosen again for this time.
-CARRIER_PAUSE_MS = 500.0
 # Interval of probes of the direct way while connections go through peers.
 # Jitter spreads the return of many VMs.
 PROBE_INTERVAL_MS = (300.0, 600.0)
@@ -47,22 +37,6 @@
 # accept. One that does shows little: a cut may leave out a few targets.
 VERIFIED_TARGETS = 3
 
-Connection: TypeAlias = environment.StreamPair | detour_client.Failure
-Connect: TypeAlias = Callable[[], Awaitable[Connection]]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peers:
-    """What the connector has to know about peers.
-
-    Attributes:
-        own: Address at which this VM receives datagrams.
-        list_carriers: Returns the peers that carry connections.
-    """
-
-    own: str
-    list_carriers: Callable[[], Sequence[carriers.Carrier]]
-
 
 class TargetConnector:
     """Connects to targets; one per process.
@@ -83,7 +57,7 @@
         self,
         env: environment.Environment,
         hall: str,
-        peers: Peers,
+        peers: peer_connector.Peers,
         list_targets: Callable[[], Sequence[targets.Target]],
         on_state_change: Callable[[], None],
         metrics: metric_types.EntryMetrics,
@@ -91,12 +65,12 @@
         self.links = links.Links()
         self._env = env
         self._hall = hall
-        self._peers = peers
         self._list_targets = list_targets
         self._on_state_change = on_state_change
-        self._metrics = metrics
         self._index: tuple[Sequence[targets.Target], dict] = ((), {})
-        self._paused_until_ms: dict[str, float] = {}
+        self._through_peers = peer_connector.PeerConnector(
+            env, hall, peers, self.find_target, self.links, metrics
+        )
         # Set while the direct way to some target does not work.
         self._needs_probes = asyncio.Event()
         # The event loop keeps only weak references to tasks.
@@ -137,13 +111,16 @@
         name = str(address)
         if self.links.state is links.State.ISOLATED:
             raise environment.UnreachableError("no way leads to any target")
-        race = _Race(
+        race = connection_race.Race(
             lambda: self.connect_directly(address),
-            lambda: self._connect_through_peers(address, is_order),
+            lambda: self._through_peers.connect(address, is_order),
         )
         try:
             connection = await self._run_race(name, race)
-            if not _is_final(connection) and not self._peers.list_carriers():
+            if (
+                not connection_race.is_final(connection)
+                and not self._through_peers.count_carriers()
+            ):
                 connection = await self._verify_refusal(address, connection)
             self._note_race(name, race, connection)
         finally:
@@ -192,17 +169,19 @@
     async def _probe(self, address: environment.Address) -> None:
         connection = await self.connect_directly(address)
         is_isolated = self.links.state is links.State.ISOLATED
-        if is_isolated and not _is_up(connection):
-            connection = await self._connect_through_peers(address, True)
-            if _is_up(connection):
+        if is_isolated and not connection_race.is_up(connection):
+            connection = await self._through_peers.connect(address, True)
+            if connection_race.is_up(connection):
                 self._note(
                     lambda: self.links.note_detour_reached(self._env.now_ms())
                 )
-        if _is_up(connection):
+        if connection_race.is_up(connection):
             _, writer = connection
             writer.close()
 
-    async def _run_race(self, name: str, race: "_Race") -> Connection:
+    async def _run_race(
+        self, name: str, race: connection_race.Race
+    ) -> connection_race.Connection:
         now_ms = self._env.now_ms()
         try:
             async with asyncio.timeout(TOTAL_TIMEOUT_MS / 1000.0):
@@ -220,7 +199,7 @@
 
     async def connect_directly(
         self, address: environment.Address
-    ) -> Connection:
+    ) -> connection_race.Connection:
         """Connects over this VM's own link."""
         name = str(address)
         try:
@@ -235,16 +214,18 @@
 
     async def connect_and_verify(
         self, address: environment.Address
-    ) -> Connection:
+    ) -> connection_race.Connection:
         """Connects over this VM's own link, and verifies it if refused."""
         connection = await self.connect_directly(address)
         return await self._verify_refusal(address, connection)
 
     async def _verify_refusal(
-        self, address: environment.Address, connection: Connection
-    ) -> Connection:
+        self,
+        address: environment.Address,
+        connection: connection_race.Connection,
+    ) -> connection_race.Connection:
         """Returns whether a target has ended if a connection was refused."""
-        if _is_up(connection) or not connection.is_refused:
+        if connection_race.is_up(connection) or not connection.is_refused:
             return connection
         has_ended = await self._verify_link(address)
         return dataclasses.replace(connection, has_ended=has_ended)
@@ -298,99 +279,11 @@
         self._note(lambda: self.links.note_reached(str(address), now_ms))
         return True
 
-    async def _connect_through_peers(
-        self, address: environment.Address, is_order: bool
-    ) -> Connection:
-        tried: list[carriers.Carrier] = []
-        failure = detour_client.Failure(False, "no peer carries connections")
-        for _ in range(MAX_CARRIERS_TRIED):
-            carrier = self._choose_carrier(address, tried)
-            if carrier is None:
-                return failure
-            tried.append(carrier)
-            connection = await self._connect_through(carrier, address, is_order)
-            if _is_up(connection):
-                self._metrics.detours.inc({"result": "connected"})
-                self._log_detour(carrier, address, is_order)
-                return connection
-            failure = connection
-            if failure.has_ended:
-                self._metrics.detours.inc({"result": "refused"})
-                return failure
-            self._metrics.detours.inc({"result": "failed"})
-        return failure
-
-    async def _connect_through(
-        self,
-        carrier: carriers.Carrier,
-        address: environment.Address,
-        is_order: bool,
-    ) -> Connection:
-        try:
-            async with asyncio.timeout(CARRIER_TIMEOUT_MS / 1000.0):
-                connection = await detour_client.connect(
-                    self._env, self._peers.own, carrier.name, address, is_order
-                )
-        except TimeoutError:
-            detail = f"peer {carrier.name}: timed out"
-            connection = detour_client.Failure(False, detail)
-        if not _is_final(connection):
-            until_ms = self._env.now_ms() + CARRIER_PAUSE_MS
-            self._paused_until_ms[carrier.name] = until_ms
-        return connection
-
-    def _log_detour(
-        self,
-        carrier: carriers.Carrier,
-        address: environment.Address,
-        is_order: bool,
-    ) -> None:
-        if is_order:
-            return
-        self._log.info(
-            "Connected to {} through peer {}.",
-            address,
-            carrier.name,
-            request_id=logs.find_request_id(),
-            state=self.links.state.value,
-            carrier_hall=carrier.hall,
-            carrier_carried=carrier.carried,
-        )
-
-    def _choose_carrier(
-        self,
-        address: environment.Address,
-        tried: Sequence[carriers.Carrier],
-    ) -> carriers.Carrier | None:
-        """Returns a peer that has not been tried.
-
-        A cut often takes most VMs of a hall, so peers of other halls come
-        before those of a hall in which one has just failed.
-        """
-        now_ms = self._env.now_ms()
-        for name, until_ms in list(self._paused_until_ms.items()):
-            if now_ms >= until_ms:
-                del self._paused_until_ms[name]
-        names = {each.name for each in tried}
-        usable = [
-            each
-            for each in self._peers.list_carriers()
-            if each.name not in names
-        ]
-        failed_halls = {each.hall for each in tried}
-        rested = [
-            each for each in usable if each.name not in self._paused_until_ms
-        ]
-        elsewhere = [each for each in rested if each.hall not in failed_halls]
-        target = self.find_target(str(address))
-        halls = {self._hall} | ({target.hall} if target else set())
-        # A peer that just failed is still better than none.
-        return carriers.choose(
-            elsewhere or rested or usable, frozenset(halls), self._env.random
-        )
-
     def _note_race(
-        self, name: str, race: "_Race", connection: Connection
+        self,
+        name: str,
+        race: connection_race.Race,
+        connection: connection_race.Connection,
     ) -> None:
         """Notes what a race shows about this VM's link to a target."""
         if race.is_detour:
@@ -398,11 +291,11 @@
                 lambda: self.links.note_detour_reached(self._env.now_ms())
             )
             race.on_direct_failure(lambda: self._note_bypassed(name, race))
-        elif not _is_final(connection):
+        elif not connection_race.is_final(connection):
             now_ms = self._env.now_ms()
             self._note(lambda: self.links.note_unreached(name, now_ms))
 
-    def _note_bypassed(self, name: str, race: "_Race") -> None:
+    def _note_bypassed(self, name: str, race: connection_race.Race) -> None:
         is_new = not self.links.is_broken(name)
         now_ms = self._env.now_ms()
         self._note(lambda: self.links.note_bypassed(name, now_ms))
@@ -428,114 +321,6 @@
             state.value,
             before.value,
             broken=self.links.count_broken(),
-            carriers=len(self._peers.list_carriers()),
+            carriers=self._through_peers.count_carriers(),
         )
         self._on_state_change()
-
-
-class _Race:
-    """One race of the direct way and that through peers.
-
-    Args:
-        direct: Connects directly.
-        detour: Connects through peers.
-
-    Attributes:
-        is_detour: Whether the connection through a peer is used.
-        direct_detail: Why the direct way failed, for logs.
-    """
-
-    def __init__(self, direct: Connect, detour: Connect) -> None:
-        self.is_detour = False
-        self.direct_detail = ""
-        self._make_direct = direct
-        self._make_detour = detour
-        self._direct: asyncio.Future | None = None
-        self._detour: asyncio.Future | None = None
-        self._used: asyncio.Future | None = None
-
-    async def run_direct_first(self) -> Connection:
-        """Tries the direct way, and soon that through peers as well."""
-        self._direct = asyncio.ensure_future(self._make_direct())
-        delay_s = DETOUR_DELAY_MS / 1000.0
-        await asyncio.wait((self._direct,), timeout=delay_s)
-        if self._direct.done() and _is_final(self._direct.result()):
-            return self._use(self._direct)
-        self._detour = asyncio.ensure_future(self._make_detour())
-        return await self._wait()
-
-    async def run_detour_first(self) -> Connection:
-        """Tries peers, and the direct way only if they fail."""
-        self._detour = asyncio.ensure_future(self._make_detour())
-        await asyncio.wait((self._detour,))
-        if _is_final(self._detour.result()):
-            return self._use(self._detour)
-        self._direct = asyncio.ensure_future(self._make_direct())
-        return await self._wait()
-
-    async def _wait(self) -> Connection:
-        """Returns the first connection that is up, or a failure."""
-        pending = {self._direct, self._detour}
-        while pending:
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            for each in (self._direct, self._detour):
-                if each in done and _is_final(each.result()):
-                    return self._use(each)
-        direct, detour = self._direct.result(), self._detour.result()
-        detail = f"direct: {direct.detail}; {detour.detail}"
-        return detour_client.Failure(False, detail, direct.is_refused)
-
-    def _use(self, task: asyncio.Future) -> Connection:
-        self._used = task
-        self.is_detour = task is self._detour and _is_up(task.result())
-        return task.result()
-
-    def on_direct_failure(self, call: Callable[[], None]) -> None:
-        """Calls a function once the direct way has failed, if it was tried."""
-        if self._direct is None:
-            return
-
-        def check(direct: asyncio.Future) -> None:
-            if direct.cancelled() or _is_up(direct.result()):
-                return
-            self.direct_detail = direct.result().detail
-            call()
-
-        if self._direct.done():
-            check(self._direct)
-        else:
-            self._direct.add_done_callback(check)
-
-    def abandon(self) -> Iterable[asyncio.Future]:
-        """Closes what is not used; returns tasks that have not ended.
-
-        The direct way is tried to its end, as that shows whether it works.
-        """
-        unused = [
-            each
-            for each in (self._direct, self._detour)
-            if each is not None and each is not self._used
-        ]
-        if self._detour in unused:
-            self._detour.cancel()
-        for each in unused:
-            each.add_done_callback(_close_unused)
-        return [each for each in unused if not each.done()]
-
-
-def _is_up(connection: Connection) -> bool:
-    return not isinstance(connection, detour_client.Failure)
-
-
-def _is_final(connection: Connection) -> bool:
-    """Returns whether the other way can add nothing to this result."""
-    return _is_up(connection) or connection.has_ended
-
-
-def _close_unused(task: asyncio.Future) -> None:
-    if task.cancelled() or not _is_up(task.result()):
-        return
-    _, writer = task.result()
-    writer.close()
--- a/standins/link_schedules.py
+++ b/standins/link_schedules.py
@@ -21,6 +21,7 @@
 import cyclopts
 
 from ruddergate import environment
+from ruddergate.entry import connection_race
 from ruddergate.entry import detour_client
 from ruddergate.entry import peer_gossip
 from ruddergate.entry import target_connector
@@ -114,7 +115,7 @@
     async def connect_and_believe(
         connector: target_connector.TargetConnector,
         address: environment.Address,
-    ) -> target_connector.Connection:
+    ) -> connection_race.Connection:
         connection = await connect_directly(connector, address)
         if not isinstance(connection, detour_client.Failure):
             return connection
