Ended targets: three peers are asked at once, and other pools vouch for a link

Cause: a link counted as verified only if most of three targets of the same pool accepted connections, and these were dead too, so that no crash was counted.

Change: a refused VM asks three peers at once; one that connects shows that the target lives and is used, and the end is believed if none does and one of them is refused while it reaches others of that hall, of another pool if there is one.

--- a/src/ruddergate/entry/connection_race.py
+++ b/src/ruddergate/entry/connection_race.py
@@ -26,14 +26,19 @@
 
     Args:
         direct: Connects directly.
-        detour: Connects through peers.
+        detour: Connects through peers; given whether the direct connection was
+            refused.
 
     Attributes:
         is_detour: Whether the connection through a peer is used.
         direct_detail: Why the direct way failed, for logs.
     """
 
-    def __init__(self, direct: Connect, detour: Connect) -> None:
+    def __init__(
+        self,
+        direct: Connect,
+        detour: Callable[[bool], Awaitable[Connection]],
+    ) -> None:
         self.is_detour = False
         self.direct_detail = ""
         self._make_direct = direct
@@ -49,12 +54,13 @@
         await asyncio.wait((self._direct,), timeout=delay_s)
         if self._direct.done() and is_final(self._direct.result()):
             return self._use(self._direct)
-        self._detour = asyncio.ensure_future(self._make_detour())
+        was_refused = self._direct.done() and self._direct.result().is_refused
+        self._detour = asyncio.ensure_future(self._make_detour(was_refused))
         return await self._wait()
 
     async def run_detour_first(self) -> Connection:
         """Tries peers, and the direct way only if they fail."""
-        self._detour = asyncio.ensure_future(self._make_detour())
+        self._detour = asyncio.ensure_future(self._make_detour(False))
         await asyncio.wait((self._detour,))
         if is_final(self._detour.result()):
             return self._use(self._detour)
@@ -109,7 +115,7 @@
         if self._detour in unused:
             self._detour.cancel()
         for each in unused:
-            each.add_done_callback(_close_unused)
+            each.add_done_callback(close_unused)
         return [each for each in unused if not each.done()]
 
 
@@ -123,7 +129,8 @@
     return is_up(connection) or connection.has_ended
 
 
-def _close_unused(task: asyncio.Future) -> None:
+def close_unused(task: asyncio.Future) -> None:
+    """Closes the connection that a task has made, if it has."""
     if task.cancelled() or not is_up(task.result()):
         return
     _, writer = task.result()
--- a/src/ruddergate/entry/peer_connector.py
+++ b/src/ruddergate/entry/peer_connector.py
@@ -69,28 +69,74 @@
         return len(self._peers.list_carriers())
 
     async def connect(
-        self, address: environment.Address, is_order: bool
+        self,
+        address: environment.Address,
+        is_order: bool,
+        was_refused: bool,
     ) -> connection_race.Connection:
-        """Connects to a target through one of a few peers, tried in turn."""
+        """Connects to a target through one of a few peers.
+
+        They are tried in turn. If this VM or one of them was refused, the rest
+        are asked at once: if any of them is not, the target lives.
+
+        Args:
+            address: Address of the target.
+            is_order: Whether it is for an order or a health probe.
+            was_refused: Whether this VM's own connection was refused.
+        """
         tried: list[carriers.Carrier] = []
         failure = detour_client.Failure(False, "no peer carries connections")
-        for _ in range(MAX_CARRIERS_TRIED):
-            carrier = self._choose_carrier(address, tried)
-            if carrier is None:
-                return failure
-            tried.append(carrier)
-            connection = await self._connect_through(carrier, address, is_order)
+        while len(tried) < MAX_CARRIERS_TRIED:
+            count = MAX_CARRIERS_TRIED - len(tried) if was_refused else 1
+            chosen = self._choose_carriers(address, tried, count)
+            if not chosen:
+                break
+            tried += chosen
+            connection = await self._connect_through_any(
+                chosen, address, is_order
+            )
             if connection_race.is_up(connection):
-                self._metrics.detours.inc({"result": "connected"})
-                self._log_detour(carrier, address, is_order)
                 return connection
             failure = connection
-            if failure.has_ended:
-                self._metrics.detours.inc({"result": "refused"})
-                return failure
-            self._metrics.detours.inc({"result": "failed"})
+            was_refused = was_refused or failure.has_ended
         return failure
 
+    async def _connect_through_any(
+        self,
+        chosen: Sequence[carriers.Carrier],
+        address: environment.Address,
+        is_order: bool,
+    ) -> connection_race.Connection:
+        """Asks several peers at once; the first connection that is up is used.
+
+        The target has ended if it refuses one of them and none reaches it.
+        """
+        tasks = [
+            asyncio.ensure_future(
+                self._connect_through(each, address, is_order)
+            )
+            for each in chosen
+        ]
+        used: asyncio.Future | None = None
+        try:
+            for next_done in asyncio.as_completed(tasks):
+                connection = await next_done
+                if connection_race.is_up(connection):
+                    used = next(
+                        each
+                        for each in tasks
+                        if each.done() and each.result() is connection
+                    )
+                    return connection
+        finally:
+            for each in tasks:
+                if each is not used:
+                    each.cancel()
+                    each.add_done_callback(connection_race.close_unused)
+        # A peer that is cut off itself, or does not answer, shows nothing.
+        has_ended = any(each.result().has_ended for each in tasks)
+        return dataclasses.replace(tasks[0].result(), has_ended=has_ended)
+
     async def _connect_through(
         self,
         carrier: carriers.Carrier,
@@ -108,14 +154,22 @@
         if not connection_race.is_final(connection):
             until_ms = self._env.now_ms() + CARRIER_PAUSE_MS
             self._paused_until_ms[carrier.name] = until_ms
+        self._note_result(carrier, connection, address, is_order)
         return connection
 
-    def _log_detour(
+    def _note_result(
         self,
         carrier: carriers.Carrier,
+        connection: connection_race.Connection,
         address: environment.Address,
         is_order: bool,
     ) -> None:
+        """Counts a try through a peer, and logs one that succeeded."""
+        if not connection_race.is_up(connection):
+            result = "refused" if connection.has_ended else "failed"
+            self._metrics.detours.inc({"result": result})
+            return
+        self._metrics.detours.inc({"result": "connected"})
         if is_order:
             return
         self._log.info(
@@ -128,6 +182,21 @@
             carrier_carried=carrier.carried,
         )
 
+    def _choose_carriers(
+        self,
+        address: environment.Address,
+        tried: Sequence[carriers.Carrier],
+        count: int,
+    ) -> list[carriers.Carrier]:
+        """Returns up to `count` peers that have not been tried."""
+        chosen: list[carriers.Carrier] = []
+        for _ in range(count):
+            carrier = self._choose_carrier(address, [*tried, *chosen])
+            if carrier is None:
+                break
+            chosen.append(carrier)
+        return chosen
+
     def _choose_carrier(
         self,
         address: environment.Address,
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -33,9 +33,9 @@
 # Range of the retry-after of a VM that reaches no target. Another VM may serve
 # at once; if none does, callers should not return together.
 _ISOLATED_RETRY_MS = (400.0, 1_200.0)
-# Targets connected to at once in order to verify a link, most of which must
-# accept. One that does shows little: a cut may leave out a few targets.
-VERIFIED_TARGETS = 3
+# Targets connected to at once in order to verify a link, one of which must
+# accept.
+VERIFIED_TARGETS = 2
 
 
 class TargetConnector:
@@ -113,7 +113,9 @@
             raise environment.UnreachableError("no way leads to any target")
         race = connection_race.Race(
             lambda: self.connect_directly(address),
-            lambda: self._through_peers.connect(address, is_order),
+            lambda was_refused: self._through_peers.connect(
+                address, is_order, was_refused
+            ),
         )
         try:
             connection = await self._run_race(name, race)
@@ -170,7 +172,9 @@
         connection = await self.connect_directly(address)
         is_isolated = self.links.state is links.State.ISOLATED
         if is_isolated and not connection_race.is_up(connection):
-            connection = await self._through_peers.connect(address, True)
+            connection = await self._through_peers.connect(
+                address, is_order=True, was_refused=False
+            )
             if connection_race.is_up(connection):
                 self._note(
                     lambda: self.links.note_detour_reached(self._env.now_ms())
@@ -237,32 +241,32 @@
             return await self._env.connect(address)
 
     async def _verify_link(self, address: environment.Address) -> bool:
-        """Returns whether most targets like this one can be reached directly.
+        """Returns whether the link to the hall of a target works.
 
         A cut network may refuse connections, too. A refused connection shows
-        that nothing listens only if the link to such targets works.
+        that nothing listens only if other targets accept connections.
         """
-        chosen = self._choose_similar(address)
+        chosen = self._choose_verified(address)
         results = await asyncio.gather(
             *(self._is_reachable(each.address) for each in chosen)
         )
-        return 2 * sum(results) > len(chosen)
+        return any(results)
 
-    def _choose_similar(
+    def _choose_verified(
         self, address: environment.Address
     ) -> list[targets.Target]:
-        """Returns targets that are likely to be cut off together with another.
+        """Returns targets that show whether the link to another one works.
 
-        A cut may separate a VM from one pool, or from one hall, alone. In a
-        small pool the others may have ended, so other pools fill up the number.
+        They are of the same hall if possible, and rather of another pool: a
+        request may crash all targets of its own.
         """
         target = self.find_target(str(address))
 
         def rank(other: targets.Target) -> tuple[bool, bool, int]:
-            is_other_pool = target is not None and other.pool != target.pool
             is_other_hall = target is not None and other.hall != target.hall
+            is_same_pool = target is not None and other.pool == target.pool
             score = rendezvous.score(str(address), str(other.address))
-            return is_other_pool, is_other_hall, score
+            return is_other_hall, is_same_pool, score
 
         others = [
             each for each in self._list_targets() if each.address != address
