--- a/standins/soak_links.py
+++ b/standins/soak_links.py
@@ -31,6 +31,8 @@
 _MIN_SHARE = 2.0 / 3.0
 _MIN_CALLS = 8
 _TIMED_OUT = 504
+_UNKNOWN_KEY = 401
+_SETTINGS_REASONS = (b"settings_too_old", b"no_settings")
 # Calls so close to an interruption of their gateway don't count.
 _INTERRUPTED_S = 2.0
 
@@ -54,7 +56,8 @@
     """Returns cuts in which gateways without links served far less.
 
     Calls that ran out of time at a replica are no loss of a link and count as
-    served: the replicas are slow, and their proxies hold bytes back.
+    served: the replicas are slow, and their proxies hold bytes back. Calls that
+    were refused for their key, or for want of fresh settings, don't count.
 
     Args:
         losses: Gateways that lost their links, and when.
@@ -73,6 +76,7 @@
             (number, _is_served(response, arrived))
             for number, response in all_responses
             if from_s < response.sent_s < loss.to_s
+            and not _is_refused_by_settings(response)
             and not _was_interrupted(interruptions, number, response.sent_s)
         ]
         at_cut = [
@@ -108,6 +112,12 @@
     )
 
 
+def _is_refused_by_settings(response: gateway_caller.CallResult) -> bool:
+    """Returns whether a gateway refused a call for its key or its settings."""
+    is_stale = any(reason in response.body for reason in _SETTINGS_REASONS)
+    return response.status == _UNKNOWN_KEY or is_stale
+
+
 def _is_served(response: gateway_caller.CallResult, arrived: Set[str]) -> bool:
     """Returns whether a call was served, or its caller or replica ended it."""
     if response.status == _TIMED_OUT:
