--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -97,7 +97,8 @@
         ready_listen: Address of the load balancer's readiness check
             (HOST:PORT).
         metrics_listen: Address of the metrics page (HOST:PORT).
-        peer_listen: Address for datagrams of peers (HOST:PORT).
+        peer_listen: Address for datagrams and carried connections of peers
+            (HOST:PORT).
         seeds: Addresses of some VMs, as HOST:PORT separated by commas; only the
             hosts are used, with this VM's port for datagrams of peers.
         store_address: Address of the store (HOST:PORT).
--- a/tests/test_link_schedules.py
+++ b/tests/test_link_schedules.py
@@ -12,6 +12,9 @@
 # Most VMs are cut off from a pool, in a way that refuses connections, while
 # they reach other pools: the peers that are asked are all refused, too.
 _POOL_CUT_OFF_FROM_MOST_VMS = 4
+# The only VM with links loses and regains them. The others, which had no way
+# meanwhile, serve again later than it.
+_LAST_CARRIER_RETURNS = 2028
 # Two VMs, and cuts that reset connections.
 _FEW_VMS = 3
 
@@ -28,6 +31,10 @@
         result = link_schedules.run_schedule(_POOL_CUT_OFF_FROM_MOST_VMS)
         self.assertEqual(result.broken, [])
 
+    def test_return_of_the_last_carrier_serves_all_vms(self) -> None:
+        result = link_schedules.run_schedule(_LAST_CARRIER_RETURNS)
+        self.assertEqual(result.broken, [])
+
     def test_check_fails_without_detours(self) -> None:
         result = link_schedules.run_schedule(_FIRST_SEED, "detour")
         self.assertTrue(any("served" in each for each in result.broken))
