Test of carriers: the largest case is 195 peers again

With 195 peers, one of them nearby, the bound of twice the mean holds: tests.test_links, 10 tests OK. A comment of carriers.py loses a share that no run had shown.

--- a/src/ruddergate/decisions/carriers.py
+++ b/src/ruddergate/decisions/carriers.py
@@ -7,8 +7,8 @@
 # What a peer reports that carries no connections: it is of an earlier release,
 # stops, or has lost its own links.
 CARRIES_NONE = -1
-# Connections that a VM carries for peers at once. Their buffers take a tenth of
-# a small VM's memory, and its own callers go first.
+# Connections that a VM carries for peers at once. This bounds the memory of
+# their buffers, as its own callers go first.
 MAX_CARRIED = 192
 # A peer in this VM's hall or the target's saves a hop between halls. It is
 # chosen unless it carries this many more connections than another one.
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -86,7 +86,7 @@
         return carried
 
     def test_no_peer_carries_more_than_twice_the_mean(self) -> None:
-        for peers, local in ((3, 1), (9, 3), (80, 4), (100, 1)):
+        for peers, local in ((3, 1), (9, 3), (80, 4), (195, 1)):
             for seed in range(5):
                 with self.subTest(peers=peers, local=local, seed=seed):
                     requests = 20 * peers
