Streams that have begun are not lost as their targets crash

Callers saw: streams broke for good beside a request that crashes its targets.

Change: once a stream has delivered an event, a target that it loses does not count if it is known to have ended, by the probe that the crash detector makes anyway; two such targets at most. The request that causes the crashes never has an event, so it gains nothing.

--- a/src/ruddergate/decisions/poison_requests.py
+++ b/src/ruddergate/decisions/poison_requests.py
@@ -326,7 +326,9 @@
             self._drop(fingerprint)
 
 
-def weigh_crash(elapsed_ms: float, prefill_ms: float) -> float:
+def weigh_crash(
+    elapsed_ms: float, prefill_ms: float, has_begun: bool = False
+) -> float:
     """Returns how much the crash of a target counts against a request.
 
     A prompt that one engine would prefill for longer than IMMEDIATE_CRASH_MS
@@ -337,8 +339,12 @@
     Args:
         elapsed_ms: How long before the crash the request had been sent.
         prefill_ms: How long one engine would prefill its prompt.
+        has_begun: Whether this or an earlier target had begun to respond to
+            the request. A poison request crashes its targets before that.
     """
-    is_immediate = max(elapsed_ms, prefill_ms) <= IMMEDIATE_CRASH_MS
+    is_immediate = (
+        not has_begun and max(elapsed_ms, prefill_ms) <= IMMEDIATE_CRASH_MS
+    )
     return 1.0 if is_immediate else LATE_CRASH_WEIGHT
 
 
--- a/src/ruddergate/entry/context.py
+++ b/src/ruddergate/entry/context.py
@@ -14,6 +14,7 @@
 from ruddergate.entry import quarantine as quarantines
 from ruddergate.entry import scheduler
 from ruddergate.entry import view as views
+from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import target as targets
 from ruddergate.telemetry import metrics
 from ruddergate.telemetry import traces
@@ -37,6 +38,11 @@
     return None
 
 
+async def _assume_alive(incarnation: incarnations.Incarnation) -> bool:
+    """Default of an entry that does not track crashed targets."""
+    return False
+
+
 async def _refuse_retry(is_large: bool) -> bool:
     """Default of an entry without peers that transfer retry budget."""
     return False
@@ -64,6 +70,8 @@
             available.
         report_lost_call: Starts to find out whether the target of a lost
             request has ended.
+        has_crashed: Returns whether an incarnation that lost a request has
+            ended, after the probe that may still be running.
         check_admission: Returns a refusal if one of the given targets accepts
             no requests at this moment; called in the step that sends.
         take_rate_token: Counts a request against its target's rate limit, or
@@ -87,6 +95,9 @@
     quarantine: quarantines.Quarantine
     ensure_retry: Callable[[bool], Awaitable[bool]] = _refuse_retry
     report_lost_call: Callable[[lost_call.LostCall], None] = _ignore_lost_call
+    has_crashed: Callable[[incarnations.Incarnation], Awaitable[bool]] = (
+        _assume_alive
+    )
     check_admission: Callable[
         [Iterable[targets.Target]], outcomes.NotServed | None
     ] = _admit_targets
--- a/src/ruddergate/entry/crash_detector.py
+++ b/src/ruddergate/entry/crash_detector.py
@@ -21,6 +21,10 @@
 # lost, and a slow VM reads responses late. A target behind a network partition
 # stays silent, and nothing is concluded.
 _REPROBE_PAUSES_MS = (300.0, 1_000.0)
+# How long a request waits for the verdict on its target: one probe.
+VERDICT_TIMEOUT_MS = 200.0
+# Ended incarnations that are remembered.
+_MAX_KEPT = 512
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +57,8 @@
         self._on_target_ended = on_target_ended
         self._metrics = metrics
         self._probes: dict[incarnations.Incarnation, _Probe] = {}
+        # Incarnations that have ended, the latest last.
+        self._ended: dict[incarnations.Incarnation, None] = {}
         self._log = logs.make_logger("attempt")
 
     def on_lost_call(self, lost: lost_call.LostCall) -> None:
@@ -65,11 +71,26 @@
         task = asyncio.ensure_future(self._probe_target(lost.target))
         self._probes[incarnation] = _Probe(task, [lost])
 
+    async def has_ended(self, incarnation: incarnations.Incarnation) -> bool:
+        """Returns whether an incarnation that lost a request has ended.
+
+        This waits a short time for the verdict; without one it returns False.
+        """
+        probe = self._probes.get(incarnation)
+        if probe is not None:
+            await asyncio.wait(
+                (probe.task,), timeout=VERDICT_TIMEOUT_MS / 1000.0
+            )
+        return incarnation in self._ended
+
     async def _probe_target(self, target: targets.Target) -> None:
         result = await self._probe_repeatedly(target)
         probe = self._probes.pop(target.incarnation)
         if not _has_ended(target.incarnation, result):
             return
+        self._ended[target.incarnation] = None
+        if len(self._ended) > _MAX_KEPT:
+            del self._ended[next(iter(self._ended))]
         self._metrics.ended_targets.inc({})
         self._on_target_ended(target)
         streams = max(each.streams for each in probe.lost)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -191,6 +191,9 @@
             report_lost_call=lambda lost: self._crash_detector.on_lost_call(
                 lost
             ),
+            has_crashed=lambda incarnation: self._crash_detector.has_ended(
+                incarnation
+            ),
             check_admission=self._check_admission,
             take_rate_token=self._rate_limiter.take_token,
             return_rate_token=self._rate_limiter.return_token,
--- a/src/ruddergate/entry/lost_call.py
+++ b/src/ruddergate/entry/lost_call.py
@@ -17,6 +17,8 @@
         prefill_ms: Time that one engine would take to prefill the prompt.
         streams: Estimated number of responses that the target was generating,
             including this one.
+        has_begun: Whether this or an earlier target had begun to respond to
+            the request.
     """
 
     request_id: str
@@ -25,3 +27,4 @@
     since_sent_ms: float
     prefill_ms: float
     streams: float
+    has_begun: bool = False
--- a/src/ruddergate/entry/quarantine.py
+++ b/src/ruddergate/entry/quarantine.py
@@ -45,7 +45,7 @@
         now_ms = self._env.now_ms()
         incarnation = lost.target.incarnation
         weight = poison_requests.weigh_crash(
-            lost.since_sent_ms, lost.prefill_ms
+            lost.since_sent_ms, lost.prefill_ms, lost.has_begun
         )
         if self._evidence.note_crash(
             lost.fingerprint, incarnation, weight, now_ms
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -10,6 +10,7 @@
 from ruddergate.decisions import length_band
 from ruddergate.entry import attempt_log
 from ruddergate.entry import context as contexts
+from ruddergate.entry import crashed_targets
 from ruddergate.entry import first_event
 from ruddergate.entry import lost_call
 from ruddergate.entry import quarantine
@@ -330,6 +331,9 @@
         self._faulted.add(target_id)
         if failure.reason is outcomes.Reason.TARGET_LOST:
             self._context.report_lost_call(self._make_lost_call())
+            if self._progress.has_begun:
+                incarnation = self._placements[0].target.incarnation
+                self._progress.interrupted |= {incarnation}
         if failure.reason is outcomes.Reason.TARGET_UNREACHABLE:
             self._unreachable.add(target_id)
         if failure.reason in _EXITED_REASONS:
@@ -346,12 +350,14 @@
                 self._request.workload.pool, self._request.prompt_tokens
             ),
             self._context.scheduler.count_streams(target.target_id),
+            self._progress.has_begun,
         )
 
     def _record_first_event(self) -> None:
         if self._has_first_event:
             return
         self._has_first_event = True
+        self._progress.has_begun = True
         request = self._request
         took_ms = self._context.env.now_ms() - request.arrived_ms
         self._context.metrics.record_first_token(request.prompt_tokens, took_ms)
@@ -441,8 +447,9 @@
         """
         request = self._request
         sending_to = frozenset({self._placements[0].target.target_id})
-        targets_max = request.payload.route.targets_max
-        if self._progress.count_targets_used(sending_to) >= targets_max:
+        if await crashed_targets.is_limit_reached(
+            request, self._progress, self._context, sending_to
+        ):
             return False
         is_large = length_band.is_long(request.prompt_tokens)
         return await self._context.ensure_retry(is_large)
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from ruddergate import outcomes
+from ruddergate.fleet import incarnation as incarnations
 from ruddergate.relay import response_event as response_events
 
 
@@ -16,6 +17,10 @@
         counted_attempts: Number of attempts that sent the request, without
             those that failed because of a helper.
         sent_targets: Targets that were sent the request in any attempt.
+        has_begun: Whether any target has begun to respond.
+        interrupted: Targets that were lost after that.
+        uncounted: Those of them that crashed, which do not count against the
+            limit of the route.
         unsent_attempts: Number of attempts that ended before the request was
             sent.
         has_head: Whether the caller has the head of the response.
@@ -32,6 +37,9 @@
     ran: outcomes.Ran = outcomes.Ran.NOT_RUN
     counted_attempts: int = 0
     sent_targets: frozenset[str] = frozenset()
+    has_begun: bool = False
+    interrupted: frozenset[incarnations.Incarnation] = frozenset()
+    uncounted: frozenset[incarnations.Incarnation] = frozenset()
     unsent_attempts: int = 0
     has_head: bool = False
     excluded: frozenset[str] = frozenset()
@@ -48,7 +56,8 @@
         Args:
             sending_to: Targets that the request is being sent to now.
         """
-        return max(
+        used = max(
             self.counted_attempts + len(sending_to),
             len(self.sent_targets | sending_to),
         )
+        return used - len(self.uncounted)
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -15,6 +15,7 @@
 from ruddergate.decisions.routing import job as jobs
 from ruddergate.entry import attempt_log
 from ruddergate.entry import context as contexts
+from ruddergate.entry import crashed_targets
 from ruddergate.entry import model_run
 from ruddergate.entry import relay_attempt
 from ruddergate.entry import relay_progress
@@ -164,7 +165,9 @@
         return _conclude_unsent(outcome, progress, context)
     progress.counted_attempts += 1
     can_continue = route.is_resumable or not progress.has_head
-    if not can_continue or progress.count_targets_used() >= route.targets_max:
+    if not can_continue or await crashed_targets.is_limit_reached(
+        request, progress, context
+    ):
         return _conclude(outcome, progress)
     return await _pause_for_retry(request, outcome, progress, context)
 
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -58,6 +58,10 @@
             "ruddergate_targets_ended_total",
             "Targets that ended while they served requests of this VM.",
         )
+        self.uncounted_crashes = self._counter(
+            "ruddergate_uncounted_crashes_total",
+            "Crashed targets that did not count against a route's limit.",
+        )
         self.tokens = self._counter(
             "ruddergate_tokens_total", "Tokens delivered."
         )
