--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -342,7 +342,8 @@
             gap_slo_ms=route.gap_slo_ms if route.is_stream else math.inf,
             local_hall=context.config.hall,
             pinned_target_id=progress.pinned_target_id,
-            may_be_poison=context.quarantine.is_suspected(request),
+            may_be_poison=not progress.interrupted
+            and context.quarantine.is_suspected(request),
             tie_break_seed=context.env.random.getrandbits(32),
         ),
         pool=pool,
