A target that responds refutes reports that it has ended

All three peers that a VM asks are refused as well, and other pools vouch for the links, so each of nine live engines is reported as ended (first at 10.182 s). All VMs believe it, also the one that has streams there; each forgets it only when a request of its own is answered, the last 2.5 s after the cut. From one VM such a cut and a crash of the pool look alike.

Change: a report of an end is a suspicion. A VM that is using the target verifies it before it believes it, and so does each VM of a small fleet, six on average of a large one, by a probe over its own links. A target that responded after the report, to a probe or a request, refutes it for all VMs (LossReport.refuted, as in SWIM); for 2 s no report of that incarnation is believed. What a VM does not report, as no peer could refute it, it does not believe either. Lines for a seeming end and its refutation, and a counter.

Why it holds: one VM that reaches the target is enough, and its evidence is later than the refusal. A dead target refutes nothing.

--- a/src/ruddergate/decisions/loss_reports.py
+++ b/src/ruddergate/decisions/loss_reports.py
@@ -7,10 +7,16 @@
 later and by few of them. A VM that is itself cut off finds all targets
 unreachable, so it reports a loss only in a hall that it has reached within
 HALL_REACHED_MS; and its digests do not reach the VMs that it is cut off from.
+
+A VM that is cut off from a pool, in a way that refuses connections, cannot tell
+that from a crash of the pool. As in SWIM, a report that a target has terminated
+is therefore refuted by any VM to which the target responds after it.
 """
 
 from collections.abc import Iterable
+import random
 
+from ruddergate.decisions import peer_groups
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import loss_report
 
@@ -25,6 +31,15 @@
 # How long a target that a peer reported is avoided, drawn from this range: the
 # first VM that tries it again then reports the result to the others.
 AVOID_RANGE_MS = (600.0, 1_800.0)
+# After a refutation no report of a termination is believed for this time, as
+# some are still on their way, and VMs that are cut off repeat theirs.
+REFUTED_MS = 2_000.0
+# Responses within this time refute a report. A later one is no news to peers,
+# which have dropped it by then.
+REFUTABLE_MS = 5_000.0
+# VMs that verify a report although they are not using the target. In a small
+# fleet all do, as few of them may reach it.
+MIN_VERIFIERS = 6
 
 
 class LossReports:
@@ -35,15 +50,60 @@
         self._unresponsive: dict[incarnations.Incarnation, float] = {}
         self._unreachable_halls: dict[str, float] = {}
         self._reached_ms: dict[str, float] = {}
+        # When targets were last reported as terminated, by this VM or a peer.
+        self._suspected: dict[incarnations.Incarnation, float] = {}
+        # When such reports were refuted, by this VM and by any.
+        self._own_refuted: dict[incarnations.Incarnation, float] = {}
+        self._refuted: dict[incarnations.Incarnation, float] = {}
 
     def note_reached(
-        self, hall: str, incarnation: incarnations.Incarnation, now_ms: float
-    ) -> None:
-        """Notes that a target has responded."""
-        self._reached_ms[hall] = now_ms
+        self, hall: str, incarnation: incarnations.Incarnation, at_ms: float
+    ) -> bool:
+        """Notes that a target has responded.
+
+        Args:
+            hall: Its data hall.
+            incarnation: The incarnation that responded.
+            at_ms: When it last did.
+
+        Returns:
+            Whether that refutes a report that it has terminated.
+        """
+        self._reached_ms[hall] = at_ms
         self._terminated.pop(incarnation, None)
         self._unresponsive.pop(incarnation, None)
         self._unreachable_halls.pop(hall, None)
+        suspected_ms = self._suspected.get(incarnation)
+        if suspected_ms is None or at_ms <= suspected_ms:
+            return False
+        del self._suspected[incarnation]
+        if at_ms - suspected_ms > REFUTABLE_MS:
+            return False
+        self._own_refuted[incarnation] = at_ms
+        self.note_refuted(incarnation, at_ms)
+        return True
+
+    def note_suspected(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> None:
+        """Notes that a peer reported a target as terminated."""
+        _drop_older(self._suspected, now_ms - REFUTABLE_MS)
+        self._suspected[incarnation] = now_ms
+
+    def note_refuted(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> None:
+        """Notes that a target responded after it was reported as terminated."""
+        _drop_older(self._refuted, now_ms - REFUTED_MS)
+        self._terminated.pop(incarnation, None)
+        self._refuted[incarnation] = now_ms
+
+    def is_refuted(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> bool:
+        """Returns whether the end of a target was refuted just now."""
+        refuted_ms = self._refuted.get(incarnation, float("-inf"))
+        return now_ms - refuted_ms <= REFUTED_MS
 
     def note_unreachable(
         self,
@@ -67,9 +127,14 @@
         reached_ms = self._reached_ms.get(hall, float("-inf"))
         if now_ms - reached_ms > HALL_REACHED_MS:
             return False
-        losses = self._unresponsive if is_unresponsive else self._terminated
-        losses[incarnation] = now_ms
-        return True
+        if is_unresponsive:
+            self._unresponsive[incarnation] = now_ms
+            return True
+        if self.is_refuted(incarnation, now_ms):
+            return False
+        self._terminated[incarnation] = now_ms
+        self.note_suspected(incarnation, now_ms)
+        return len(self._terminated) <= MAX_REPORTED
 
     def note_hall_unreachable(
         self, hall: str, since_ms: float, now_ms: float
@@ -96,26 +161,42 @@
             self._terminated,
             self._unresponsive,
             self._unreachable_halls,
+            self._own_refuted,
         ):
-            _drop_expired(losses, now_ms)
-        if (
-            not self._terminated
-            and not self._unresponsive
-            and not self._unreachable_halls
-        ):
-            return loss_report.EMPTY
-        if len(self._terminated) + len(self._unresponsive) > MAX_REPORTED:
+            _drop_older(losses, now_ms - REPORT_DURATION_MS)
+        terminated = _format_names(self._terminated)
+        unresponsive = _format_names(self._unresponsive)
+        halls = tuple(self._unreachable_halls)
+        if len(terminated) + len(unresponsive) > MAX_REPORTED:
+            terminated, unresponsive, halls = (), (), ()
+        refuted = _format_names(self._own_refuted)
+        if not terminated and not unresponsive and not halls and not refuted:
             return loss_report.EMPTY
-        return loss_report.LossReport(
-            tuple(map(incarnations.format_incarnation, self._terminated)),
-            tuple(map(incarnations.format_incarnation, self._unresponsive)),
-            tuple(self._unreachable_halls),
-        )
+        return loss_report.LossReport(terminated, unresponsive, halls, refuted)
+
+
+def choose_verifier(peers: int, is_using: bool, rng: random.Random) -> bool:
+    """Returns whether this VM verifies a report that a target has terminated.
+
+    Args:
+        peers: Number of known peers.
+        is_using: Whether this VM has requests at the target.
+        rng: Draws a few VMs of a large fleet.
+    """
+    if is_using or peers <= peer_groups.MAX_FULL_MESH_VMS:
+        return True
+    return rng.random() < MIN_VERIFIERS / peers
+
+
+def _format_names(
+    losses: Iterable[incarnations.Incarnation],
+) -> tuple[str, ...]:
+    return tuple(map(incarnations.format_incarnation, losses))
 
 
-def _drop_expired(losses: dict, now_ms: float) -> None:
+def _drop_older(losses: dict, than_ms: float) -> None:
     for name, at_ms in list(losses.items()):
-        if now_ms - at_ms > REPORT_DURATION_MS:
+        if at_ms < than_ms:
             del losses[name]
 
 
@@ -128,7 +209,9 @@
     """
     if is_same_hall:
         return report
-    return loss_report.LossReport(terminated=report.terminated)
+    return loss_report.LossReport(
+        terminated=report.terminated, refuted=report.refuted
+    )
 
 
 def find_new(
@@ -139,6 +222,7 @@
         _without(report.terminated, previous.terminated),
         _without(report.unresponsive, previous.unresponsive),
         _without(report.unreachable_halls, previous.unreachable_halls),
+        _without(report.refuted, previous.refuted),
     )
 
 
@@ -147,12 +231,14 @@
     terminated: dict[str, None] = {}
     unresponsive: dict[str, None] = {}
     halls: dict[str, None] = {}
+    refuted: dict[str, None] = {}
     for each in reports:
         terminated.update(dict.fromkeys(each.terminated))
         unresponsive.update(dict.fromkeys(each.unresponsive))
         halls.update(dict.fromkeys(each.unreachable_halls))
+        refuted.update(dict.fromkeys(each.refuted))
     return loss_report.LossReport(
-        tuple(terminated), tuple(unresponsive), tuple(halls)
+        tuple(terminated), tuple(unresponsive), tuple(halls), tuple(refuted)
     )
 
 
--- a/src/ruddergate/entry/crash_detector.py
+++ b/src/ruddergate/entry/crash_detector.py
@@ -83,6 +83,10 @@
             )
         return incarnation in self._ended
 
+    def refute(self, incarnation: incarnations.Incarnation) -> None:
+        """Records that an incarnation is alive after all."""
+        self._ended.pop(incarnation, None)
+
     async def _probe_target(self, target: targets.Target) -> None:
         result = await self._probe_repeatedly(target)
         probe = self._probes.pop(target.incarnation)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -22,6 +22,7 @@
 from ruddergate.entry import crash_detector
 from ruddergate.entry import detour_server
 from ruddergate.entry import drain_check
+from ruddergate.entry import end_verifier
 from ruddergate.entry import in_flight
 from ruddergate.entry import peer_connector
 from ruddergate.entry import peer_gossip
@@ -40,7 +41,9 @@
 from ruddergate.entry import store_sync
 from ruddergate.entry import target_availability
 from ruddergate.entry import target_connector
+from ruddergate.entry import target_losses
 from ruddergate.entry import view as views
+from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.http import message
@@ -163,6 +166,12 @@
             lambda: self._peers.loads.collect_losses(),
             drain_state=drain_state,
             limits=self._rate_limiter.limits,
+            losses=target_losses.TargetLosses(
+                env.random,
+                lambda target: self._end_verifier.verify(target),
+                self._on_end_refuted,
+                lambda: len(self._peers.loads),
+            ),
         )
         self._quarantine_gossip = quarantine_gossip.QuarantineGossip(
             env,
@@ -239,6 +248,17 @@
             lambda: self._sync.mark_draining(),
             metrics,
         )
+        direct_orders = platform.make_orders(
+            self._connector.make_direct_environment(), self._on_hints
+        )
+        self._end_verifier = end_verifier.EndVerifier(
+            env,
+            reservation_keeper.make_probe(direct_orders),
+            lambda incarnation: scheduler.is_end_refuted(incarnation),
+            lambda target, is_alive: scheduler.post(
+                scheduler_messages.EndVerified(target, is_alive)
+            ),
+        )
         self._crash_detector = crash_detector.CrashDetector(
             self._keeper.probe,
             self._quarantine_gossip.table.on_target_ended,
@@ -354,6 +374,16 @@
         self._quarantine_gossip.on_peer_started(peer)
         self._availability.on_peer_started(len(self._peers.loads))
 
+    def _on_end_refuted(
+        self, incarnation: incarnations.Incarnation, is_own: bool
+    ) -> None:
+        """Drops what followed from the end of a target that is alive."""
+        source = "own" if is_own else "peer"
+        self.context.metrics.refuted_ends.inc({"from": source})
+        self._crash_detector.refute(incarnation)
+        if is_own:
+            self._peers.note_change()
+
     def _on_draining(self) -> None:
         """Marks draining targets in the view, and schedules gossip on them."""
         self._sync.mark_draining()
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -95,6 +95,7 @@
         self._has_rate_token = False
         self._has_first_event = False
         self._has_answered = False
+        self._answered_ms: float | None = None
 
     async def run(self) -> AsyncIterator[response_events.Event]:
         """Yields what the caller is to get, and last the outcome."""
@@ -314,8 +315,10 @@
                 return is_new
             case response_events.CompleteResponse():
                 self._has_answered = True
+                self._answered_ms = self._context.env.now_ms()
             case response_events.StreamEvents():
                 self._has_answered = True
+                self._answered_ms = self._context.env.now_ms()
                 self._record_first_event()
                 self._progress.last_event_id = event.last_event_id
             case outcomes.NotServed():
@@ -382,6 +385,7 @@
                     or (is_reported and is_in_other_hall),
                     self._has_answered,
                     target_id in self._exited,
+                    self._answered_ms,
                 )
             )
 
--- a/src/ruddergate/entry/reservation_keeper.py
+++ b/src/ruddergate/entry/reservation_keeper.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
@@ -145,11 +146,7 @@
 
     async def probe(self, target: targets.Target) -> orders.ProbeResult:
         """Probes a target with a short timeout."""
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000.0):
-                return await self._orders.probe(target)
-        except TimeoutError:
-            return orders.ProbeResult(orders.ProbeStatus.NO_RESPONSE)
+        return await make_probe(self._orders)(target)
 
     async def wait_until_unresponsive(self, target: targets.Target) -> None:
         """Returns once a target does not respond to probes any more.
@@ -212,6 +209,21 @@
             )
 
 
+def make_probe(
+    target_orders: orders.Orders,
+) -> Callable[[targets.Target], Awaitable[orders.ProbeResult]]:
+    """Returns a function that probes a target with a short timeout."""
+
+    async def probe(target: targets.Target) -> orders.ProbeResult:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000.0):
+                return await target_orders.probe(target)
+        except TimeoutError:
+            return orders.ProbeResult(orders.ProbeStatus.NO_RESPONSE)
+
+    return probe
+
+
 async def _is_set_within(event: asyncio.Event, wait_ms: float) -> bool:
     try:
         async with asyncio.timeout(wait_ms / 1000.0):
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -24,6 +24,7 @@
 from ruddergate.entry import target_table
 from ruddergate.entry import view as views
 from ruddergate.fleet import dispatched
+from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import load_report
 from ruddergate.fleet import loss_report
 from ruddergate.fleet import target as targets
@@ -56,6 +57,7 @@
     | scheduler_messages.FirstToken
     | scheduler_messages.AttemptEnded
     | scheduler_messages.IncarnationEnded
+    | scheduler_messages.EndVerified
     | scheduler_messages.LoadReported
     | load_messages.Loads
     | ViewChanged
@@ -84,6 +86,7 @@
         ),
         drain_state: draining.DrainState | None = None,
         limits: rate_limits.RateLimits | None = None,
+        losses: target_losses.TargetLosses | None = None,
     ) -> None:
         """Creates an idle scheduler.
 
@@ -101,6 +104,7 @@
                 unreachable.
             drain_state: Which target incarnations accept no requests.
             limits: Rate limits that targets advertise.
+            losses: Losses of targets and halls.
         """
         self._drain_state = drain_state or draining.DrainState()
         if limits is None:
@@ -110,7 +114,7 @@
         self._collect_peer_loads = collect_peer_loads
         self._lacks_peer_loads = lacks_peer_loads
         self._collect_loss_report = collect_loss_report
-        self._losses = target_losses.TargetLosses(env.random)
+        self._losses = losses or target_losses.TargetLosses(env.random)
         self.incarnation_ends = self._losses.ended
         self._env = env
         self._config = config
@@ -165,6 +169,10 @@
         """Returns what this VM has just found to be unreachable, for peers."""
         return self._losses.summarize(self._env.now_ms())
 
+    def is_end_refuted(self, incarnation: incarnations.Incarnation) -> bool:
+        """Returns whether the end of a target was refuted just now."""
+        return self._losses.is_refuted(incarnation, self._env.now_ms())
+
     def waiting_by_class(self) -> dict[str, float]:
         """Returns the queued cost of each priority class in milliseconds."""
         total: dict[str, float] = {}
@@ -247,6 +255,8 @@
                 self._on_attempt_ended(message, now_ms)
             case scheduler_messages.IncarnationEnded():
                 self._on_incarnation_ended(message.target, now_ms)
+            case scheduler_messages.EndVerified():
+                self._on_end_verified(message, now_ms)
             case scheduler_messages.LoadReported():
                 self._on_load_report(message.report, now_ms)
             case load_messages.Loads():
@@ -318,6 +328,7 @@
         if estimate is None:
             return
         self._drain_state.note_success(estimate.target.incarnation, now_ms)
+        self._losses.note_answered(estimate.target, now_ms)
         if estimate.note_first_token(message.placement.attempt_id, now_ms):
             self._on_own_load_change()
         if message.prefix:
@@ -342,7 +353,10 @@
             estimate.note_fault(now_ms)
         elif message.has_answered:
             self._drain_state.note_success(target.incarnation, now_ms)
-            self._losses.note_answered(target, now_ms)
+            answered_ms = message.answered_ms
+            self._losses.note_answered(
+                target, now_ms if answered_ms is None else answered_ms
+            )
             estimate.answered_ms = now_ms
         self._on_own_load_change()
 
@@ -355,6 +369,14 @@
             self._losses.note_ended(target, now_ms)
             self._on_own_load_change()
 
+    def _on_end_verified(
+        self, message: scheduler_messages.EndVerified, now_ms: float
+    ) -> None:
+        if message.is_alive:
+            self._losses.note_answered(message.target, now_ms)
+        else:
+            self._losses.note_end_confirmed(message.target.incarnation, now_ms)
+
     def _merge_loss_report(self, report: loss_report.LossReport) -> None:
         if report is not loss_report.EMPTY:
             now_ms = self._env.now_ms()
--- a/src/ruddergate/entry/scheduler_messages.py
+++ b/src/ruddergate/entry/scheduler_messages.py
@@ -99,6 +99,7 @@
         has_answered: Whether the target responded, and so is reachable.
         has_exited: Whether nothing listened at the target's address any more,
             or another incarnation responded there.
+        answered_ms: When the target last responded; None if that was now.
     """
 
     placement: Placement
@@ -106,6 +107,7 @@
     is_unreachable: bool = False
     has_answered: bool = True
     has_exited: bool = False
+    answered_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +117,19 @@
     target: targets.Target
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndVerified:
+    """A target that a peer reported as ended was probed.
+
+    Attributes:
+        target: The target.
+        is_alive: Whether this incarnation of it responded.
+    """
+
+    target: targets.Target
+    is_alive: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReported:
     """A target reported its load along with a response."""
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -91,6 +91,21 @@
 
         return dataclasses.replace(self._env, connect=connect)
 
+    def make_direct_environment(self) -> environment.Environment:
+        """Returns an environment that connects over this VM's own links."""
+
+        async def connect(
+            address: environment.Address,
+        ) -> environment.StreamPair:
+            connection = await self.connect_directly(address)
+            if not isinstance(connection, detour_client.Failure):
+                return connection
+            if connection.is_refused:
+                raise ConnectionRefusedError(connection.detail)
+            raise environment.UnreachableError(connection.detail)
+
+        return dataclasses.replace(self._env, connect=connect)
+
     def find_target(self, address: str) -> targets.Target | None:
         """Returns the target listed at an address."""
         listed = self._list_targets()
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -17,15 +17,32 @@
     """Tracks lost targets and halls; owned by the scheduler task.
 
     Args:
-        rng: Draws how long a target that a peer reported is avoided.
+        rng: Draws how long a target that a peer reported is avoided, and which
+            VMs verify such reports.
+        verify: Called with a target that a peer reported as terminated, to find
+            out whether it responds to this VM.
+        on_refuted: Called with each incarnation that was found to be alive
+            after such a report, and whether this VM has found it.
+        count_peers: Returns the number of known peers.
 
     Attributes:
         ended: Incarnations of targets that have ended.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        verify: Callable[[targets.Target], None] = lambda target: None,
+        on_refuted: Callable[
+            [incarnations.Incarnation, bool], None
+        ] = lambda incarnation, is_own: None,
+        count_peers: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.ended = ended_incarnations.EndedIncarnations()
         self._rng = rng
+        self._verify = verify
+        self._on_refuted = on_refuted
+        self._count_peers = count_peers
         self._loss_reports = loss_reports.LossReports()
         self._reachability = reachability.Reachability()
         self._log = logs.make_logger("scheduler")
@@ -48,17 +65,45 @@
         )
 
     def note_ended(self, target: targets.Target, now_ms: float) -> None:
-        """Records that a target's incarnation has certainly ended."""
-        self._loss_reports.note_unreachable(
+        """Records that a target's incarnation seems to have ended.
+
+        Without a report to peers none of them could refute it, so only what is
+        reported is believed.
+        """
+        is_reported = self._loss_reports.note_unreachable(
             target.hall, target.incarnation, False, now_ms
         )
-        self.ended.note(target.incarnation, now_ms)
+        if is_reported:
+            self.ended.note(target.incarnation, now_ms)
+        self._log.info(
+            "Target {} seems to have ended.",
+            target.target_id,
+            born_ms=target.started_ms,
+            hall=target.hall,
+            is_reported=is_reported,
+        )
 
-    def note_answered(self, target: targets.Target, now_ms: float) -> None:
-        """Records that a target has responded."""
-        self.ended.refute(target.incarnation)
+    def note_end_confirmed(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> None:
+        """Records that this VM does not reach a target reported as ended."""
+        if not self._loss_reports.is_refuted(incarnation, now_ms):
+            self.ended.note(incarnation, now_ms)
+
+    def note_answered(self, target: targets.Target, at_ms: float) -> None:
+        """Records that a target has responded, and when it last did."""
         self._reachability.note_reached(target.hall)
-        self._loss_reports.note_reached(target.hall, target.incarnation, now_ms)
+        is_refutation = self._loss_reports.note_reached(
+            target.hall, target.incarnation, at_ms
+        )
+        if is_refutation:
+            self._apply_refutation(target.incarnation, True)
+
+    def is_refuted(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> bool:
+        """Returns whether the end of a target was refuted just now."""
+        return self._loss_reports.is_refuted(incarnation, now_ms)
 
     def is_suspect(self, hall: str, now_ms: float) -> bool:
         """Returns whether a hall is to be avoided now."""
@@ -77,8 +122,16 @@
         now_ms: float,
     ) -> None:
         """Avoids for a short time what peers reported as unreachable."""
+        for name in report.refuted:
+            incarnation = incarnations.parse_incarnation(name)
+            if not self._loss_reports.is_refuted(incarnation, now_ms):
+                self._loss_reports.note_refuted(incarnation, now_ms)
+                self._apply_refutation(incarnation, False)
         for name in report.terminated:
-            self.ended.note(incarnations.parse_incarnation(name), now_ms)
+            incarnation = incarnations.parse_incarnation(name)
+            self._merge_terminated(
+                incarnation, find_estimate(incarnation), now_ms
+            )
         for name in (*report.terminated, *report.unresponsive):
             estimate = find_estimate(incarnations.parse_incarnation(name))
             if estimate is not None:
@@ -87,3 +140,40 @@
         for hall in report.unreachable_halls:
             if self._reachability.note_reported(hall, now_ms):
                 self._log.warning("Hall {} is unreachable for peers.", hall)
+
+    def _merge_terminated(
+        self,
+        incarnation: incarnations.Incarnation,
+        estimate: estimates.Estimate | None,
+        now_ms: float,
+    ) -> None:
+        """Verifies a peer's report of an end, or takes it over.
+
+        A VM that is using the target believes the report only once it has found
+        the same.
+        """
+        if self._loss_reports.is_refuted(incarnation, now_ms):
+            return
+        is_using = estimate is not None and estimate.own_streams() > 0
+        if not is_using:
+            self.ended.note(incarnation, now_ms)
+        if estimate is None:
+            return
+        self._loss_reports.note_suspected(estimate.target.incarnation, now_ms)
+        if loss_reports.choose_verifier(
+            self._count_peers(), is_using, self._rng
+        ):
+            self._verify(estimate.target)
+
+    def _apply_refutation(
+        self, incarnation: incarnations.Incarnation, is_own: bool
+    ) -> None:
+        """Drops the belief that a target has ended."""
+        self.ended.refute(incarnation)
+        self._log.info(
+            "Target {} is alive, though it was reported as ended.",
+            incarnation.target_id,
+            born_ms=incarnation.started_ms,
+            is_own=is_own,
+        )
+        self._on_refuted(incarnation, is_own)
--- a/src/ruddergate/fleet/loss_report.py
+++ b/src/ruddergate/fleet/loss_report.py
@@ -11,14 +11,17 @@
 
     Attributes:
         terminated: Targets whose address refuses connections or is served by
-            another target; every VM will find the same.
+            another target.
         unresponsive: Targets from which this VM received nothing.
         unreachable_halls: Data halls that appear to be cut off from this VM.
+        refuted: Targets that peers reported as terminated and that responded to
+            this VM after that.
     """
 
     terminated: tuple[str, ...] = ()
     unresponsive: tuple[str, ...] = ()
     unreachable_halls: tuple[str, ...] = ()
+    refuted: tuple[str, ...] = ()
 
 
 EMPTY = LossReport()
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -58,6 +58,11 @@
             "ruddergate_targets_ended_total",
             "Targets that ended while they served requests of this VM.",
         )
+        self.refuted_ends = self._counter(
+            "ruddergate_refuted_ends_total",
+            "Targets that responded after they were reported as ended, by who"
+            " found that.",
+        )
         self.uncounted_crashes = self._counter(
             "ruddergate_uncounted_crashes_total",
             "Crashed targets that did not count against a route's limit.",
--- /dev/null
+++ b/tests/test_refuted_ends.py
@@ -0,0 +1,156 @@
+"""Reports that a target has ended, and their refutation by VMs that reach it.
+
+VMs that are cut off from a pool alone, with connections refused, report its
+live targets as ended. The others believed it although they had streams there,
+and large prompts were given up for 5 s.
+"""
+
+import asyncio
+import random
+import unittest
+
+import loguru
+
+from ruddergate.decisions import loss_reports
+from ruddergate.fleet import incarnation as incarnations
+from standins import gateway_cluster
+from standins import virtual_network
+from tests import gateway_fixture
+
+_HALL = "hall"
+_TARGET = incarnations.Incarnation("engine", 5)
+_CALL_INTERVAL_S = 0.05
+_CUT_S = 1.0
+# Within this time a report has been refuted at all VMs.
+_REFUTED_S = 0.3
+
+
+class RefutationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.losses = loss_reports.LossReports()
+        self.losses.note_reached(_HALL, _TARGET, 0.0)
+
+    def test_response_after_the_report_refutes_it(self) -> None:
+        self.losses.note_suspected(_TARGET, 100.0)
+        self.assertTrue(self.losses.note_reached(_HALL, _TARGET, 101.0))
+        self.assertEqual(self.losses.summarize(102.0).refuted, ("engine@5",))
+        self.assertTrue(self.losses.is_refuted(_TARGET, 102.0))
+
+    def test_response_before_the_report_refutes_nothing(self) -> None:
+        self.losses.note_suspected(_TARGET, 100.0)
+        self.assertFalse(self.losses.note_reached(_HALL, _TARGET, 99.0))
+        self.assertEqual(self.losses.summarize(102.0).refuted, ())
+
+    def test_other_incarnation_refutes_nothing(self) -> None:
+        younger = incarnations.Incarnation("engine", 6)
+        self.losses.note_suspected(_TARGET, 100.0)
+        self.assertFalse(self.losses.note_reached(_HALL, younger, 101.0))
+
+    def test_refuted_end_is_not_reported_again(self) -> None:
+        self.losses.note_refuted(_TARGET, 100.0)
+        self.assertFalse(
+            self.losses.note_unreachable(_HALL, _TARGET, False, 200.0)
+        )
+        self.assertEqual(self.losses.summarize(201.0).terminated, ())
+
+    def test_later_end_is_reported(self) -> None:
+        self.losses.note_refuted(_TARGET, 100.0)
+        later_ms = 101.0 + loss_reports.REFUTED_MS
+        self.losses.note_reached(_HALL, _TARGET, later_ms)
+        self.assertTrue(
+            self.losses.note_unreachable(_HALL, _TARGET, False, later_ms)
+        )
+        reported = self.losses.summarize(later_ms).terminated
+        self.assertEqual(reported, ("engine@5",))
+
+    def test_few_vms_of_a_large_fleet_verify_a_report(self) -> None:
+        rng = random.Random(1)
+        verifiers = sum(
+            loss_reports.choose_verifier(940, False, rng) for _ in range(940)
+        )
+        self.assertLessEqual(verifiers, 3 * loss_reports.MIN_VERIFIERS)
+        self.assertGreater(verifiers, 0)
+        self.assertTrue(loss_reports.choose_verifier(940, True, rng))
+        self.assertTrue(loss_reports.choose_verifier(8, False, rng))
+
+
+class FleetTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def _cut_most(self, vms: int) -> None:
+        """Cuts all VMs but one from the engines, with refused connections."""
+
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            pending = _start_calls(fixture, _CALL_INTERVAL_S)
+            await asyncio.sleep(_CUT_S)
+            cuts = [
+                virtual_network.Cut(vm, name, virtual_network.CutMode.RESET)
+                for vm in sorted(cluster.vms)[:-1]
+                for name in cluster.targets
+                if name.startswith("engine")
+            ]
+            for each in cuts:
+                cluster.network.cut(each)
+            await asyncio.sleep(_CUT_S)
+            for each in cuts:
+                cluster.network.cuts.remove(each)
+            await asyncio.sleep(_REFUTED_S)
+            self.assertEqual(_list_believed_ends(cluster), [])
+            pending.cancel()
+
+        gateway_fixture.run_scenario(scenario, vms=vms, engines=9)
+
+    def test_reports_of_most_vms_are_refuted(self) -> None:
+        self._cut_most(9)
+
+    def test_crash_is_believed_by_all_vms(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            pending = _start_calls(fixture, _CALL_INTERVAL_S)
+            await asyncio.sleep(_CUT_S)
+            crashed = cluster.targets["engine-0"]
+            name = crashed.replica.name
+            cluster.crash_target(crashed)
+            await asyncio.sleep(1.0)
+            believed = _list_believed_ends(cluster)
+            self.assertEqual(
+                sorted(believed),
+                sorted(f"{vm}: {name}" for vm in cluster.vms),
+            )
+            pending.cancel()
+
+        gateway_fixture.run_scenario(scenario, vms=9, engines=9)
+
+
+def _start_calls(
+    fixture: gateway_fixture.Fixture, interval_s: float
+) -> asyncio.Future[None]:
+    """Sends calls to all VMs until cancelled."""
+
+    async def send() -> None:
+        calls = []
+        while True:
+            for vm in fixture.cluster.vms:
+                call = fixture.call("short", vm)
+                calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(interval_s)
+
+    return asyncio.ensure_future(send())
+
+
+def _list_believed_ends(cluster: gateway_cluster.GatewayCluster) -> list[str]:
+    """Returns which targets VMs believe to have ended."""
+    return [
+        f"{vm}: {each.target_id}"
+        for vm, node in cluster.vms.items()
+        for each in node.gateway.context.scheduler.incarnation_ends.list_recent(
+            node.gateway.context.env.now_ms()
+        )
+    ]
+
+
+if __name__ == "__main__":
+    unittest.main()
