--- a/src/ruddergate/decisions/links.py
+++ b/src/ruddergate/decisions/links.py
@@ -63,9 +63,11 @@
             # Links to other targets have probably come back with this one.
             self._broken.clear()
         self._bypassed.clear()
+        # Without any way, peers have nothing better to offer.
+        was_isolated = self.state is State.ISOLATED
         self.note_detour_reached(now_ms)
         self._successes += 1
-        if self._successes >= MIN_SUCCESSES:
+        if was_isolated or self._successes >= MIN_SUCCESSES:
             self.state = State.DIRECT
 
     def note_failed(self) -> None:
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -238,6 +238,11 @@
         members[self._own] = self._attributes.hall
         return members
 
+    def is_carrier(self, name: str) -> bool:
+        """Returns whether a peer last reported that it carries connections."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.carried != carriers.CARRIES_NONE
+
     def list_carriers(self, now_ms: float) -> list[carriers.Carrier]:
         """Returns the peers that carry connections, as heard of recently."""
         return [
--- a/src/ruddergate/entry/connection_race.py
+++ b/src/ruddergate/entry/connection_race.py
@@ -67,6 +67,12 @@
         self._direct = asyncio.ensure_future(self._make_direct())
         return await self._wait()
 
+    async def run_both(self) -> Connection:
+        """Tries both ways at once."""
+        self._direct = asyncio.ensure_future(self._make_direct())
+        self._detour = asyncio.ensure_future(self._make_detour(False))
+        return await self._wait()
+
     async def _wait(self) -> Connection:
         """Returns the first connection that is up, or a failure."""
         pending = {self._direct, self._detour}
--- a/src/ruddergate/entry/context.py
+++ b/src/ruddergate/entry/context.py
@@ -43,6 +43,11 @@
     return False
 
 
+async def _assume_way(wait_ms: float) -> outcomes.NotServed | None:
+    """Default of an entry that does not track its links to targets."""
+    return None
+
+
 async def _refuse_retry(is_large: bool) -> bool:
     """Default of an entry without peers that transfer retry budget."""
     return False
@@ -79,7 +84,8 @@
             the step that sends.
         return_rate_token: Undoes `take_rate_token` for a request that was not
             sent after all.
-        check_links: Returns a refusal if no way leads to any target.
+        wait_for_way: Returns a refusal if no way leads to any target. Takes how
+            long to wait for one, in milliseconds.
     """
 
     env: environment.Environment
@@ -105,7 +111,9 @@
         [targets.Target, str], outcomes.NotServed | None
     ] = _grant_rate_token
     return_rate_token: Callable[[targets.Target], None] = lambda target: None
-    check_links: Callable[[], outcomes.NotServed | None] = lambda: None
+    wait_for_way: Callable[[float], Awaitable[outcomes.NotServed | None]] = (
+        _assume_way
+    )
 
     @property
     def owner(self) -> str:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -206,7 +206,7 @@
             check_admission=self._check_admission,
             take_rate_token=self._rate_limiter.take_token,
             return_rate_token=self._rate_limiter.return_token,
-            check_links=lambda: self._connector.check_links(),
+            wait_for_way=lambda wait_ms: self._connector.wait_for_way(wait_ms),
         )
         self._connector = target_connector.TargetConnector(
             env,
@@ -297,6 +297,7 @@
             find_settings_revision=lambda: view.catalog.revision,
             note_newer_settings=self.note_newer_settings,
             count_carried=self._detours.summarize,
+            on_carrier=self._connector.on_carrier,
         )
         self._retry_transfers = retry_transfers.RetryTransfers(
             env,
--- a/src/ruddergate/entry/peer_gossip.py
+++ b/src/ruddergate/entry/peer_gossip.py
@@ -98,6 +98,8 @@
             revision, if that is later than this VM's.
         count_carried: Returns the number of connections carried for peers, or
             `carriers.CARRIES_NONE`.
+        on_carrier: Called with the name of a peer that carries connections,
+            and did not when last heard of.
 
     Attributes:
         loads: Known loads of peers.
@@ -135,6 +137,7 @@
             [str, int], None
         ] = lambda peer, revision: None,
         count_carried: Callable[[], int] = lambda: carriers.CARRIES_NONE,
+        on_carrier: Callable[[str], None] = lambda peer: None,
     ) -> None:
         self._env = env
         self._config = config
@@ -152,6 +155,7 @@
         self._note_newer_settings = note_newer_settings
         self._notify_peer_count = on_peer_count
         self._count_carried = count_carried
+        self._on_carrier = on_carrier
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
             self._own, peer_groups.VmAttributes(hall, config.link_mbps)
@@ -355,10 +359,13 @@
                 self._log.warning("Ignoring digest: sender is not an address.")
                 continue
             is_new_run = self.loads.is_new_incarnation(digest)
+            was_carrier = self.loads.is_carrier(digest.sender)
             if not self.loads.merge(digest, now_ms):
                 continue
             if is_new_run:
                 self._on_peer_started(digest.sender)
+            if not was_carrier and self.loads.is_carrier(digest.sender):
+                self._on_carrier(digest.sender)
             if digest.draining:
                 self._merge_draining(digest.draining, digest.sender)
             if digest.rate_limits:
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -67,6 +67,9 @@
 # Callers give up a stream that has not begun after four times that latency, but
 # not before two seconds.
 MIN_LATE_WAIT_MS = 1_200.0
+# How long a request waits for a way to any target while there is none. Callers
+# may be served by another VM, so it is short.
+MAX_WAY_WAIT_MS = 150.0
 # Puts the ranks of late requests below those of all others.
 _LATE_RANK_OFFSET = 1_000_000
 # Range of the retry-after when no target is free or can be reached; random, so
@@ -86,7 +89,10 @@
     """
     progress = relay_progress.Progress(request.payload.last_event_id)
     refusal = context.quarantine.check_admission(request)
-    refusal = refusal or context.check_links()
+    way_wait_ms = _find_on_time_wait_ms(request, progress, context)
+    refusal = refusal or await context.wait_for_way(
+        min(MAX_WAY_WAIT_MS, way_wait_ms)
+    )
     if refusal is not None:
         yield refusal
         return
@@ -294,11 +300,21 @@
     Returns:
         Whether the request is late, and the wait in milliseconds, for each.
     """
-    latency_slo_ms = request.payload.route.latency_slo_ms
-    on_time_ms = ON_TIME_WAIT_SLO_FACTOR * latency_slo_ms
-    if not progress.has_head:
-        on_time_ms -= context.env.now_ms() - request.arrived_ms
-    return (False, on_time_ms), (True, max(MIN_LATE_WAIT_MS, latency_slo_ms))
+    on_time_ms = _find_on_time_wait_ms(request, progress, context)
+    late_ms = max(MIN_LATE_WAIT_MS, request.payload.route.latency_slo_ms)
+    return (False, on_time_ms), (True, late_ms)
+
+
+def _find_on_time_wait_ms(
+    request: requests.Request,
+    progress: relay_progress.Progress,
+    context: contexts.EntryContext,
+) -> float:
+    """Returns how long a request may still wait ahead of late ones."""
+    on_time_ms = ON_TIME_WAIT_SLO_FACTOR * request.payload.route.latency_slo_ms
+    if progress.has_head:
+        return on_time_ms
+    return on_time_ms - (context.env.now_ms() - request.arrived_ms)
 
 
 def _make_placement_request(
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import heapq
 
@@ -30,6 +31,10 @@
 # Interval of probes of the direct way while connections go through peers.
 # Jitter spreads the return of many VMs.
 PROBE_INTERVAL_MS = (300.0, 600.0)
+# The same while no way leads to any target, and all callers are refused.
+ISOLATED_PROBE_INTERVAL_MS = (50.0, 150.0)
+# Jitter before a probe through a peer that carries connections again.
+CARRIER_JITTER_MS = 20.0
 # Range of the retry-after of a VM that reaches no target. Another VM may serve
 # at once; if none does, callers should not return together.
 _ISOLATED_RETRY_MS = (400.0, 1_200.0)
@@ -73,6 +78,11 @@
         )
         # Set while the direct way to some target does not work.
         self._needs_probes = asyncio.Event()
+        # Set unless this VM is isolated.
+        self._has_way = asyncio.Event()
+        self._has_way.set()
+        # Set when a peer carries connections again while this VM is isolated.
+        self._has_carrier = asyncio.Event()
         # The event loop keeps only weak references to tasks.
         self._abandoned: set[asyncio.Future] = set()
         self._log = logs.make_logger("links")
@@ -124,7 +134,7 @@
             environment.UnreachableError: No way led to the target.
         """
         name = str(address)
-        if self.links.state is links.State.ISOLATED:
+        if self._is_isolated():
             raise environment.UnreachableError("no way leads to any target")
         race = connection_race.Race(
             lambda: self.connect_directly(address),
@@ -148,9 +158,16 @@
             raise ConnectionRefusedError(connection.detail)
         raise environment.UnreachableError(connection.detail)
 
-    def check_links(self) -> outcomes.NotServed | None:
-        """Returns a refusal if no way leads to any target."""
-        if self.links.state is not links.State.ISOLATED:
+    async def wait_for_way(self, wait_ms: float) -> outcomes.NotServed | None:
+        """Returns a refusal if no way leads to any target.
+
+        This waits for one as long as given.
+        """
+        if self._is_isolated():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, wait_ms) / 1000.0):
+                    await self._has_way.wait()
+        if not self._is_isolated():
             return None
         return outcomes.refuse(
             outcomes.Reason.NO_TARGET,
@@ -162,14 +179,39 @@
         """Probes the direct way while connections go through peers."""
         while True:
             await self._needs_probes.wait()
-            pause_ms = self._env.random.uniform(*PROBE_INTERVAL_MS)
-            await asyncio.sleep(pause_ms / 1000.0)
+            await self._pause_between_probes()
             address = self._choose_probed()
-            if address is not None:
+            if address is not None and self._is_isolated():
+                # Links that come back just after a probe began would else be
+                # found only after its timeout.
+                self._keep((asyncio.ensure_future(self._probe(address)),))
+            elif address is not None:
                 await self._probe(address)
             elif self.links.state is links.State.DIRECT:
                 self._needs_probes.clear()
 
+    def _is_isolated(self) -> bool:
+        return self.links.state is links.State.ISOLATED
+
+    def on_carrier(self, peer: str) -> None:
+        """Probes soon if a peer carries connections again."""
+        if not self._is_isolated():
+            return
+        self._has_carrier.set()
+        self._log.info("Peer {} carries connections again.", peer)
+
+    async def _pause_between_probes(self) -> None:
+        """Waits for the interval, or for a carrier if this VM is isolated."""
+        if not self._is_isolated():
+            pause_ms = self._env.random.uniform(*PROBE_INTERVAL_MS)
+            await asyncio.sleep(pause_ms / 1000.0)
+            return
+        pause_ms = self._env.random.uniform(*ISOLATED_PROBE_INTERVAL_MS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_ms / 1000.0):
+                await self._has_carrier.wait()
+        self._has_carrier.clear()
+
     def _choose_probed(self) -> environment.Address | None:
         """Returns a target to probe; None if the direct way works."""
         for name in self.links.list_broken():
@@ -184,20 +226,34 @@
         return self._env.random.choice(listed).address
 
     async def _probe(self, address: environment.Address) -> None:
-        connection = await self.connect_directly(address)
-        is_isolated = self.links.state is links.State.ISOLATED
-        if is_isolated and not connection_race.is_up(connection):
-            connection = await self._through_peers.connect(
-                address, is_order=True, was_refused=False
-            )
-            if connection_race.is_up(connection):
-                self._note(
-                    lambda: self.links.note_detour_reached(self._env.now_ms())
-                )
+        if self._is_isolated():
+            connection = await self._probe_all_ways(address)
+        else:
+            connection = await self.connect_directly(address)
         if connection_race.is_up(connection):
             _, writer = connection
             writer.close()
 
+    async def _probe_all_ways(
+        self, address: environment.Address
+    ) -> connection_race.Connection:
+        """Connects directly and through peers at once; the first one wins."""
+        race = connection_race.Race(
+            lambda: self.connect_directly(address),
+            lambda was_refused: self._through_peers.connect(
+                address, is_order=True, was_refused=was_refused
+            ),
+        )
+        try:
+            connection = await race.run_both()
+        finally:
+            self._keep(race.abandon())
+        if race.is_detour:
+            self._note(
+                lambda: self.links.note_detour_reached(self._env.now_ms())
+            )
+        return connection
+
     async def _run_race(
         self, name: str, race: connection_race.Race
     ) -> connection_race.Connection:
@@ -335,6 +391,10 @@
             self._needs_probes.set()
         if state is before:
             return
+        if self._is_isolated():
+            self._has_way.clear()
+        else:
+            self._has_way.set()
         self._log.warning(
             "Way to targets: {}, was {}.",
             state.value,
