Reported ends are verified again until they are refuted or dropped

Nobody reaches the targets in that time, so nothing refutes the reports; after it, each VM forgets an end by a request of its own only.

Change: verifiers, and the VM that reports, probe again every 200 to 400 ms while the target is listed and the report stands.

--- a/src/ruddergate/entry/end_verifier.py
+++ b/src/ruddergate/entry/end_verifier.py
@@ -1,7 +1,8 @@
 """Probes targets that a peer reported as ended, over this VM's own links.
 
 A target that responds refutes the report, for the whole fleet: a VM that is cut
-off from it can't tell a refused connection from a crash.
+off from it can't tell a refused connection from a crash. For a while no VM may
+reach it, so it is probed again while the report stands.
 """
 
 import asyncio
@@ -15,6 +16,8 @@
 
 # Jitter before a probe. The first refutation spares the other VMs theirs.
 MAX_JITTER_MS = 20.0
+# Interval of further probes.
+INTERVAL_MS = (200.0, 400.0)
 
 
 class EndVerifier:
@@ -23,6 +26,8 @@
     Args:
         env: Clock and random numbers.
         probe: Sends a health probe to a target, not through peers.
+        is_believed: Returns whether a target is still believed to have ended,
+            and is still listed.
         is_refuted: Returns whether a report was refuted just now.
         on_verified: Called with each probed target, and whether it is alive.
     """
@@ -31,33 +36,53 @@
         self,
         env: environment.Environment,
         probe: Callable[[targets.Target], Awaitable[orders.ProbeResult]],
+        is_believed: Callable[[incarnations.Incarnation], bool],
         is_refuted: Callable[[incarnations.Incarnation], bool],
         on_verified: Callable[[targets.Target, bool], None],
     ) -> None:
         self._env = env
         self._probe = probe
+        self._is_believed = is_believed
         self._is_refuted = is_refuted
         self._on_verified = on_verified
         self._tasks: dict[incarnations.Incarnation, asyncio.Task] = {}
 
-    def verify(self, target: targets.Target) -> None:
-        """Starts to probe a target, unless that is being done."""
+    def verify(self, target: targets.Target, is_own: bool) -> None:
+        """Starts to probe a target, unless that is being done.
+
+        Args:
+            target: The target.
+            is_own: Whether this VM has just found that it has ended.
+        """
         incarnation = target.incarnation
         if incarnation in self._tasks:
             return
-        task = asyncio.ensure_future(self._verify(target))
+        first_ms = INTERVAL_MS if is_own else (0.0, MAX_JITTER_MS)
+        task = asyncio.ensure_future(self._verify(target, first_ms))
         self._tasks[incarnation] = task
         task.add_done_callback(lambda _: self._tasks.pop(incarnation, None))
 
-    async def _verify(self, target: targets.Target) -> None:
-        jitter_ms = self._env.random.uniform(0.0, MAX_JITTER_MS)
-        await asyncio.sleep(jitter_ms / 1000.0)
-        if self._is_refuted(target.incarnation):
-            return
+    async def _verify(
+        self, target: targets.Target, first_ms: tuple[float, float]
+    ) -> None:
+        """Probes a target until it responds, or the report is dropped."""
+        await self._pause(first_ms)
+        while not self._is_refuted(target.incarnation):
+            is_alive = await self._is_alive(target)
+            self._on_verified(target, is_alive)
+            await self._pause(INTERVAL_MS)
+            if is_alive or not self._is_believed(target.incarnation):
+                return
+
+    async def _pause(self, range_ms: tuple[float, float]) -> None:
+        pause_ms = self._env.random.uniform(*range_ms)
+        await asyncio.sleep(pause_ms / 1000.0)
+
+    async def _is_alive(self, target: targets.Target) -> bool:
         result = await self._probe(target)
         is_same_incarnation = result.started_ms in (
             incarnations.START_UNKNOWN,
             target.started_ms,
         )
         is_alive = result.status is orders.ProbeStatus.ALIVE
-        self._on_verified(target, is_alive and is_same_incarnation)
+        return is_alive and is_same_incarnation
--- a/src/ruddergate/entry/ended_incarnations.py
+++ b/src/ruddergate/entry/ended_incarnations.py
@@ -39,6 +39,13 @@
             if incarnation in awaited and not waiter.done():
                 waiter.set_result(incarnation)
 
+    def is_recent(
+        self, incarnation: incarnations.Incarnation, now_ms: float
+    ) -> bool:
+        """Returns whether an incarnation seems to have ended."""
+        ended_ms = self._ended.get(incarnation)
+        return ended_ms is not None and now_ms - ended_ms <= KEPT_MS
+
     def list_recent(self, now_ms: float) -> list[incarnations.Incarnation]:
         """Returns the incarnations that seem to have ended."""
         return [
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -168,7 +168,9 @@
             limits=self._rate_limiter.limits,
             losses=target_losses.TargetLosses(
                 env.random,
-                lambda target: self._end_verifier.verify(target),
+                lambda target, is_own: self._end_verifier.verify(
+                    target, is_own
+                ),
                 self._on_end_refuted,
                 lambda: len(self._peers.loads),
             ),
@@ -254,7 +256,8 @@
         self._end_verifier = end_verifier.EndVerifier(
             env,
             reservation_keeper.make_probe(direct_orders),
-            lambda incarnation: scheduler.is_end_refuted(incarnation),
+            scheduler.is_end_believed,
+            scheduler.is_end_refuted,
             lambda target, is_alive: scheduler.post(
                 scheduler_messages.EndVerified(target, is_alive)
             ),
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -169,6 +169,15 @@
         """Returns what this VM has just found to be unreachable, for peers."""
         return self._losses.summarize(self._env.now_ms())
 
+    def is_end_believed(self, incarnation: incarnations.Incarnation) -> bool:
+        """Returns whether a listed target seems to have ended."""
+        target = self.find_target(incarnation.target_id)
+        is_listed = target is not None and target.incarnation == incarnation
+        now_ms = self._env.now_ms()
+        return is_listed and self.incarnation_ends.is_recent(
+            incarnation, now_ms
+        )
+
     def is_end_refuted(self, incarnation: incarnations.Incarnation) -> bool:
         """Returns whether the end of a target was refuted just now."""
         return self._losses.is_refuted(incarnation, self._env.now_ms())
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -19,8 +19,8 @@
     Args:
         rng: Draws how long a target that a peer reported is avoided, and which
             VMs verify such reports.
-        verify: Called with a target that a peer reported as terminated, to find
-            out whether it responds to this VM.
+        verify: Called with a target that was reported as terminated, to find
+            out whether it responds to this VM, and whether this VM reported it.
         on_refuted: Called with each incarnation that was found to be alive
             after such a report, and whether this VM has found it.
         count_peers: Returns the number of known peers.
@@ -32,7 +32,9 @@
     def __init__(
         self,
         rng: random.Random,
-        verify: Callable[[targets.Target], None] = lambda target: None,
+        verify: Callable[
+            [targets.Target, bool], None
+        ] = lambda target, is_own: None,
         on_refuted: Callable[
             [incarnations.Incarnation, bool], None
         ] = lambda incarnation, is_own: None,
@@ -75,6 +77,7 @@
         )
         if is_reported:
             self.ended.note(target.incarnation, now_ms)
+            self._verify(target, True)
         self._log.info(
             "Target {} seems to have ended.",
             target.target_id,
@@ -87,7 +90,8 @@
         self, incarnation: incarnations.Incarnation, now_ms: float
     ) -> None:
         """Records that this VM does not reach a target reported as ended."""
-        if not self._loss_reports.is_refuted(incarnation, now_ms):
+        is_refuted = self._loss_reports.is_refuted(incarnation, now_ms)
+        if not is_refuted and not self.ended.is_recent(incarnation, now_ms):
             self.ended.note(incarnation, now_ms)
 
     def note_answered(self, target: targets.Target, at_ms: float) -> None:
@@ -163,7 +167,7 @@
         if loss_reports.choose_verifier(
             self._count_peers(), is_using, self._rng
         ):
-            self._verify(estimate.target)
+            self._verify(estimate.target, False)
 
     def _apply_refutation(
         self, incarnation: incarnations.Incarnation, is_own: bool
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -106,6 +106,28 @@
     def test_reports_of_most_vms_are_refuted(self) -> None:
         self._cut_most(9)
 
+    def test_reports_are_refuted_once_any_vm_reaches_the_pool(self) -> None:
+        # No VM reached the targets as they were reported, so that nothing
+        # refuted that before the next request to each of them.
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            pending = _start_calls(fixture, _CALL_INTERVAL_S)
+            await asyncio.sleep(_CUT_S)
+            engines = [
+                name for name in cluster.targets if name.startswith("engine")
+            ]
+            for vm in cluster.vms:
+                mode = virtual_network.CutMode.RESET
+                for name in engines:
+                    cluster.network.cut(virtual_network.Cut(vm, name, mode))
+            await asyncio.sleep(_CUT_S)
+            pending.cancel()
+            cluster.network.cuts.clear()
+            await asyncio.sleep(2.0 * _REFUTED_S)
+            self.assertEqual(_list_believed_ends(cluster), [])
+
+        gateway_fixture.run_scenario(scenario, vms=9, engines=9)
+
     def test_crash_is_believed_by_all_vms(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             cluster = fixture.cluster
