Targets with a rate limit are not probed to verify an end

Cause, by reading: a probe counts against the target's limit, and all VMs of a small fleet probe a reported target at once. The probes that remain are charged like others.

New test, fails without the condition.

--- a/src/ruddergate/entry/end_verifier.py
+++ b/src/ruddergate/entry/end_verifier.py
@@ -29,6 +29,8 @@
         is_believed: Returns whether a target is still believed to have ended,
             and is still listed.
         is_refuted: Returns whether a report was refuted just now.
+        is_rate_limited: Returns whether a target has a rate limit, which the
+            probes of several VMs would exceed.
         on_verified: Called with each probed target, and whether it is alive.
     """
 
@@ -38,12 +40,14 @@
         probe: Callable[[targets.Target], Awaitable[orders.ProbeResult]],
         is_believed: Callable[[incarnations.Incarnation], bool],
         is_refuted: Callable[[incarnations.Incarnation], bool],
+        is_rate_limited: Callable[[str], bool],
         on_verified: Callable[[targets.Target, bool], None],
     ) -> None:
         self._env = env
         self._probe = probe
         self._is_believed = is_believed
         self._is_refuted = is_refuted
+        self._is_rate_limited = is_rate_limited
         self._on_verified = on_verified
         self._tasks: dict[incarnations.Incarnation, asyncio.Task] = {}
 
@@ -79,6 +83,8 @@
         await asyncio.sleep(pause_ms / 1000.0)
 
     async def _is_alive(self, target: targets.Target) -> bool:
+        if self._is_rate_limited(target.target_id):
+            return False
         result = await self._probe(target)
         is_same_incarnation = result.started_ms in (
             incarnations.START_UNKNOWN,
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -255,9 +255,12 @@
         )
         self._end_verifier = end_verifier.EndVerifier(
             env,
-            reservation_keeper.make_probe(direct_orders),
+            reservation_keeper.make_probe(
+                self._rate_limiter.charge_orders(direct_orders)
+            ),
             scheduler.is_end_believed,
             scheduler.is_end_refuted,
+            self._rate_limiter.limits.is_limited,
             lambda target, is_alive: scheduler.post(
                 scheduler_messages.EndVerified(target, is_alive)
             ),
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -11,10 +11,16 @@
 
 import loguru
 
+from ruddergate import environment
 from ruddergate.decisions import loss_reports
+from ruddergate.entry import end_verifier
+from ruddergate.fleet import condition
 from ruddergate.fleet import incarnation as incarnations
+from ruddergate.fleet import target as targets
+from ruddergate.relay import orders
 from standins import gateway_cluster
 from standins import virtual_network
+from standins import virtual_process
 from tests import gateway_fixture
 
 _HALL = "hall"
@@ -74,6 +80,43 @@
         self.assertTrue(loss_reports.choose_verifier(8, False, rng))
 
 
+class EndVerifierTest(unittest.TestCase):
+    def test_target_with_a_rate_limit_is_not_probed(self) -> None:
+        probed: list[str] = []
+        verified: list[bool] = []
+
+        async def probe(target: targets.Target) -> orders.ProbeResult:
+            probed.append(target.target_id)
+            return orders.ProbeResult(orders.ProbeStatus.ALIVE)
+
+        async def verify(limited: bool) -> None:
+            verifier = end_verifier.EndVerifier(
+                environment.make_system_environment(),
+                probe,
+                is_believed=lambda incarnation: False,
+                is_refuted=lambda incarnation: False,
+                is_rate_limited=lambda target_id: limited,
+                on_verified=lambda target, is_alive: verified.append(is_alive),
+            )
+            verifier.verify(_make_target(), is_own=False)
+            await asyncio.sleep(1.0)
+
+        virtual_process.run(lambda: verify(limited=True))
+        self.assertEqual((probed, verified), ([], [False]))
+        virtual_process.run(lambda: verify(limited=False))
+        self.assertEqual((probed, verified), (["engine"], [False, True]))
+
+
+def _make_target() -> targets.Target:
+    return targets.Target(
+        "engine",
+        "pool",
+        _HALL,
+        environment.Address("host", 1),
+        condition.Condition.LIVE,
+    )
+
+
 class FleetTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
