--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -69,7 +69,7 @@
 MIN_LATE_WAIT_MS = 1_200.0
 # How long a request waits for a way to any target while there is none. Callers
 # may be served by another VM, so it is short.
-MAX_WAY_WAIT_MS = 150.0
+MAX_WAY_WAIT_MS = 80.0
 # Puts the ranks of late requests below those of all others.
 _LATE_RANK_OFFSET = 1_000_000
 # Range of the retry-after when no target is free or can be reached; random, so
--- a/tests/test_return_of_links.py
+++ b/tests/test_return_of_links.py
@@ -18,7 +18,7 @@
 # Within this time after the return all VMs serve.
 _RETURN_S = 0.25
 # How long a VM without any way may hold a request.
-_MAX_HELD_MS = 200.0
+_MAX_HELD_MS = 100.0
 _MAX_RETRY_AFTER_S = 1.2
 
 
