--- a/standins/link_schedules.py
+++ b/standins/link_schedules.py
@@ -21,6 +21,7 @@
 import cyclopts
 
 from ruddergate import environment
+from ruddergate.decisions import loss_reports
 from ruddergate.entry import connection_race
 from ruddergate.entry import detour_client
 from ruddergate.entry import peer_gossip
@@ -33,7 +34,7 @@
 from standins import virtual_network
 from standins import virtual_process
 
-Ablation: TypeAlias = Literal["none", "detour", "proof"]
+Ablation: TypeAlias = Literal["none", "detour", "proof", "refutation", "return"]
 
 _DURATION_S = 12.0
 _CALL_INTERVAL_S = 0.12
@@ -108,7 +109,10 @@
 
 
 def _ablate_proof() -> Sequence[contextlib.AbstractContextManager]:
-    """A refused connection is taken as proof that its target has ended."""
+    """A refused connection is taken as proof that its target has ended.
+
+    Refutations are off, too: they would undo the wrong belief.
+    """
     owner = target_connector.TargetConnector
     connect_directly = owner.connect_directly
 
@@ -121,7 +125,29 @@
             return connection
         return dataclasses.replace(connection, has_ended=connection.is_refused)
 
-    return (mock.patch.object(owner, "connect_directly", connect_and_believe),)
+    return (
+        mock.patch.object(owner, "connect_directly", connect_and_believe),
+        *_ablate_refutation(),
+    )
+
+
+def _ablate_refutation() -> Sequence[contextlib.AbstractContextManager]:
+    """A target that responds refutes no report of its end."""
+    owner = loss_reports.LossReports
+    return (mock.patch.object(owner, "note_suspected", lambda *_: None),)
+
+
+def _ablate_return() -> Sequence[contextlib.AbstractContextManager]:
+    """An isolated VM is not told of a way, and seldom looks for one."""
+    seldom_ms = target_connector.PROBE_INTERVAL_MS
+    return (
+        mock.patch.object(
+            target_connector.TargetConnector, "on_carrier", lambda *_: None
+        ),
+        mock.patch.object(
+            target_connector, "ISOLATED_PROBE_INTERVAL_MS", seldom_ms
+        ),
+    )
 
 
 _ABLATIONS: dict[
@@ -130,6 +156,8 @@
     "none": lambda: (),
     "detour": _ablate_detour,
     "proof": _ablate_proof,
+    "refutation": _ablate_refutation,
+    "return": _ablate_return,
 }
 
 
--- a/tests/test_crashed_targets.py
+++ b/tests/test_crashed_targets.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import loguru
 
 from ruddergate.decisions import poison_requests
+from ruddergate.entry import crashed_targets
 from standins import gateway_caller
 from standins import platform_replica
 from tests import gateway_fixture
@@ -68,6 +70,13 @@
 
         gateway_fixture.run_scenario(scenario, engines=_ENGINES)
 
+    def test_streams_are_lost_if_all_crashes_count(self) -> None:
+        with (
+            mock.patch.object(crashed_targets, "MAX_UNCOUNTED", 0),
+            self.assertRaises(AssertionError),
+        ):
+            self.test_stream_that_lost_two_crashed_targets_is_served()
+
     def test_crash_of_a_begun_response_counts_less(self) -> None:
         self.assertLess(
             poison_requests.weigh_crash(100.0, 20.0, has_begun=True),
--- a/tests/test_link_schedules.py
+++ b/tests/test_link_schedules.py
@@ -43,6 +43,16 @@
         result = link_schedules.run_schedule(_FEW_VMS, "proof")
         self.assertTrue(any("has ended" in each for each in result.broken))
 
+    def test_check_fails_without_refutations(self) -> None:
+        result = link_schedules.run_schedule(
+            _POOL_CUT_OFF_FROM_MOST_VMS, "refutation"
+        )
+        self.assertTrue(any("has ended" in each for each in result.broken))
+
+    def test_check_fails_if_isolated_vms_seldom_probe(self) -> None:
+        result = link_schedules.run_schedule(_LAST_CARRIER_RETURNS, "return")
+        self.assertTrue(any("served" in each for each in result.broken))
+
 
 if __name__ == "__main__":
     unittest.main()
