Digests: refuted ends are a field of their own, at the end

The field had been added to the loss report inside a digest, so that peers of earlier releases would have got four elements where they have three. Fields are added at the end of a digest, as before; the test has the new field in its list, and checks digests without it.

--- a/src/ruddergate/decisions/loss_reports.py
+++ b/src/ruddergate/decisions/loss_reports.py
@@ -161,7 +161,6 @@
             self._terminated,
             self._unresponsive,
             self._unreachable_halls,
-            self._own_refuted,
         ):
             _drop_older(losses, now_ms - REPORT_DURATION_MS)
         terminated = _format_names(self._terminated)
@@ -169,10 +168,16 @@
         halls = tuple(self._unreachable_halls)
         if len(terminated) + len(unresponsive) > MAX_REPORTED:
             terminated, unresponsive, halls = (), (), ()
-        refuted = _format_names(self._own_refuted)
-        if not terminated and not unresponsive and not halls and not refuted:
+        if not terminated and not unresponsive and not halls:
             return loss_report.EMPTY
-        return loss_report.LossReport(terminated, unresponsive, halls, refuted)
+        return loss_report.LossReport(terminated, unresponsive, halls)
+
+    def summarize_refuted(self, now_ms: float) -> tuple[str, ...]:
+        """Returns the refuted ends to report to peers now."""
+        if not self._own_refuted:
+            return ()
+        _drop_older(self._own_refuted, now_ms - REPORT_DURATION_MS)
+        return _format_names(self._own_refuted)
 
 
 def choose_verifier(peers: int, is_using: bool, rng: random.Random) -> bool:
@@ -209,9 +214,7 @@
     """
     if is_same_hall:
         return report
-    return loss_report.LossReport(
-        terminated=report.terminated, refuted=report.refuted
-    )
+    return loss_report.LossReport(terminated=report.terminated)
 
 
 def find_new(
@@ -222,7 +225,6 @@
         _without(report.terminated, previous.terminated),
         _without(report.unresponsive, previous.unresponsive),
         _without(report.unreachable_halls, previous.unreachable_halls),
-        _without(report.refuted, previous.refuted),
     )
 
 
@@ -231,14 +233,12 @@
     terminated: dict[str, None] = {}
     unresponsive: dict[str, None] = {}
     halls: dict[str, None] = {}
-    refuted: dict[str, None] = {}
     for each in reports:
         terminated.update(dict.fromkeys(each.terminated))
         unresponsive.update(dict.fromkeys(each.unresponsive))
         halls.update(dict.fromkeys(each.unreachable_halls))
-        refuted.update(dict.fromkeys(each.refuted))
     return loss_report.LossReport(
-        tuple(terminated), tuple(unresponsive), tuple(halls), tuple(refuted)
+        tuple(terminated), tuple(unresponsive), tuple(halls)
     )
 
 
--- a/src/ruddergate/decisions/peer_loads.py
+++ b/src/ruddergate/decisions/peer_loads.py
@@ -46,6 +46,7 @@
         sequence: Sequence number of its last digest.
         rows: Its work by target.
         losses: The losses that it last reported.
+        refuted_ends: The refuted ends that it last reported.
         carried: Connections that it carries for peers, as it last reported.
         awaiting_since_ms: When a digest was first sent to it as relay since it
             last sent one itself; None if nothing is awaited from it.
@@ -57,6 +58,7 @@
     sequence: int
     rows: dict[str, dispatched.Dispatched]
     losses: loss_report.LossReport = loss_report.EMPTY
+    refuted_ends: tuple[str, ...] = ()
     carried: int = carriers.CARRIES_NONE
     awaiting_since_ms: float | None = None
 
@@ -76,6 +78,8 @@
         self._by_target: dict[str, dict[str, dispatched.Dispatched]] = {}
         self._changed_targets: set[str] = set()
         self._losses: list[loss_report.LossReport] = []
+        # Refuted ends that peers reported since they were last collected.
+        self._refuted_ends: dict[str, None] = {}
         self._groups: tuple[peer_groups.Group, ...] | None = None
         # VMs of this hall by rank; None when the known VMs have changed.
         self._ranked_hall: tuple[str, ...] | None = None
@@ -123,6 +127,10 @@
         peer.carried = digest.carried
         self._replace_rows(digest.sender, peer, digest.rows)
         self._merge_losses(peer, digest.losses)
+        if digest.refuted_ends != peer.refuted_ends:
+            new = set(digest.refuted_ends) - set(peer.refuted_ends)
+            self._refuted_ends.update(dict.fromkeys(new))
+            peer.refuted_ends = digest.refuted_ends
         return True
 
     def _merge_losses(
@@ -144,6 +152,14 @@
         self._losses.clear()
         return merged
 
+    def collect_refuted_ends(self) -> tuple[str, ...]:
+        """Returns the refuted ends that peers reported since the last call."""
+        if not self._refuted_ends:
+            return ()
+        collected = tuple(self._refuted_ends)
+        self._refuted_ends.clear()
+        return collected
+
     def note_received_from(self, name: str) -> None:
         """Notes that a peer has sent a datagram to this VM itself."""
         peer = self._peers.get(name)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -164,6 +164,7 @@
             lambda: self._peers.collect_sums(),
             lambda: self._peers.lacks_peers(),
             lambda: self._peers.loads.collect_losses(),
+            lambda: self._peers.loads.collect_refuted_ends(),
             drain_state=drain_state,
             limits=self._rate_limiter.limits,
             losses=target_losses.TargetLosses(
@@ -303,6 +304,7 @@
             find_settings_revision=lambda: view.catalog.revision,
             note_newer_settings=self.note_newer_settings,
             count_carried=self._detours.summarize,
+            summarize_refuted_ends=scheduler.list_refuted_ends,
             on_carrier=self._connector.on_carrier,
         )
         self._retry_transfers = retry_transfers.RetryTransfers(
--- a/src/ruddergate/entry/peer_gossip.py
+++ b/src/ruddergate/entry/peer_gossip.py
@@ -98,6 +98,8 @@
             revision, if that is later than this VM's.
         count_carried: Returns the number of connections carried for peers, or
             `carriers.CARRIES_NONE`.
+        summarize_refuted_ends: Returns the ends of targets that this VM has
+            refuted.
         on_carrier: Called with the name of a peer that carries connections,
             and did not when last heard of.
 
@@ -137,6 +139,7 @@
             [str, int], None
         ] = lambda peer, revision: None,
         count_carried: Callable[[], int] = lambda: carriers.CARRIES_NONE,
+        summarize_refuted_ends: Callable[[], tuple[str, ...]] = lambda: (),
         on_carrier: Callable[[str], None] = lambda peer: None,
     ) -> None:
         self._env = env
@@ -155,6 +158,7 @@
         self._note_newer_settings = note_newer_settings
         self._notify_peer_count = on_peer_count
         self._count_carried = count_carried
+        self._summarize_refuted_ends = summarize_refuted_ends
         self._on_carrier = on_carrier
         self._own = str(config.listen)
         self.loads = peer_loads.PeerLoads(
@@ -296,6 +300,7 @@
             rate_limits=self._summarize_rate_limits(),
             settings_revision=self._find_settings_revision(),
             carried=self._count_carried(),
+            refuted_ends=self._summarize_refuted_ends(),
         )
 
     def _send_to_seeds(
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -84,6 +84,7 @@
         collect_loss_report: Callable[[], loss_report.LossReport] = lambda: (
             loss_report.EMPTY
         ),
+        collect_refuted_ends: Callable[[], Sequence[str]] = lambda: (),
         drain_state: draining.DrainState | None = None,
         limits: rate_limits.RateLimits | None = None,
         losses: target_losses.TargetLosses | None = None,
@@ -102,6 +103,8 @@
                 any of them is known yet.
             collect_loss_report: Returns what peers have newly found to be
                 unreachable.
+            collect_refuted_ends: Returns which ends of targets peers have newly
+                refuted.
             drain_state: Which target incarnations accept no requests.
             limits: Rate limits that targets advertise.
             losses: Losses of targets and halls.
@@ -114,6 +117,7 @@
         self._collect_peer_loads = collect_peer_loads
         self._lacks_peer_loads = lacks_peer_loads
         self._collect_loss_report = collect_loss_report
+        self._collect_refuted_ends = collect_refuted_ends
         self._losses = losses or target_losses.TargetLosses(env.random)
         self.incarnation_ends = self._losses.ended
         self._env = env
@@ -169,6 +173,10 @@
         """Returns what this VM has just found to be unreachable, for peers."""
         return self._losses.summarize(self._env.now_ms())
 
+    def list_refuted_ends(self) -> tuple[str, ...]:
+        """Returns the ends that this VM has just refuted, for peers."""
+        return self._losses.summarize_refuted(self._env.now_ms())
+
     def is_end_believed(self, incarnation: incarnations.Incarnation) -> bool:
         """Returns whether a listed target seems to have ended."""
         target = self.find_target(incarnation.target_id)
@@ -228,6 +236,9 @@
             while not self._inbox.empty():
                 self._handle(self._inbox.get_nowait())
             self._merge_peer_loads(self._collect_peer_loads())
+            self._losses.merge_refuted(
+                self._collect_refuted_ends(), self._env.now_ms()
+            )
             self._merge_loss_report(self._collect_loss_report())
             self._dispatch_all()
 
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -1,6 +1,7 @@
 """Losses of targets and halls, found by this VM or reported by peers."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 from ruddergate.decisions import estimate as estimates
@@ -117,6 +118,18 @@
         """Returns the losses to report to peers now."""
         return self._loss_reports.summarize(now_ms)
 
+    def summarize_refuted(self, now_ms: float) -> tuple[str, ...]:
+        """Returns the refuted ends to report to peers now."""
+        return self._loss_reports.summarize_refuted(now_ms)
+
+    def merge_refuted(self, names: Iterable[str], now_ms: float) -> None:
+        """Drops beliefs in ends that peers have refuted."""
+        for name in names:
+            incarnation = incarnations.parse_incarnation(name)
+            if not self._loss_reports.is_refuted(incarnation, now_ms):
+                self._loss_reports.note_refuted(incarnation, now_ms)
+                self._apply_refutation(incarnation, False)
+
     def merge_gossip(
         self,
         report: loss_report.LossReport,
@@ -126,11 +139,6 @@
         now_ms: float,
     ) -> None:
         """Avoids for a short time what peers reported as unreachable."""
-        for name in report.refuted:
-            incarnation = incarnations.parse_incarnation(name)
-            if not self._loss_reports.is_refuted(incarnation, now_ms):
-                self._loss_reports.note_refuted(incarnation, now_ms)
-                self._apply_refutation(incarnation, False)
         for name in report.terminated:
             incarnation = incarnations.parse_incarnation(name)
             self._merge_terminated(
--- a/src/ruddergate/fleet/loss_report.py
+++ b/src/ruddergate/fleet/loss_report.py
@@ -14,14 +14,11 @@
             another target.
         unresponsive: Targets from which this VM received nothing.
         unreachable_halls: Data halls that appear to be cut off from this VM.
-        refuted: Targets that peers reported as terminated and that responded to
-            this VM after that.
     """
 
     terminated: tuple[str, ...] = ()
     unresponsive: tuple[str, ...] = ()
     unreachable_halls: tuple[str, ...] = ()
-    refuted: tuple[str, ...] = ()
 
 
 EMPTY = LossReport()
--- a/src/ruddergate/messages/load_digest.py
+++ b/src/ruddergate/messages/load_digest.py
@@ -26,6 +26,8 @@
             gateway.
         carried: Connections to targets that it carries for peers; -1 if it
             carries none at present.
+        refuted_ends: Targets that responded to it after they were reported as
+            terminated; in the format of `incarnation.format_incarnation`.
     """
 
     sender: str
@@ -39,3 +41,4 @@
     rate_limits: tuple[rate_limit.RateLimitUpdate, ...] = ()
     settings_revision: int = 0
     carried: int = -1
+    refuted_ends: tuple[str, ...] = ()
--- a/tests/test_digest_cost.py
+++ b/tests/test_digest_cost.py
@@ -51,6 +51,7 @@
             (rate_limit.RateLimitUpdate("e", 0.5, 120.0),),
             13,
             3,
+            ("e",),
         )
         self.fields = [
             "vm:1",
@@ -64,6 +65,7 @@
             [["e", 0.5, 120.0]],
             13,
             3,
+            ["e"],
         ]
 
     def test_encoding_is_that_of_earlier_releases(self) -> None:
@@ -82,7 +84,10 @@
         )
         data = msgpack.packb((16, self.fields[:6]))
         self.assertEqual(codec.decode(data), without_optional_fields)
-        without_carried = msgspec.structs.replace(self.digest, carried=-1)
+        without_refuted = msgspec.structs.replace(self.digest, refuted_ends=())
+        data = msgpack.packb((16, self.fields[:11]))
+        self.assertEqual(codec.decode(data), without_refuted)
+        without_carried = msgspec.structs.replace(without_refuted, carried=-1)
         data = msgpack.packb((16, self.fields[:10]))
         self.assertEqual(codec.decode(data), without_carried)
         without_settings = msgspec.structs.replace(
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -39,13 +39,13 @@
     def test_response_after_the_report_refutes_it(self) -> None:
         self.losses.note_suspected(_TARGET, 100.0)
         self.assertTrue(self.losses.note_reached(_HALL, _TARGET, 101.0))
-        self.assertEqual(self.losses.summarize(102.0).refuted, ("engine@5",))
+        self.assertEqual(self.losses.summarize_refuted(102.0), ("engine@5",))
         self.assertTrue(self.losses.is_refuted(_TARGET, 102.0))
 
     def test_response_before_the_report_refutes_nothing(self) -> None:
         self.losses.note_suspected(_TARGET, 100.0)
         self.assertFalse(self.losses.note_reached(_HALL, _TARGET, 99.0))
-        self.assertEqual(self.losses.summarize(102.0).refuted, ())
+        self.assertEqual(self.losses.summarize_refuted(102.0), ())
 
     def test_other_incarnation_refutes_nothing(self) -> None:
         younger = incarnations.Incarnation("engine", 6)
