A response drops a belief in an end that was reported before the target was listed

Found by reading the diff: drops such a belief only with a report that was noted, and a report of a target that is not listed here is not. Before any response dropped it. A response now does if it is later than the belief.

Also an unused constant. New test, fails without the change.

--- a/src/ruddergate/entry/ended_incarnations.py
+++ b/src/ruddergate/entry/ended_incarnations.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import math
 
 from ruddergate.fleet import incarnation as incarnations
 
@@ -54,9 +55,12 @@
             if now_ms - ended_ms <= KEPT_MS
         ]
 
-    def refute(self, incarnation: incarnations.Incarnation) -> None:
-        """Records that an incarnation has responded."""
-        self._ended.pop(incarnation, None)
+    def refute(
+        self, incarnation: incarnations.Incarnation, at_ms: float = math.inf
+    ) -> None:
+        """Records that an incarnation has responded, and when it last did."""
+        if self._ended.get(incarnation, math.inf) < at_ms:
+            del self._ended[incarnation]
 
     async def wait_for_any(
         self, awaited: Iterable[incarnations.Incarnation], now_ms: float
--- a/src/ruddergate/entry/target_connector.py
+++ b/src/ruddergate/entry/target_connector.py
@@ -33,8 +33,6 @@
 PROBE_INTERVAL_MS = (300.0, 600.0)
 # The same while no way leads to any target, and all callers are refused.
 ISOLATED_PROBE_INTERVAL_MS = (20.0, 60.0)
-# Jitter before a probe through a peer that carries connections again.
-CARRIER_JITTER_MS = 20.0
 # Range of the retry-after of a VM that reaches no target. Another VM may serve
 # at once; if none does, callers should not return together.
 _ISOLATED_RETRY_MS = (400.0, 1_200.0)
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -97,6 +97,7 @@
 
     def note_answered(self, target: targets.Target, at_ms: float) -> None:
         """Records that a target has responded, and when it last did."""
+        self.ended.refute(target.incarnation, at_ms)
         self._reachability.note_reached(target.hall)
         is_refutation = self._loss_reports.note_reached(
             target.hall, target.incarnation, at_ms
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -14,8 +14,10 @@
 from ruddergate import environment
 from ruddergate.decisions import loss_reports
 from ruddergate.entry import end_verifier
+from ruddergate.entry import target_losses
 from ruddergate.fleet import condition
 from ruddergate.fleet import incarnation as incarnations
+from ruddergate.fleet import loss_report
 from ruddergate.fleet import target as targets
 from ruddergate.relay import orders
 from standins import gateway_cluster
@@ -80,6 +82,21 @@
         self.assertTrue(loss_reports.choose_verifier(8, False, rng))
 
 
+class UnlistedTargetTest(unittest.TestCase):
+    """A target that peers report before it is listed here."""
+
+    def test_response_drops_the_belief(self) -> None:
+        losses = target_losses.TargetLosses(random.Random(1))
+        target = _make_target()
+        report = loss_report.LossReport(terminated=(target.target_id,))
+        losses.merge_gossip(report, lambda _: None, 100.0)
+        self.assertEqual(losses.ended.list_recent(101.0), [target.incarnation])
+        losses.note_answered(target, 99.0)
+        self.assertEqual(losses.ended.list_recent(101.0), [target.incarnation])
+        losses.note_answered(target, 102.0)
+        self.assertEqual(losses.ended.list_recent(103.0), [])
+
+
 class EndVerifierTest(unittest.TestCase):
     def test_target_with_a_rate_limit_is_not_probed(self) -> None:
         probed: list[str] = []
