--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -112,3 +112,14 @@
         return cluster
 
     return virtual_process.run(run)
+
+
+def list_believed_ends(cluster: gateway_cluster.GatewayCluster) -> list[str]:
+    """Returns which targets VMs believe to have ended, with the VMs."""
+    return [
+        f"{vm}: {each.target_id}"
+        for vm, node in cluster.vms.items()
+        for each in node.gateway.context.scheduler.incarnation_ends.list_recent(
+            node.gateway.context.env.now_ms()
+        )
+    ]
--- a/tests/test_false_ends.py
+++ b/tests/test_false_ends.py
@@ -10,7 +10,6 @@
 
 import loguru
 
-from standins import gateway_cluster
 from standins import virtual_network
 from tests import gateway_fixture
 
@@ -18,17 +17,6 @@
 _CALL_INTERVAL_S = 0.05
 
 
-def _find_ended(cluster: gateway_cluster.GatewayCluster) -> list[str]:
-    """Returns which live targets VMs believe to have ended."""
-    return [
-        f"{vm}: {each.target_id}"
-        for vm, node in cluster.vms.items()
-        for each in node.gateway.context.scheduler.incarnation_ends.list_recent(
-            node.gateway.context.env.now_ms()
-        )
-    ]
-
-
 class FalseEndTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
@@ -56,7 +44,7 @@
                 await asyncio.sleep(_CALL_INTERVAL_S)
             cluster.network.cuts.clear()
             await asyncio.gather(*pending)
-            self.assertEqual(_find_ended(cluster), [])
+            self.assertEqual(gateway_fixture.list_believed_ends(cluster), [])
             for vm in cluster.vms:
                 result = await fixture.call(
                     "long", vm, prompt_tokens=600_000, output_tokens=460
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -20,7 +20,6 @@
 from ruddergate.fleet import loss_report
 from ruddergate.fleet import target as targets
 from ruddergate.relay import orders
-from standins import gateway_cluster
 from standins import virtual_network
 from standins import virtual_process
 from tests import gateway_fixture
@@ -158,7 +157,7 @@
             for each in cuts:
                 cluster.network.cuts.remove(each)
             await asyncio.sleep(_REFUTED_S)
-            self.assertEqual(_list_believed_ends(cluster), [])
+            self.assertEqual(gateway_fixture.list_believed_ends(cluster), [])
             pending.cancel()
 
         gateway_fixture.run_scenario(scenario, vms=vms, engines=9)
@@ -184,7 +183,7 @@
             pending.cancel()
             cluster.network.cuts.clear()
             await asyncio.sleep(2.0 * _REFUTED_S)
-            self.assertEqual(_list_believed_ends(cluster), [])
+            self.assertEqual(gateway_fixture.list_believed_ends(cluster), [])
 
         gateway_fixture.run_scenario(scenario, vms=9, engines=9)
 
@@ -197,7 +196,7 @@
             name = crashed.replica.name
             cluster.crash_target(crashed)
             await asyncio.sleep(1.0)
-            believed = _list_believed_ends(cluster)
+            believed = gateway_fixture.list_believed_ends(cluster)
             self.assertEqual(
                 sorted(believed),
                 sorted(f"{vm}: {name}" for vm in cluster.vms),
@@ -223,16 +222,5 @@
     return asyncio.ensure_future(send())
 
 
-def _list_believed_ends(cluster: gateway_cluster.GatewayCluster) -> list[str]:
-    """Returns which targets VMs believe to have ended."""
-    return [
-        f"{vm}: {each.target_id}"
-        for vm, node in cluster.vms.items()
-        for each in node.gateway.context.scheduler.incarnation_ends.list_recent(
-            node.gateway.context.env.now_ms()
-        )
-    ]
-
-
 if __name__ == "__main__":
     unittest.main()
