--- a/src/ruddergate/decisions/poison_requests.py
+++ b/src/ruddergate/decisions/poison_requests.py
@@ -9,8 +9,7 @@
 - Incarnations of targets that crashed while they ran it, since a request with
   this fingerprint last completed anywhere. A crash that came late after the
   request was sent counts less, see `weigh_crash`.
-- But none of a target that responded later: it was only out of reach.
-- And no crash that another fingerprint explains: one that was lost in the same
+- But no crash that another fingerprint explains: one that was lost in the same
   crash, is over the threshold and has more against it.
 
 Three incarnations that crashed at once are enough to quarantine a fingerprint.
@@ -54,8 +53,6 @@
 # Crashes kept of each fingerprint. More add nothing, except where others
 # explain some of them.
 MAX_CRASHES = 8
-# Targets that were out of reach when they were taken for crashed.
-MAX_ALIVE = 512
 # Fingerprints in one datagram: with three crashes each they take about 2 KB.
 MAX_ROWS_PER_DATAGRAM = 16
 # A completion counts as new if it is later than the known one by more than
@@ -109,8 +106,6 @@
         self._records: dict[str, _Record] = {}
         # Fingerprints that were running in each crash.
         self._by_incarnation: dict[incarnations.Incarnation, set[str]] = {}
-        # When incarnations were last found to be alive, the latest last.
-        self._alive_ms: dict[incarnations.Incarnation, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -137,18 +132,6 @@
         self._drop_excess(now_ms)
         return is_new
 
-    def note_alive(
-        self, incarnation: incarnations.Incarnation, now_ms: float
-    ) -> None:
-        """Drops earlier crashes of a target that responds."""
-        self._alive_ms.pop(incarnation, None)
-        self._alive_ms[incarnation] = now_ms
-        if len(self._alive_ms) > MAX_ALIVE:
-            del self._alive_ms[next(iter(self._alive_ms))]
-        for fingerprint in list(self._by_incarnation.get(incarnation, ())):
-            record = self._records[fingerprint]
-            self._remove_crash(fingerprint, record, incarnation)
-
     def note_completed(self, fingerprint: str, now_ms: float) -> bool:
         """Notes that a request has completed.
 
@@ -238,8 +221,6 @@
         weight: float,
     ) -> bool:
         """Adds a crash; returns whether it is new, or counts more now."""
-        if at_ms <= self._alive_ms.get(incarnation, -math.inf):
-            return False
         record = self._records.setdefault(fingerprint, _Record())
         known = record.crashes.get(incarnation)
         if known is not None:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -390,7 +390,6 @@
         source = "own" if is_own else "peer"
         self.context.metrics.refuted_ends.inc({"from": source})
         self._crash_detector.refute(incarnation)
-        self.context.quarantine.on_target_alive(incarnation)
         if is_own:
             self._peers.note_change()
 
--- a/src/ruddergate/entry/quarantine.py
+++ b/src/ruddergate/entry/quarantine.py
@@ -12,7 +12,6 @@
 from ruddergate.decisions import poison_requests
 from ruddergate.decisions import request_fingerprint
 from ruddergate.entry import lost_call
-from ruddergate.fleet import incarnation as incarnations
 from ruddergate.messages import poison_reports as messages
 from ruddergate.telemetry import logs
 
@@ -53,10 +52,6 @@
         ):
             self._announce(lost.fingerprint, lost.request_id)
 
-    def on_target_alive(self, incarnation: incarnations.Incarnation) -> None:
-        """Records that a target which seemed to have ended is alive."""
-        self._evidence.note_alive(incarnation, self._env.now_ms())
-
     def on_request_finished(self, request: requests.Request) -> None:
         """Records that a request ran to its end.
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -72,19 +72,6 @@
         self._crash("a", 4, late_weight)
         self.assertTrue(self._is_quarantined("a"))
 
-    def test_crash_of_a_target_that_responds_later_does_not_count(self) -> None:
-        # A target out of reach may refuse connections. Its end was refuted, but
-        # stayed on record against the requests that were lost with the links.
-        for number in range(3):
-            self._crash("a", number)
-        self.table.note_alive(_make_incarnation(0), _NOW_MS + 10.0)
-        self.assertFalse(self._is_quarantined("a", _NOW_MS + 10.0))
-        # A peer that does not know yet repeats its row.
-        self.table.merge([_make_row("a", 0)], _NOW_MS + 50.0)
-        self.assertEqual(self.table.count_crashes("a", _NOW_MS + 50.0), 2)
-        self.table.note_crash("a", _make_incarnation(0), 1.0, _NOW_MS + 60.0)
-        self.assertTrue(self._is_quarantined("a", _NOW_MS + 60.0))
-
     def test_one_crash_is_not_enough(self) -> None:
         self._crash("a", 0)
         self.assertFalse(self._is_quarantined("a"))
