A probe that does not identify a target refutes its end for a second only

Operators would have seen: a request under which three targets had crashed was sent to engines 8 to 13 times more, 16 to 20 ended in all.

An engine seems to have ended at 7.795 s; at 9.554 s a replacement answers a probe at its address, while the old entry is still listed, and is taken for it. The refutation drops the crash from the record of the request, which is quarantined no more.

--- a/src/ruddergate/entry/end_verifier.py
+++ b/src/ruddergate/entry/end_verifier.py
@@ -18,6 +18,9 @@
 MAX_JITTER_MS = 20.0
 # Interval of further probes.
 INTERVAL_MS = (200.0, 400.0)
+# How long a response that does not tell the target's start is evidence. After
+# that, another target may listen at the address of one that has ended.
+MAX_UNIDENTIFIED_MS = 1_000.0
 
 
 class EndVerifier:
@@ -70,9 +73,10 @@
         self, target: targets.Target, first_ms: tuple[float, float]
     ) -> None:
         """Probes a target until it responds, or the report is dropped."""
+        until_ms = self._env.now_ms() + MAX_UNIDENTIFIED_MS
         await self._pause(first_ms)
         while not self._is_refuted(target.incarnation):
-            is_alive = await self._is_alive(target)
+            is_alive = await self._is_alive(target, until_ms)
             self._on_verified(target, is_alive)
             await self._pause(INTERVAL_MS)
             if is_alive or not self._is_believed(target.incarnation):
@@ -82,13 +86,18 @@
         pause_ms = self._env.random.uniform(*range_ms)
         await asyncio.sleep(pause_ms / 1000.0)
 
-    async def _is_alive(self, target: targets.Target) -> bool:
+    async def _is_alive(self, target: targets.Target, until_ms: float) -> bool:
+        """Probes a target; returns whether this incarnation of it responded.
+
+        Args:
+            target: The target.
+            until_ms: Until when a response need not tell its start.
+        """
         if self._is_rate_limited(target.target_id):
             return False
         result = await self._probe(target)
-        is_same_incarnation = result.started_ms in (
-            incarnations.START_UNKNOWN,
-            target.started_ms,
-        )
-        is_alive = result.status is orders.ProbeStatus.ALIVE
-        return is_alive and is_same_incarnation
+        if result.status is not orders.ProbeStatus.ALIVE:
+            return False
+        if result.started_ms == incarnations.START_UNKNOWN:
+            return self._env.now_ms() <= until_ms
+        return result.started_ms == target.started_ms
--- a/tests/test_refuted_ends.py
+++ b/tests/test_refuted_ends.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import unittest
 
@@ -97,6 +98,45 @@
 
 
 class EndVerifierTest(unittest.TestCase):
+    def test_other_target_at_the_address_refutes_nothing(self) -> None:
+        # Where targets do not report their start, a probe can't tell them
+        # apart. A replacement at the address of a crashed engine refuted its
+        # end.
+        verified: list[tuple[float, bool]] = []
+
+        async def verify() -> None:
+            loop = asyncio.get_running_loop()
+            env = dataclasses.replace(
+                environment.make_system_environment(),
+                now_ms=lambda: loop.time() * 1_000.0,
+            )
+            began_ms = env.now_ms()
+
+            async def probe(target: targets.Target) -> orders.ProbeResult:
+                is_replaced = env.now_ms() - began_ms > 1_700.0
+                return orders.ProbeResult(
+                    orders.ProbeStatus.ALIVE
+                    if is_replaced
+                    else orders.ProbeStatus.NOT_LISTENING
+                )
+
+            verifier = end_verifier.EndVerifier(
+                env,
+                probe,
+                is_believed=lambda incarnation: len(verified) < 12,
+                is_refuted=lambda incarnation: False,
+                is_rate_limited=lambda target_id: False,
+                on_verified=lambda target, is_alive: verified.append(
+                    (env.now_ms() - began_ms, is_alive)
+                ),
+            )
+            verifier.verify(_make_target(), is_own=False)
+            await asyncio.sleep(6.0)
+
+        virtual_process.run(verify)
+        self.assertGreater(verified[-1][0], 1_700.0)
+        self.assertFalse(any(is_alive for _, is_alive in verified))
+
     def test_target_with_a_rate_limit_is_not_probed(self) -> None:
         probed: list[str] = []
         verified: list[bool] = []
@@ -185,7 +225,9 @@
             await asyncio.sleep(2.0 * _REFUTED_S)
             self.assertEqual(gateway_fixture.list_believed_ends(cluster), [])
 
-        gateway_fixture.run_scenario(scenario, vms=9, engines=9)
+        gateway_fixture.run_scenario(
+            scenario, vms=9, engines=9, reuses_names=True
+        )
 
     def test_crash_is_believed_by_all_vms(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
