--- a/src/ruddergate/decisions/loss_reports.py
+++ b/src/ruddergate/decisions/loss_reports.py
@@ -1,12 +1,11 @@
 """Which unreachable targets a VM reports, and which reports it applies.
 
-With many VMs and many targets, each loss is found many times over: seven
-engines that died in a fleet of 195 VMs cost each VM requests of its own until
-their entries expired. A loss that one VM found is a hint for the others: they
-avoid the target for a moment, each for a different time, so that it is tried
-later and by few of them. A VM that is itself cut off finds all targets
-unreachable, so it reports a loss only in a hall that it has reached within
-HALL_REACHED_MS; and its digests do not reach the VMs that it is cut off from.
+With many VMs and many targets, each loss would be found many times over, at the
+cost of requests. A loss that one VM found is a hint for the others: they avoid
+the target for a moment, each for a different time, so that it is tried later
+and by few of them. A VM that is itself cut off finds all targets unreachable,
+so it reports a loss only in a hall that it has reached within HALL_REACHED_MS;
+and its digests do not reach the VMs that it is cut off from.
 
 A VM that is cut off from a pool, in a way that refuses connections, cannot tell
 that from a crash of the pool. As in SWIM, a report that a target has terminated
--- a/src/ruddergate/decisions/poison_requests.py
+++ b/src/ruddergate/decisions/poison_requests.py
@@ -32,15 +32,12 @@
 # each try is sent to two targets at most, so a harmless request rarely has as
 # much against it, even on days on which targets crash at random.
 QUARANTINE_THRESHOLD = 3.0
-# A poison request crashes its target 35 to 500 ms after it began to run (28
-# crashes, logs of nine VMs). A crash within this time after the request was
-# sent counts as a whole.
+# A poison request crashes its target soon after it began to run. A crash within
+# this time after the request was sent counts as a whole.
 IMMEDIATE_CRASH_MS = 1_000.0
-# A request that had been on its target for longer was more likely there by
-# chance: with a sixth of the targets crashing every two seconds, a prompt whose
-# prefill takes four seconds loses one target in three, and was quarantined
-# after it had lost two. Such a fingerprint needs five crashes, two more than
-# one that crashes its targets at once.
+# A request that had been on its target for longer, or had begun, was rather
+# there by chance. Such a fingerprint needs five crashes, two more than one that
+# crashes its targets at once.
 LATE_CRASH_WEIGHT = 0.6
 # How long a quarantine lasts, and how long a fingerprint below the threshold is
 # kept, from its last crash. One that stays fatal costs three targets an hour.
--- a/src/ruddergate/decisions/routing/by_region.py
+++ b/src/ruddergate/decisions/routing/by_region.py
@@ -102,8 +102,7 @@
 
     A poison request does the least damage there. Requests that lose an engine
     together would otherwise all move to the next engine of the ranking, with
-    the poison request among them: of 47 such requests, 26 lost another engine
-    (logs of nine VMs, 40 s). A random choice separates them.
+    the poison request among them. A random choice separates them.
     """
 
     def measure_load(estimate: estimates.Estimate) -> tuple[int, int]:
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -155,9 +155,8 @@
     async def _probe_targets(self) -> tuple[orders.ProbeStatus, ...]:
         """Probes the target and its helpers if a helper has failed before.
 
-        Engines die together, but each refusal names only one of them. Without
-        this, a prompt for nine engines, four of them dead, was sent five times
-        within 250 ms and then refused.
+        Engines die together, but each refusal names only one of them, and each
+        further attempt would find the next one.
 
         Returns:
             The probe results in order; empty if no helper has failed.
