--- a/src/ruddergate/entry/attempt_log.py
+++ b/src/ruddergate/entry/attempt_log.py
@@ -8,6 +8,9 @@
 from ruddergate.entry import scheduler_messages
 from ruddergate.telemetry import logs
 
+# Parts of a prompt in a log line; callers choose how many there are.
+MAX_LOGGED_PARTS = 16
+
 
 def log_start(
     request: requests.Request,
@@ -47,7 +50,7 @@
     progress: relay_progress.Progress,
     context: contexts.EntryContext,
 ) -> None:
-    """Logs how an attempt failed, with the fingerprint of its request."""
+    """Logs how an attempt failed, with what its request has in common."""
     logs.make_logger("attempt").info(
         "Attempt failed: {} ({}). {}",
         failure.reason.value,
@@ -56,6 +59,7 @@
         request_id=request.request_id,
         target=placement.target.target_id,
         content=quarantine.find_fingerprint(request),
+        parts=request.payload.shared_parts[:MAX_LOGGED_PARTS],
         route=request.payload.route.name,
         sent=progress.counted_attempts,
         blamed=progress.faulted_helpers,
--- a/src/ruddergate/entry/crash_detector.py
+++ b/src/ruddergate/entry/crash_detector.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from ruddergate.entry import attempt_log
 from ruddergate.entry import lost_call
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import target as targets
@@ -105,6 +106,7 @@
                 target.target_id,
                 request_id=each.request_id,
                 content=each.fingerprint,
+                parts=each.shared_parts[: attempt_log.MAX_LOGGED_PARTS],
                 born_ms=target.started_ms,
                 streams=streams,
                 there_ms=round(each.since_sent_ms),
--- a/src/ruddergate/entry/lost_call.py
+++ b/src/ruddergate/entry/lost_call.py
@@ -19,6 +19,8 @@
             including this one.
         has_begun: Whether this or an earlier target had begun to respond to
             the request.
+        shared_parts: Names of the parts of the prompt that other requests may
+            share.
     """
 
     request_id: str
@@ -28,3 +30,4 @@
     prefill_ms: float
     streams: float
     has_begun: bool = False
+    shared_parts: tuple[str, ...] = ()
--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -168,6 +168,7 @@
         fields=caller_request.fields,
         body=incoming.body,
         last_event_id=caller_request.last_event_id,
+        shared_parts=caller_request.shared_parts,
     )
     return requests.Request(
         request_id=caller_request.request_id,
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -353,6 +353,7 @@
             ),
             self._context.scheduler.count_streams(target.target_id),
             self._progress.has_begun,
+            self._request.payload.shared_parts,
         )
 
     def _record_first_event(self) -> None:
--- a/src/ruddergate/payload.py
+++ b/src/ruddergate/payload.py
@@ -19,6 +19,8 @@
         body: Whole body.
         last_event_id: Id of the last event that the caller has received; empty
             when it requests a stream from its start.
+        shared_parts: Names of the parts of the prompt that other requests may
+            share, in order.
     """
 
     route: routes.Route
@@ -28,3 +30,4 @@
     fields: message.Fields
     body: bytes
     last_event_id: str
+    shared_parts: tuple[str, ...] = ()
--- a/src/ruddergate/platform/callers.py
+++ b/src/ruddergate/platform/callers.py
@@ -33,9 +33,7 @@
     tokens = request_headers.get(headers.TOKENS, "").split(",")
     prompt_tokens = _read_number(tokens[0])
     output_tokens = _read_number(tokens[-1]) if len(tokens) > 1 else None
-    prefix_name, prefix_tokens = _read_shared_prefix(
-        request_headers.get(headers.PREFIX, "")
-    )
+    prompt_parts = _read_part_names(request_headers.get(headers.PARTS, ""))
     return caller_protocols.CallerRequest(
         request_id=request_headers.get(headers.REQUEST_ID, ""),
         host=request_headers.get("host", ""),
@@ -43,8 +41,8 @@
         time_limit_ms=time_limit_ms,
         prompt_tokens=int(prompt_tokens or 0),
         output_tokens_max=int(output_tokens or 0),
-        prefix_name=prefix_name,
-        prefix_tokens=prefix_tokens,
+        # The last part belongs to the request itself or to its session.
+        shared_parts=prompt_parts[:-1],
         last_event_id=request_headers.get(headers.LAST_EVENT, ""),
         fields=headers.select_for_target(incoming.fields),
     )
@@ -59,10 +57,11 @@
     return number if math.isfinite(number) and number >= 0.0 else None
 
 
-def _read_shared_prefix(text: str) -> tuple[str, int]:
-    """Returns name and length of the first part of a prompt."""
-    name, _, tokens = text.partition(",")[0].partition(":")
-    return name, int(_read_number(tokens) or 0)
+def _read_part_names(text: str) -> tuple[str, ...]:
+    """Returns the names of the parts of a prompt, in order."""
+    return tuple(
+        part.partition(":")[0].strip() for part in text.split(",") if part
+    )
 
 
 def _write_failure(failure: outcomes.NotServed) -> message.Response:
--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -12,7 +12,7 @@
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKENS = "x-token-usage"
 # Parts of the prompt as name:tokens, in order, separated by commas.
-PREFIX = "x-prefix-hash"
+PARTS = "x-prefix-hash"
 LAST_EVENT = "last-event-id"
 # The workspace, as sent to targets.
 WORKSPACE = "x-tenant-id"
--- a/src/ruddergate/relay/caller_protocol.py
+++ b/src/ruddergate/relay/caller_protocol.py
@@ -18,8 +18,8 @@
         time_limit_ms: How long the caller waits, or None if not specified.
         prompt_tokens: Length of the prompt; 0 for a plain service.
         output_tokens_max: Maximum output tokens; 0 for a plain service.
-        prefix_name: Name of the prefix that the prompt shares with others.
-        prefix_tokens: Length of that prefix.
+        shared_parts: Names of the parts of the prompt that other requests may
+            share, in order.
         last_event_id: Id of the last event that the caller received, or empty.
         fields: Header lines that may be forwarded.
     """
@@ -30,8 +30,7 @@
     time_limit_ms: float | None
     prompt_tokens: int
     output_tokens_max: int
-    prefix_name: str
-    prefix_tokens: int
+    shared_parts: tuple[str, ...]
     last_event_id: str
     fields: message.Fields
 
--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -11,6 +11,9 @@
 from standins import gateway_cluster
 from standins import virtual_process
 
+# Length of each part of a prompt but the last.
+_PART_TOKENS = 40
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -27,6 +30,7 @@
         disconnects_after_ms: When the caller closes the connection; None to
             wait for the answer.
         body: Request body.
+        parts: Names of the parts of the prompt that requests share.
     """
 
     request_id: str
@@ -38,6 +42,7 @@
     time_limit_ms: float = 10_000.0
     disconnects_after_ms: float | None = None
     body: bytes = b"prompt"
+    parts: tuple[str, ...] = ("aa",)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,7 +157,9 @@
     if call.prompt_tokens:
         headers["x-model"] = "m"
         headers["x-token-usage"] = f"{call.prompt_tokens},{call.output_tokens}"
-        headers["x-prefix-hash"] = f"aa:40,bb:{call.prompt_tokens - 40}"
+        own_tokens = call.prompt_tokens - _PART_TOKENS * len(call.parts)
+        parts = [f"{name}:{_PART_TOKENS}" for name in call.parts]
+        headers["x-prefix-hash"] = ",".join([*parts, f"bb:{own_tokens}"])
     return message.OutgoingRequest(
         "POST",
         f"/{call.route}/x",
