--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -140,6 +140,7 @@
         keys: API keys by workspace, as the next revision publishes them.
         disturbances: Times in which VMs, halls or the store could not answer.
         poison_bodies: Bodies of requests that crash the replicas that run them.
+        poison_parts: Names of parts of prompts that crash replicas likewise.
         vm_starts: When each VM was started, on the loop's clock.
         all_gateways: Every incarnation of a gateway that ever ran.
     """
@@ -158,6 +159,7 @@
         self.keys = {"w1": [KEY]}
         self.disturbances: list[Disturbance] = []
         self.poison_bodies: set[bytes] = set()
+        self.poison_parts: set[str] = set()
         self.vm_starts: dict[str, list[float]] = {}
         self.all_gateways: list[gateways.Gateway] = []
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
@@ -267,6 +269,7 @@
         )
         replica.started_ms = int(env.wall_ms()) if keeps_name else 0
         replica.poison_bodies = self.poison_bodies
+        replica.poison_parts = self.poison_parts
         replica.crash = lambda: self.crash_target(node)
         node.replica = replica
         node.state = "ready"
@@ -309,6 +312,16 @@
         ]
         return sorted(runs, key=lambda each: each.at_s)
 
+    def list_runs_with_part(self, part: str) -> list[platform_replica.Run]:
+        """Returns the runs of all requests with a part, in order of time."""
+        runs = [
+            run
+            for replica in self.all_replicas
+            for run in replica.runs
+            if part in run.parts
+        ]
+        return sorted(runs, key=lambda each: each.at_s)
+
     async def serve_unlisted_replica(self, node: Node) -> None:
         """Replaces a replica by an unlisted one at the same address."""
         node.starts += 1
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -34,6 +34,7 @@
         at_ms: When it began, on the replica's clock.
         body: Body of the request.
         at_s: When it began, on the loop's clock.
+        parts: Names of the parts of its prompt, without the last.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     at_ms: float
     body: bytes = b""
     at_s: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +120,7 @@
         started_ms: When it started, in Unix milliseconds; 0 to not report it.
         poison_bodies: Bodies of requests that crash it once it begins to answer
             them.
+        poison_parts: Names of parts of prompts that do so, too.
         crash: Crashes it.
         draining_hint: Value of Server-Leaving in all answers; empty for no such
             header.
@@ -146,6 +149,7 @@
         self.engine = iteration_engine.IterationEngine(spec) if spec else None
         self.started_ms = 0
         self.poison_bodies: set[bytes] = set()
+        self.poison_parts: set[str] = set()
         self.crash: Callable[[], None] = lambda: None
         self.draining_hint = ""
         self.has_announced_draining = False
@@ -276,6 +280,7 @@
             self._env.now_ms(),
             incoming.body,
             asyncio.get_running_loop().time(),
+            _parse_shared_parts(fields.get("x-prefix-hash", "")),
         )
         self.runs.append(run)
         self._active_runs += 1
@@ -288,7 +293,7 @@
                 return message.Response(200, headers, _abort(()))
             helpers = fields.get("helpers", "")
             await self._prefill(prompt, helpers)
-            if incoming.body in self.poison_bodies:
+            if self._is_poison(run):
                 self.crash()
             return message.Response(
                 200, headers, self._stream_answer(run, prompt, output)
@@ -296,6 +301,12 @@
         finally:
             self._active_runs -= 1
 
+    def _is_poison(self, run: Run) -> bool:
+        return (
+            run.body in self.poison_bodies
+            or not self.poison_parts.isdisjoint(run.parts)
+        )
+
     def _make_headers(self, run: Run) -> dict[str, str]:
         answered_id = run.request_id
         if self._draw(self.faults.foreign):
@@ -366,6 +377,11 @@
     return float(text) if is_number else 0.0
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the names of the parts of a prompt, without the last."""
+    return tuple(part.partition(":")[0] for part in text.split(",")[:-1])
+
+
 def _parse_helpers(helpers: str) -> list[str]:
     return [each.partition("/")[0] for each in helpers.split(",") if each]
 
