A stream that ends with its connection before any event is lost

Callers got an empty success when a target crashed after the head of an answer that has neither a length nor chunks, and the crash did not count against the request. The end of such a stream is the end of its connection, so one without any event proves nothing; it is lost, and another target may answer, as the caller has no head yet.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -70,6 +70,9 @@
             return None
 
 
+_FRAMING_HEADERS = ("content-length", "transfer-encoding")
+
+
 class Exchange:
     """One request in flight; owns its stream.
 
@@ -77,6 +80,8 @@
         status: HTTP status of the response.
         headers: Headers of the response by lower-case name.
         fields: Header lines of the response in order.
+        is_framed: Whether the response has a length or chunks. Otherwise it
+            ends with its connection.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.fields: message.Fields = ()
+        self.is_framed = True
         self._reader = reader
         self._writer = writer
         self._connection = h11.Connection(h11.CLIENT)
@@ -139,6 +145,7 @@
             for name, value in event.headers
         )
         self.headers = dict(self.fields)
+        self.is_framed = not self.headers.keys().isdisjoint(_FRAMING_HEADERS)
         return None
 
     async def read_chunk(self) -> bytes | Fault:
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -355,6 +355,10 @@
         if isinstance(chunk, outcomes.NotServed):
             yield chunk
             return
+        if not (chunk or has_begun or exchange.is_framed):
+            # The target may have crashed before the first event.
+            yield _make_stream_lost("the stream ended without any event")
+            return
         events = splitter.feed(chunk) if chunk else None
         if chunk and events is None:
             continue
@@ -377,8 +381,10 @@
 ) -> response_events.StreamEnd | outcomes.NotServed:
     if splitter.is_between_events():
         return response_events.StreamEnd()
+    return _make_stream_lost("the stream ended within an event")
+
+
+def _make_stream_lost(detail: str) -> outcomes.NotServed:
     return outcomes.NotServed(
-        outcomes.Reason.TARGET_LOST,
-        outcomes.Ran.UNKNOWN,
-        "the stream ended within an event",
+        outcomes.Reason.TARGET_LOST, outcomes.Ran.UNKNOWN, detail
     )
