Crashes count against the parts of prompts, and suspects are tried one by one

Callers saw short replies fail in seconds: requests with one common part, no two alike, crashed 60 engines. Evidence was kept for whole contents, so it never added up. Class: a belief keyed by the request where it belongs to something that requests share; before it had been keyed by a try.

A crash now counts against the content and each part but the last. A response that lasts clears the parts of its request on all VMs. Three crashes quarantine a part; one that proved harmless before needs four, of requests sent one after the other. What is suspect is sent one request at a time in the fleet, and a request waits for the verdict on its target before it is sent on.

Checks that changed: test_platform reads all parts instead of the first name, test_gateway_streams counts the content and its part.

--- a/src/ruddergate/decisions/request_fingerprint.py
+++ b/src/ruddergate/decisions/request_fingerprint.py
@@ -1,14 +1,17 @@
-"""Fingerprints of requests, by which retries of a request are recognized.
+"""Fingerprints of what requests have in common.
 
 Each try of a caller has a request id of its own. What the tries share is the
-workspace, the host, the path and the body. The fingerprint covers these, so it
-is the same for all tries and on all VMs.
+workspace, the host, the path and the body: the content. Requests of different
+content may still share parts of their prompts. Fingerprints cover either, so
+they are the same for all tries and on all VMs.
 """
 
 import hashlib
 
 # 128 bits: nobody can make another request with a given fingerprint.
 _FINGERPRINT_BYTES = 16
+# Begins the fingerprints of parts, which tells them from those of contents.
+_PART_PREFIX = "part:"
 # BLAKE2b accepts keys of up to 64 bytes.
 _MAX_KEY_BYTES = 64
 
@@ -34,3 +37,21 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
+
+
+def fingerprint_part(name: str) -> str:
+    """Returns the fingerprint of a part of a prompt.
+
+    It is the same for all workspaces: a name identifies the text of the part,
+    and what crashes an engine for one workspace does so for all.
+
+    Args:
+        name: Name of the part; of any length, as callers choose it.
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=_FINGERPRINT_BYTES)
+    return _PART_PREFIX + digest.hexdigest()
+
+
+def is_part(fingerprint: str) -> bool:
+    """Returns whether a fingerprint is that of a part of a prompt."""
+    return fingerprint.startswith(_PART_PREFIX)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -536,6 +536,7 @@
         metrics.reservations.set({}, len(self._keeper))
         quarantined = self.context.quarantine.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
+        metrics.poison_trials.set({}, self.context.quarantine.trials)
         metrics.rejected_entries.set({}, self._sync.count_refused())
         self._rate_limiter.set_gauges()
         metrics.backing_off_targets.set(
--- a/src/ruddergate/entry/lost_call.py
+++ b/src/ruddergate/entry/lost_call.py
@@ -19,8 +19,11 @@
             including this one.
         has_begun: Whether this or an earlier target had begun to respond to
             the request.
+        has_lasted: Whether a response to it went on for so long that the
+            request does not crash targets.
         shared_parts: Names of the parts of the prompt that other requests may
             share.
+        targets: Number of targets that prefilled its prompt together.
     """
 
     request_id: str
@@ -30,4 +33,6 @@
     prefill_ms: float
     streams: float
     has_begun: bool = False
+    has_lasted: bool = False
     shared_parts: tuple[str, ...] = ()
+    targets: int = 1
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -8,6 +8,7 @@
 from ruddergate import request as requests
 from ruddergate.decisions import cost as costs
 from ruddergate.decisions import length_band
+from ruddergate.decisions import poison_requests
 from ruddergate.entry import attempt_log
 from ruddergate.entry import context as contexts
 from ruddergate.entry import crashed_targets
@@ -50,6 +51,7 @@
 _NOT_TARGET_FAULT_REASONS = (
     outcomes.Reason.TIME_LIMIT,
     outcomes.Reason.QUARANTINED,
+    outcomes.Reason.TRIAL_RUNNING,
     outcomes.Reason.TARGET_LEAVING,
     outcomes.Reason.TARGET_QUIET,
     outcomes.Reason.TARGET_RATE_LIMITED,
@@ -94,6 +96,10 @@
         # Whether a token of the target's rate limit was taken.
         self._has_rate_token = False
         self._has_first_event = False
+        self._begun_ms = 0.0
+        self._has_lasted = False
+        # Whether the target was lost, which may have been due to the request.
+        self._is_lost = False
         self._has_answered = False
         self._answered_ms: float | None = None
 
@@ -132,6 +138,9 @@
         finally:
             self._keeper.release(tuple(reservations.values()))
             self._post_attempt_ends()
+            self._context.quarantine.on_attempt_ended(
+                self._request, self._is_lost
+            )
 
     def _check_before_send(self) -> outcomes.NotServed | None:
         """Returns a refusal if the request must not be sent at this moment."""
@@ -144,6 +153,12 @@
             placement.target, placement.attempt_id
         )
         self._has_rate_token = refusal is None
+        if refusal is not None:
+            return refusal
+        refusal = self._context.quarantine.admit(self._request)
+        if refusal is not None:
+            self._context.return_rate_token(placement.target)
+            self._has_rate_token = False
         return refusal
 
     def _check_admission(self) -> outcomes.NotServed | None:
@@ -315,10 +330,17 @@
             case response_events.CompleteResponse():
                 self._has_answered = True
                 self._answered_ms = self._context.env.now_ms()
+            case response_events.StreamEnd():
+                self._record_lasting()
             case response_events.StreamEvents():
                 self._has_answered = True
                 self._answered_ms = self._context.env.now_ms()
                 self._record_first_event()
+                if (
+                    self._answered_ms - self._begun_ms
+                    >= poison_requests.LASTING_MS
+                ):
+                    self._record_lasting()
                 self._progress.last_event_id = event.last_event_id
             case outcomes.NotServed():
                 self._record_failure(event)
@@ -332,6 +354,7 @@
         target_id = self._placements[0].target.target_id
         self._faulted.add(target_id)
         if failure.reason is outcomes.Reason.TARGET_LOST:
+            self._is_lost = True
             self._context.report_lost_call(self._make_lost_call())
             if self._progress.has_begun:
                 incarnation = self._placements[0].target.incarnation
@@ -353,13 +376,16 @@
             ),
             self._context.scheduler.count_streams(target.target_id),
             self._progress.has_begun,
+            self._progress.has_lasted,
             self._request.payload.shared_parts,
+            len(self._placements),
         )
 
     def _record_first_event(self) -> None:
         if self._has_first_event:
             return
         self._has_first_event = True
+        self._begun_ms = self._context.env.now_ms()
         self._progress.has_begun = True
         request = self._request
         took_ms = self._context.env.now_ms() - request.arrived_ms
@@ -369,6 +395,16 @@
                 scheduler_messages.FirstToken(placement, "", 0)
             )
 
+    def _record_lasting(self) -> None:
+        """Records that the response shows that its request is harmless."""
+        if self._has_lasted or not self._has_first_event:
+            return
+        self._has_lasted = True
+        self._progress.has_lasted = True
+        self._context.quarantine.on_response_lasting(
+            self._request, self._begun_ms
+        )
+
     def _post_attempt_ends(self) -> None:
         target_hall = self._placements[0].target.hall
         for placement in self._placements:
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -18,6 +18,8 @@
             those that failed because of a helper.
         sent_targets: Targets that were sent the request in any attempt.
         has_begun: Whether any target has begun to respond.
+        has_lasted: Whether a response went on for so long that the request
+            does not crash targets.
         interrupted: Targets that were lost after that.
         uncounted: Those of them that crashed, which do not count against the
             limit of the route.
@@ -38,6 +40,7 @@
     counted_attempts: int = 0
     sent_targets: frozenset[str] = frozenset()
     has_begun: bool = False
+    has_lasted: bool = False
     interrupted: frozenset[incarnations.Incarnation] = frozenset()
     uncounted: frozenset[incarnations.Incarnation] = frozenset()
     unsent_attempts: int = 0
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -21,6 +21,7 @@
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
 from ruddergate.entry import scheduler_messages
+from ruddergate.fleet import target as targets
 from ruddergate.relay import response_event as response_events
 from ruddergate.relay import upstream_request as upstream_requests
 
@@ -44,6 +45,7 @@
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
     outcomes.Reason.QUARANTINED,
+    outcomes.Reason.TRIAL_RUNNING,
     *_UNAVAILABLE_REASONS,
 )
 # The target that was to respond need not be the one that failed, so it is not
@@ -51,6 +53,7 @@
 _KEEP_TARGET_REASONS = (
     outcomes.Reason.NO_MEMORY,
     outcomes.Reason.HELPER_UNREACHABLE,
+    outcomes.Reason.TRIAL_RUNNING,
     *_UNAVAILABLE_REASONS,
 )
 # After these, a target that refused because of a helper stays pinned.
@@ -98,6 +101,12 @@
         return
     context.budget.note_first_attempt()
     while True:
+        refusal = await context.quarantine.wait_for_trial(
+            request, request.remaining_ms(context.env.now_ms())
+        )
+        if refusal is not None:
+            yield _conclude(refusal, progress)
+            return
         grant = await _wait_for_placement(request, progress, context)
         if isinstance(grant, outcomes.NotServed):
             yield _conclude(grant, progress)
@@ -163,13 +172,13 @@
         progress.pinned_target_id = placement.target.target_id
         progress.helper_failures += 1
         return await _pause_for_retry(request, outcome, progress, context)
-    if outcome.reason not in _KEEP_PIN_REASONS:
-        progress.pinned_target_id = ""
-    if outcome.reason not in _KEEP_TARGET_REASONS:
-        progress.excluded |= {placement.target.target_id}
+    _exclude_target(placement.target.target_id, outcome, progress)
     if outcome.reason in _UNSENT_REASONS:
         return _conclude_unsent(outcome, progress, context)
     progress.counted_attempts += 1
+    await _wait_for_verdict(
+        request, placement.target, outcome, progress, context
+    )
     can_continue = route.is_resumable or not progress.has_head
     if not can_continue or await crashed_targets.is_limit_reached(
         request, progress, context
@@ -178,6 +187,36 @@
     return await _pause_for_retry(request, outcome, progress, context)
 
 
+def _exclude_target(
+    target_id: str,
+    outcome: outcomes.NotServed,
+    progress: relay_progress.Progress,
+) -> None:
+    """Excludes a target that failed from further attempts."""
+    if outcome.reason not in _KEEP_PIN_REASONS:
+        progress.pinned_target_id = ""
+    if outcome.reason not in _KEEP_TARGET_REASONS:
+        progress.excluded |= {target_id}
+
+
+async def _wait_for_verdict(
+    request: requests.Request,
+    target: targets.Target,
+    outcome: outcomes.NotServed,
+    progress: relay_progress.Progress,
+    context: contexts.EntryContext,
+) -> None:
+    """Waits until it is known whether a part of a prompt crashed a target.
+
+    Otherwise the request might crash a second one before this VM counts the
+    first crash.
+    """
+    if outcome.reason is not outcomes.Reason.TARGET_LOST:
+        return
+    if request.payload.shared_parts and not progress.has_lasted:
+        await context.has_crashed(target.incarnation)
+
+
 def _conclude_unsent(
     outcome: outcomes.NotServed,
     progress: relay_progress.Progress,
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -44,6 +44,7 @@
     TARGET_LOST = "target_lost"
     TARGET_BROKE_PROTOCOL = "target_broke_protocol"
     QUARANTINED = "quarantined"
+    TRIAL_RUNNING = "trial_running"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     KEY_HOME_UNREACHABLE = "key_home_unreachable"
     KEY_HOME_UNSETTLED = "key_home_unsettled"
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -93,6 +93,10 @@
             "ruddergate_quarantined_contents",
             "Fingerprints of quarantined requests, which crash targets.",
         )
+        self.poison_trials = self._gauge(
+            "ruddergate_poison_trials",
+            "Requests with suspect parts sent as trials, in total.",
+        )
         self.rejected_entries = self._gauge(
             "ruddergate_entries_refused",
             "Entries of the target list that do not describe a target, total.",
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -19,9 +19,9 @@
 class CrashingPartTest(unittest.TestCase):
     """A part that crashes engines must reach a bounded number of them.
 
-    Callers sent ever new requests with one part in common, each of which crashed
-    two engines at each try. 60 engines ended, as crashes were counted for
-    requests with the same content only, and no two of these were alike.
+    Callers sent ever new requests with one part in common, each of which
+    crashed two engines at each try. 60 engines ended, as crashes were counted
+    for requests with the same content only, and no two of these were alike.
     """
 
     @classmethod
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from ruddergate.decisions import request_fingerprint
 from ruddergate.entry import scheduler_messages
 from standins import gateway_caller
 from standins import gateway_cluster
@@ -135,7 +136,10 @@
             )
             await asyncio.sleep(1.0)
             quarantine = fixture.cluster.vms["vm-0"].gateway.context.quarantine
-            self.assertEqual(len(quarantine), 1)
+            found = quarantine.rank_fingerprints()
+            parts = list(filter(request_fingerprint.is_part, found))
+            # The content, and the one part that other requests may share.
+            self.assertEqual((len(found), len(parts)), (2, 1))
 
         gateway_fixture.run_scenario(scenario, vms=2, halls=1, engines=16)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -80,7 +80,7 @@
         self.assertEqual(caller_request.time_limit_ms, 10_000.0)
         self.assertEqual(caller_request.prompt_tokens, 1_460)
         self.assertEqual(caller_request.output_tokens_max, 80)
-        self.assertEqual(caller_request.prefix_name, "5c1e")
+        self.assertEqual(caller_request.shared_parts, ("5c1e",))
         self.assertEqual(caller_request.last_event_id, "12")
 
     @hypothesis.given(
