--- a/standins/fatal_schedules.py
+++ b/standins/fatal_schedules.py
@@ -31,7 +31,7 @@
 # A VM that ran undisturbed for this long knows what the others know.
 GOSSIP_S = 3.0
 # A poison request crashes its engine within this time after it began to run.
-_CRASH_S = 0.3
+CRASH_S = 0.3
 # Runs that are tolerated after that: as many as a restarted fleet needs to
 # detect the request again.
 MAX_LATE_RUNS = 3
@@ -74,7 +74,7 @@
     # Reservations for the last calls must expire by themselves.
     await asyncio.sleep(4.0)
     broken = gateway_guarantees.find_broken(cluster, [*results, *attempts])
-    broken += _find_wrongly_refused(results)
+    broken += find_wrongly_refused(results)
     for body in _POISON_BODIES:
         broken += _find_late_runs(cluster, body, attempts)
     return broken, gateway_schedules.count_statuses(results)
@@ -122,15 +122,16 @@
     await asyncio.sleep(rng.uniform(0.0, _DURATION_S))
     kinds = (
         *gateway_schedules.FAULT_KINDS,
-        _crash_target,
+        crash_target,
         _write_malformed_entry,
     )
     await rng.choice(kinds)(cluster, rng)
 
 
-async def _crash_target(
+async def crash_target(
     cluster: gateway_cluster.GatewayCluster, rng: random.Random
 ) -> None:
+    """Crashes a random target."""
     node = cluster.targets[rng.choice(sorted(cluster.targets))]
     if not node.process.is_dead:
         cluster.crash_target(node)
@@ -144,9 +145,10 @@
     cluster.store.put_bytes(f"servers/{node.replica.name}", malformed)
 
 
-def _find_wrongly_refused(
+def find_wrongly_refused(
     results: Iterable[gateway_caller.CallResult],
 ) -> list[str]:
+    """Returns a violation for each harmless request that was refused."""
     return [
         f"{each.call.request_id} was refused, but is no poison request"
         for each in results
@@ -164,7 +166,7 @@
     runs = cluster.list_runs(body)
     if len(runs) < 3:
         return []
-    quarantined_at_s = runs[2].at_s + _CRASH_S + GOSSIP_S
+    quarantined_at_s = runs[2].at_s + CRASH_S + GOSSIP_S
     late_runs = [
         run
         for run in runs
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -141,6 +141,8 @@
         disturbances: Times in which VMs, halls or the store could not answer.
         poison_bodies: Bodies of requests that crash the replicas that run them.
         poison_parts: Names of parts of prompts that crash replicas likewise.
+        poison_delay_s: How long after the first event they do so; None for
+            before any answer.
         vm_starts: When each VM was started, on the loop's clock.
         all_gateways: Every incarnation of a gateway that ever ran.
     """
@@ -160,6 +162,7 @@
         self.disturbances: list[Disturbance] = []
         self.poison_bodies: set[bytes] = set()
         self.poison_parts: set[str] = set()
+        self.poison_delay_s: float | None = None
         self.vm_starts: dict[str, list[float]] = {}
         self.all_gateways: list[gateways.Gateway] = []
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
@@ -270,6 +273,7 @@
         replica.started_ms = int(env.wall_ms()) if keeps_name else 0
         replica.poison_bodies = self.poison_bodies
         replica.poison_parts = self.poison_parts
+        replica.poison_delay_s = self.poison_delay_s
         replica.crash = lambda: self.crash_target(node)
         node.replica = replica
         node.state = "ready"
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -121,6 +121,8 @@
         poison_bodies: Bodies of requests that crash it once it begins to answer
             them.
         poison_parts: Names of parts of prompts that do so, too.
+        poison_delay_s: How long after the first event such a part crashes it;
+            None for before any answer.
         crash: Crashes it.
         draining_hint: Value of Server-Leaving in all answers; empty for no such
             header.
@@ -150,6 +152,7 @@
         self.started_ms = 0
         self.poison_bodies: set[bytes] = set()
         self.poison_parts: set[str] = set()
+        self.poison_delay_s: float | None = None
         self.crash: Callable[[], None] = lambda: None
         self.draining_hint = ""
         self.has_announced_draining = False
@@ -293,7 +296,9 @@
                 return message.Response(200, headers, _abort(()))
             helpers = fields.get("helpers", "")
             await self._prefill(prompt, helpers)
-            if self._is_poison(run):
+            if run.body in self.poison_bodies or (
+                self.poison_delay_s is None and self._has_poison_part(run)
+            ):
                 self.crash()
             return message.Response(
                 200, headers, self._stream_answer(run, prompt, output)
@@ -301,11 +306,15 @@
         finally:
             self._active_runs -= 1
 
-    def _is_poison(self, run: Run) -> bool:
-        return (
-            run.body in self.poison_bodies
-            or not self.poison_parts.isdisjoint(run.parts)
-        )
+    async def _crash_after_event(self, run: Run) -> None:
+        """Crashes some time after the first event if a part does that."""
+        if self.poison_delay_s is None or not self._has_poison_part(run):
+            return
+        await asyncio.sleep(self.poison_delay_s)
+        self.crash()
+
+    def _has_poison_part(self, run: Run) -> bool:
+        return not self.poison_parts.isdisjoint(run.parts)
 
     def _make_headers(self, run: Run) -> dict[str, str]:
         answered_id = run.request_id
@@ -366,6 +375,8 @@
                             "the replica resets the connection"
                         )
                     yield event
+                    if number == first:
+                        await self._crash_after_event(run)
 
     def _draw(self, probability: float) -> bool:
         return probability > 0.0 and self._env.random.random() < probability
