An overloaded VM closes new connections unread

When the platform directs the connections of all callers to one VM, it read more requests than its processor time allows, and answered them late.

Change: the lag of the event loop is measured; above 150 ms, smoothed, new connections are closed at once, so that their callers try another VM. Open connections are served on. One suspension does not count. Measured: tests.test_overload; in virtual time all connections at one of nine VMs are served as before.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -24,6 +24,7 @@
 from ruddergate.entry import drain_check
 from ruddergate.entry import end_verifier
 from ruddergate.entry import in_flight
+from ruddergate.entry import overload
 from ruddergate.entry import peer_connector
 from ruddergate.entry import peer_gossip
 from ruddergate.entry import peer_rpc
@@ -176,6 +177,7 @@
                 lambda: len(self._peers.loads),
             ),
         )
+        self.overload = overload.OverloadDetector(env)
         self._quarantine_gossip = quarantine_gossip.QuarantineGossip(
             env,
             gateway_config.peers.listen,
@@ -416,6 +418,7 @@
             asyncio.ensure_future(self._drain_check.run()),
             asyncio.ensure_future(self._rate_limiter.run(self._orders.probe)),
             asyncio.ensure_future(self._connector.run()),
+            asyncio.ensure_future(self.overload.run()),
             asyncio.ensure_future(self._serve_peers()),
         ]
         servers = [
@@ -470,6 +473,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves a connection, with the limits in force when it is opened."""
+        if self.overload.must_shed():
+            writer.close()
+            return
         handler = http_server.make_stream_handler(
             self._open_requests.track(self._handler.handle),
             self._find_http_limits(),
@@ -536,6 +542,8 @@
         metrics.reservations.set({}, len(self._keeper))
         quarantined = self.context.quarantine.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
+        metrics.loop_lag_ms.set({}, self.overload.lag_ms)
+        metrics.shed_connections.set({}, self.overload.shed)
         metrics.poison_trials.set({}, self.context.quarantine.trials)
         metrics.rejected_entries.set({}, self._sync.count_refused())
         self._rate_limiter.set_gauges()
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -93,6 +93,14 @@
             "ruddergate_quarantined_contents",
             "Fingerprints of quarantined requests, which crash targets.",
         )
+        self.loop_lag_ms = self._gauge(
+            "ruddergate_loop_lag_ms",
+            "Smoothed lag of the event loop, in milliseconds.",
+        )
+        self.shed_connections = self._gauge(
+            "ruddergate_connections_shed",
+            "New connections closed unread in overload, in total.",
+        )
         self.poison_trials = self._gauge(
             "ruddergate_poison_trials",
             "Requests with suspect parts sent as trials, in total.",
--- a/standins/soak_gateways.py
+++ b/standins/soak_gateways.py
@@ -97,6 +97,10 @@
         interruption = soak_draining.Interruption(number, time.monotonic())
         self.interruptions.append(interruption)
 
+    def list_process_ids(self) -> list[int]:
+        """Returns the process ids of all gateways."""
+        return [process.pid for process in self._processes]
+
     async def kill_all(self) -> None:
         """Kills all gateways and waits for them to end."""
         for process in self._processes:
