Broken streams to callers of HTTP/1.0 end with a reset

To such a caller the end of the connection is the end of the answer, so a stream whose target was lost looked complete. Cause: the connection was closed like any other.

--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -11,6 +11,7 @@
 import os
 import random
 import socket
+import struct
 import time
 from typing import TypeAlias
 
@@ -199,3 +200,16 @@
 def make_random_id(rng: random.Random, length: int = 12) -> str:
     """Returns a random identifier of `length` hexadecimal digits."""
     return f"{rng.getrandbits(4 * length):0{length}x}"
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a reset, which its peer reads as an error."""
+    connection = writer.get_extra_info("socket")
+    if connection is None:
+        writer.close()
+        return
+    # Without lingering, closing a socket resets its connection.
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -285,11 +285,18 @@
     # iterator before anything can fail, so that closing it always runs its
     # cleanup.
     pending = connection.send(head)
-    async with contextlib.aclosing(response.body) as chunks:
-        async for chunk in chunks:
-            writer.write(pending + connection.send(h11.Data(data=chunk)))
-            pending = b""
-            await writer.drain()
+    is_complete = False
+    try:
+        async with contextlib.aclosing(response.body) as chunks:
+            async for chunk in chunks:
+                writer.write(pending + connection.send(h11.Data(data=chunk)))
+                pending = b""
+                await writer.drain()
+        is_complete = True
+    finally:
+        if not is_complete and connection.their_http_version == b"1.0":
+            # Without chunks a regular end would make the answer look complete.
+            environment.reset_connection(writer)
     writer.write(pending + connection.send(h11.EndOfMessage()))
     await writer.drain()
 
