Schedules share the check of late runs

One function for contents and parts; the bounds are the same: 3 and 5 crashes, 3 runs later than 3 s after that. tests.test_poison_part_schedules and tests.test_fatal_schedules: 4 passed.

--- a/standins/fatal_schedules.py
+++ b/standins/fatal_schedules.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import random
 import sys
@@ -19,6 +20,7 @@
 from standins import gateway_cluster
 from standins import gateway_guarantees
 from standins import gateway_schedules
+from standins import platform_replica
 from standins import virtual_process
 
 _POISON_BODIES = (b"fatal 0", b"fatal 1")
@@ -26,6 +28,8 @@
 _POISON_CALLS = 8
 _FAULTS = 6
 _DURATION_S = 20.0
+# After so many crashes, VMs in touch must know the request.
+_CRASHES = 3
 # A caller retries once, after this time.
 _RETRY_S = 0.3
 # A VM that ran undisturbed for this long knows what the others know.
@@ -76,7 +80,10 @@
     broken = gateway_guarantees.find_broken(cluster, [*results, *attempts])
     broken += find_wrongly_refused(results)
     for body in _POISON_BODIES:
-        broken += _find_late_runs(cluster, body, attempts)
+        runs = cluster.list_runs(body)
+        broken += find_late_runs(
+            cluster, body.decode(), runs, _CRASHES, attempts
+        )
     return broken, gateway_schedules.count_statuses(results)
 
 
@@ -156,28 +163,37 @@
     ]
 
 
-def _find_late_runs(
+def find_late_runs(
     cluster: gateway_cluster.GatewayCluster,
-    body: bytes,
+    name: str,
+    runs: Sequence[platform_replica.Run],
+    crashes: int,
     attempts: Iterable[gateway_caller.CallResult],
 ) -> list[str]:
-    """Returns a violation if a poison request was sent for too long."""
-    vms = {each.call.request_id: each.call.vm for each in attempts}
-    runs = cluster.list_runs(body)
-    if len(runs) < 3:
+    """Returns a violation if poison requests were sent for too long.
+
+    Args:
+        cluster: The cluster.
+        name: What they have in common.
+        runs: Their runs, in order of time.
+        crashes: After this many, VMs in touch must know them.
+        attempts: Results of all poison requests.
+    """
+    if len(runs) < crashes:
         return []
-    quarantined_at_s = runs[2].at_s + CRASH_S + GOSSIP_S
+    vms = {each.call.request_id: each.call.vm for each in attempts}
+    known_s = runs[crashes - 1].at_s + CRASH_S + GOSSIP_S
     late_runs = [
         run
         for run in runs
-        if run.at_s > quarantined_at_s
+        if run.at_s > known_s
         and gateway_schedules.ran_undisturbed(
             cluster, vms[run.request_id], run.at_s - GOSSIP_S, run.at_s
         )
     ]
     if len(late_runs) <= MAX_LATE_RUNS:
         return []
-    return [f"{body.decode()} was sent {len(late_runs)} times too late"]
+    return [f"{name} was sent {len(late_runs)} times too late"]
 
 
 def main(*, first: int = 1, count: int = 20) -> int:
--- a/standins/poison_part_schedules.py
+++ b/standins/poison_part_schedules.py
@@ -33,13 +33,9 @@
 _RETRY_S = 0.3
 _BURST_SIZE = 5
 _BURST_S = 0.05
-# VMs in touch know of a crash after this time.
-CONTACT_S = 3.0
-# Crashes after which a part must be known, and requests with it that may reach
-# engines later than CONTACT_S after that.
-MAX_CRASHES = 5
-MAX_LATE_RUNS = 3
-# From 2 * CONTACT_S on, harmless requests begin to be answered at least this
+# After so many crashes, VMs in touch must know the part.
+_CRASHES = 5
+# From twice GOSSIP_S on, harmless requests begin to be answered at least this
 # often, against before. Fewer than the sample are not compared.
 _MIN_SHARE = 0.5
 _MIN_SAMPLE = 20
@@ -129,7 +125,9 @@
             for run in cluster.list_runs_with_part(each.part)
             if run.at_s >= began_s + each.from_s
         ]
-        broken += _find_late_runs(cluster, each.part, runs, attempts)
+        broken += fatal_schedules.find_late_runs(
+            cluster, each.part, runs, _CRASHES, attempts
+        )
         broken += _find_lost_share(cluster, runs, attempts, results)
     return broken, gateway_schedules.count_statuses(results)
 
@@ -203,33 +201,6 @@
     await rng.choice(kinds)(cluster, rng)
 
 
-def _find_late_runs(
-    cluster: gateway_cluster.GatewayCluster,
-    part: str,
-    runs: Sequence[platform_replica.Run],
-    attempts: Sequence[gateway_caller.CallResult],
-) -> list[str]:
-    """Returns a violation if a part reached engines for too long."""
-    vms = {each.call.request_id: each.call.vm for each in attempts}
-    if len(runs) < MAX_CRASHES:
-        return []
-    known_s = runs[MAX_CRASHES - 1].at_s + fatal_schedules.CRASH_S + CONTACT_S
-    late_runs = [
-        run
-        for run in runs
-        if run.at_s > known_s
-        and gateway_schedules.ran_undisturbed(
-            cluster, vms[run.request_id], run.at_s - CONTACT_S, run.at_s
-        )
-    ]
-    if len(late_runs) <= MAX_LATE_RUNS:
-        return []
-    return [
-        f"{part} reached engines {len(late_runs)} times too late, "
-        f"{len(runs)} in all"
-    ]
-
-
 def _find_lost_share(
     cluster: gateway_cluster.GatewayCluster,
     runs: Sequence[platform_replica.Run],
@@ -246,7 +217,7 @@
     """
     if not runs:
         return []
-    known_s = runs[:MAX_CRASHES][-1].at_s + 2.0 * CONTACT_S
+    known_s = runs[:_CRASHES][-1].at_s + 2.0 * fatal_schedules.GOSSIP_S
     before = _list_begun(cluster, results, 0.0, runs[0].at_s)
     last_s = max(each.sent_s for each in attempts)
     after = _list_begun(cluster, results, known_s, last_s)
@@ -277,7 +248,7 @@
         and gateway_schedules.ran_undisturbed(
             cluster,
             each.call.vm,
-            each.sent_s - CONTACT_S,
+            each.sent_s - fatal_schedules.GOSSIP_S,
             each.sent_s + each.took_ms / 1000.0,
         )
     ]
