--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -1,11 +1,15 @@
 """Which parts of prompts are blamed for crashes, and what is tried."""
 
+import dataclasses
 import unittest
 
+import msgpack
+
 from ruddergate.decisions import poison_requests
 from ruddergate.decisions import request_fingerprint
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.messages import poison_reports as messages
+from ruddergate.wire import codec
 
 _NOW_MS = 1_000_000.0
 _SYSTEM = request_fingerprint.fingerprint_part("system")
@@ -251,6 +255,25 @@
             self.other.lacks_proof(self.one.describe(_SYSTEM, _NOW_MS))
         )
 
+    def test_rows_of_an_earlier_release_are_read(self) -> None:
+        ended = messages.EndedIncarnation(_make_incarnation(0), 9.0, 1.0, 120)
+        row = messages.PoisonReport(_POISON, (ended,), 5.0, 2.0)
+        data = codec.encode(messages.PoisonReports("10.0.0.1:83", (row,)))
+        tag, (sender, ((name, ((*crash, _),), completed_age_ms, _),)) = (
+            msgpack.unpackb(data)
+        )
+        earlier = [tag, [sender, [[name, [crash], completed_age_ms]]]]
+        self.assertEqual(
+            codec.decode(msgpack.packb(earlier)).rows,
+            (
+                messages.PoisonReport(
+                    _POISON,
+                    (dataclasses.replace(ended, since_sent_ms=0),),
+                    5.0,
+                ),
+            ),
+        )
+
     def test_order_of_sending_survives_gossip(self) -> None:
         self.one.note_lasting(_POISON, _NOW_MS - 5.0)
         for number in range(4):
