The end of a trial that lost its target does not end a later trial

Callers would see no difference; two requests with a suspect part could be on targets at once. It ends only itself now. Found by reading the diff; tests.test_poison_parts has the case.

--- a/src/ruddergate/decisions/poison_requests.py
+++ b/src/ruddergate/decisions/poison_requests.py
@@ -254,11 +254,17 @@
             self._records[each].trial_ms = now_ms
         return suspects
 
-    def end_trial(self, fingerprints: Sequence[str]) -> None:
-        """Notes that a trial ended without a result."""
+    def end_trial(self, fingerprints: Sequence[str], began_ms: float) -> None:
+        """Notes that a trial ended without a result.
+
+        Args:
+            fingerprints: Its suspects.
+            began_ms: When it began; a later trial goes on.
+        """
         for each in fingerprints:
-            if each in self._records:
-                self._records[each].trial_ms = -math.inf
+            record = self._records.get(each)
+            if record is not None and record.trial_ms == began_ms:
+                record.trial_ms = -math.inf
 
     def is_suspect(self, fingerprint: str, now_ms: float) -> bool:
         """Returns whether there is so much evidence that it matters."""
--- a/src/ruddergate/entry/quarantine.py
+++ b/src/ruddergate/entry/quarantine.py
@@ -7,7 +7,9 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
+import dataclasses
 
 from ruddergate import environment
 from ruddergate import outcomes
@@ -31,6 +33,19 @@
 _ON_TRIAL = poison_requests.Verdict.ON_TRIAL
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Trial:
+    """A trial that this VM has sent.
+
+    Attributes:
+        suspects: The fingerprints that are tried.
+        began_ms: When it was sent.
+    """
+
+    suspects: list[str]
+    began_ms: float
+
+
 class Quarantine:
     """Fingerprints of requests during which targets have crashed.
 
@@ -54,8 +69,8 @@
         self._evidence = poison_requests.PoisonRequests(env.random.random)
         # Replaced and set at each change.
         self._changed = asyncio.Event()
-        # Suspects of this VM's own trials, by request.
-        self._own_trials: dict[str, list[str]] = {}
+        # This VM's own trials, by request.
+        self._own_trials: dict[str, _Trial] = {}
         # Fingerprints that were last logged as quarantined.
         self._logged: dict[str, bool] = {}
         self._log = logs.make_logger("suspects")
@@ -143,7 +158,7 @@
         """
         if not len(self._evidence):
             return None
-        return self._refuse_quarantined(self._judge(request))
+        return self._refuse_quarantined(self._judge(find_fingerprints(request)))
 
     async def wait_for_trial(
         self, request: requests.Request, wait_ms: float
@@ -157,17 +172,21 @@
         Returns:
             A refusal if the request must not be sent after that.
         """
+        if not len(self._evidence):
+            return None
+        fingerprints = find_fingerprints(request)
         until_ms = self._env.now_ms() + min(wait_ms, MAX_TRIAL_WAIT_MS)
-        while len(self._evidence):
-            judgment = self._judge(request)
+        while True:
+            judgment = self._judge(fingerprints)
             refusal = self._refuse_quarantined(judgment)
-            if refusal is not None or not self._must_wait(judgment, request):
+            if refusal is not None or not self._must_wait(
+                judgment, fingerprints
+            ):
                 return refusal
             left_ms = until_ms - self._env.now_ms()
             if left_ms <= 0.0:
                 return self._refuse_during_trial(judgment)
             await self._wait_for_change(min(left_ms, _VERDICT_WAIT_MS))
-        return None
 
     def admit(self, request: requests.Request) -> outcomes.NotServed | None:
         """Returns a refusal, or counts a request with suspect parts as a trial.
@@ -176,12 +195,13 @@
         """
         if not len(self._evidence):
             return None
-        judgment = self._judge(request)
+        fingerprints = find_fingerprints(request)
+        judgment = self._judge(fingerprints)
         refusal = self._refuse_quarantined(judgment)
-        if refusal is None and self._must_wait(judgment, request):
+        if refusal is None and self._must_wait(judgment, fingerprints):
             refusal = self._refuse_during_trial(judgment)
         if refusal is None and judgment.verdict is _ON_TRIAL:
-            self._begin_trial(request)
+            self._begin_trial(request, fingerprints)
         return refusal
 
     def on_attempt_ended(
@@ -193,30 +213,24 @@
             request: The request.
             is_lost: Whether it lost its target, which is being probed now.
         """
-        suspects = self._own_trials.pop(request.request_id, None)
-        if suspects is None:
+        trial = self._own_trials.pop(request.request_id, None)
+        if trial is None:
             return
         if is_lost:
             loop = asyncio.get_running_loop()
-            loop.call_later(
-                _VERDICT_WAIT_MS / 1000.0, self._end_trial, suspects
-            )
+            loop.call_later(_VERDICT_WAIT_MS / 1000.0, self._end_trial, trial)
         else:
-            self._end_trial(suspects)
+            self._end_trial(trial)
 
-    def _judge(self, request: requests.Request) -> poison_requests.Judgment:
-        return self._evidence.judge(
-            find_fingerprints(request), self._env.now_ms()
-        )
+    def _judge(self, fingerprints: Sequence[str]) -> poison_requests.Judgment:
+        return self._evidence.judge(fingerprints, self._env.now_ms())
 
     def _must_wait(
-        self, judgment: poison_requests.Judgment, request: requests.Request
+        self, judgment: poison_requests.Judgment, fingerprints: Sequence[str]
     ) -> bool:
         if judgment.verdict is not _ON_TRIAL:
             return False
-        return self._evidence.is_trial_running(
-            find_fingerprints(request), self._env.now_ms()
-        )
+        return self._evidence.is_trial_running(fingerprints, self._env.now_ms())
 
     def _refuse_quarantined(
         self, judgment: poison_requests.Judgment
@@ -240,11 +254,12 @@
             self._env.random.uniform(*_TRIAL_RETRY_MS),
         )
 
-    def _begin_trial(self, request: requests.Request) -> None:
-        suspects = self._evidence.begin_trial(
-            find_fingerprints(request), self._env.now_ms()
-        )
-        self._own_trials[request.request_id] = suspects
+    def _begin_trial(
+        self, request: requests.Request, fingerprints: Sequence[str]
+    ) -> None:
+        now_ms = self._env.now_ms()
+        suspects = self._evidence.begin_trial(fingerprints, now_ms)
+        self._own_trials[request.request_id] = _Trial(suspects, now_ms)
         self.trials += 1
         self._log.info(
             "Request is tried on a target, as it may be poison.",
@@ -254,8 +269,8 @@
         for each in suspects:
             self._on_change(each)
 
-    def _end_trial(self, suspects: list[str]) -> None:
-        self._evidence.end_trial(suspects)
+    def _end_trial(self, trial: "_Trial") -> None:
+        self._evidence.end_trial(trial.suspects, trial.began_ms)
         self._wake()
 
     async def _wait_for_change(self, wait_ms: float) -> None:
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -144,8 +144,7 @@
 
     def _check_before_send(self) -> outcomes.NotServed | None:
         """Returns a refusal if the request must not be sent at this moment."""
-        refusal = self._context.quarantine.check_admission(self._request)
-        refusal = refusal or self._check_admission()
+        refusal = self._check_admission()
         if refusal is not None:
             return refusal
         placement = self._placements[0]
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -75,9 +75,19 @@
     def test_trial_without_a_result_ends(self) -> None:
         self._crash("1", _POISON)
         suspects = self.table.begin_trial(["2", _POISON], _NOW_MS + 1.0)
-        self.table.end_trial(suspects)
+        self.table.end_trial(suspects, _NOW_MS + 1.0)
         self.assertFalse(self.table.is_trial_running([_POISON], _NOW_MS + 2.0))
 
+    def test_end_of_a_trial_does_not_end_a_later_one(self) -> None:
+        # A trial that lost its target ends some time after that. Guards
+        # against two trials at once, when another one has begun meanwhile.
+        self._crash("1", _POISON)
+        first = self.table.begin_trial(["2", _POISON], _NOW_MS + 1.0)
+        self._crash("2", _POISON, at_ms=_NOW_MS + 50.0)
+        self.table.begin_trial(["3", _POISON], _NOW_MS + 60.0)
+        self.table.end_trial(first, _NOW_MS + 1.0)
+        self.assertTrue(self.table.is_trial_running([_POISON], _NOW_MS + 99.0))
+
     def test_response_that_lasts_clears_the_crashes_before_it(self) -> None:
         for number in range(3):
             self._crash(f"{number}", _POISON, at_ms=_NOW_MS + number)
