--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,6 @@
 """Engines read a long prompt while a gateway stops, and streams pause.
 
-The streams of all callers pause for 1.4 s, as engines write no tokens while
+The streams of all callers pause for 1.2 s, as engines write no tokens while
 they read a long prompt. The engines are sound and then go on. Callers wait for
 two seconds for the next event.
 """
@@ -19,7 +19,7 @@
 _FIRST_S = 0.1
 _PAUSE_S = 0.05
 # The engines write nothing for this long.
-_SILENCE_S = 1.4
+_SILENCE_S = 1.2
 # After the callers have sent their requests.
 _STOP_AFTER_S = 0.1
 _SILENT_AFTER_S = 0.3
