The removal of the last API key closes routes instead of opening them

Callers saw: once all keys of all workspaces were removed, every gateway served every caller with any key, and named no workspace to the target.

Cause: an empty mapping of keys stood for two facts, "no workspaces are published" and "the workspaces have no keys". Admission took the second for the first, and skipped the freshness of the settings by the same test.

Change: the catalog says whether keys are required, as decoded from the configuration: they are if it has the field at all. It has no default. A field of another type refuses the configuration. The log line of new settings names it.

Why it holds: no reader can confuse the two facts any more, and every way to a catalog (store, peer, restart) goes through the one decoder.

--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -72,7 +72,7 @@
             age_limits,
         )
     workspace = catalogs.Workspace("", 0)
-    if catalog.workspaces and not route.is_open:
+    if catalog.requires_keys and not route.is_open:
         if _settings_age_ms(context) > age_limits.key_age_max_ms:
             return _refuse_stale("whether the key is still valid")
         found = catalog.workspaces.get(caller_request.key)
--- a/src/ruddergate/entry/store_sync.py
+++ b/src/ruddergate/entry/store_sync.py
@@ -392,7 +392,8 @@
             "Settings {} in force.",
             catalog.revision,
             routes=len(catalog),
-            workspaces=len(catalog.workspaces),
+            keys=len(catalog.workspaces),
+            requires_keys=catalog.requires_keys,
             **self._view.store_position.describe(),
         )
 
--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -16,6 +16,7 @@
 # The platform's priorities go from 0, the most urgent, to this. Ranks go the
 # other way: higher ones are served first.
 _LOWEST_PRIORITY = 9
+_TENANTS = "tenants"
 _STREAM_TYPE = "streaming"
 _IDEMPOTENT_TYPE = "safe"
 # Maximum engines for one prompt: the one that responds and 16 helpers.
@@ -80,10 +81,19 @@
         found.append(route)
     services = _private.get(document, "services", list, [])
     pools = {pool.name: pool for pool in map(_read_pool, services)}
-    tenants = _private.get(document, "tenants", list, [])
-    workspaces = dict(_read_keys(tenants))
-    limits = _read_limits(_private.get(document, "limits", dict, {}))
-    return catalogs.Catalog(revision, found, workspaces, pools, limits)
+    # An empty list still means that keys are required; a missing one does not.
+    requires_keys = _TENANTS in document
+    tenants = document.get(_TENANTS, [])
+    if not isinstance(tenants, list):
+        return f"configuration {revision}: {_TENANTS} is {tenants!r:.40}"
+    return catalogs.Catalog(
+        revision,
+        found,
+        dict(_read_keys(tenants)),
+        pools,
+        _read_limits(_private.get(document, "limits", dict, {})),
+        requires_keys=requires_keys,
+    )
 
 
 def _read_limits(document: object) -> caller_limits.CallerLimits:
--- a/src/ruddergate/settings/catalog.py
+++ b/src/ruddergate/settings/catalog.py
@@ -29,7 +29,9 @@
 
     Attributes:
         revision: Number of the revision; later ones are higher.
-        workspaces: Workspaces by API key; empty if callers have no keys.
+        workspaces: Workspaces by API key.
+        requires_keys: Whether routes that are not open require a key, even if
+            there is none.
         pools: Effective settings of pools, by name.
         limits: Limits on what one caller may send.
     """
@@ -41,9 +43,12 @@
         workspaces: Mapping[str, Workspace],
         pools: Mapping[str, effective.Pool],
         limits: caller_limits.CallerLimits = caller_limits.NONE,
+        *,
+        requires_keys: bool,
     ) -> None:
         self.revision = revision
         self.workspaces = workspaces
+        self.requires_keys = requires_keys
         routes_ = tuple(routes_)
         self.pools = {
             name: dataclasses.replace(
@@ -75,7 +80,7 @@
         return len(self._routes)
 
 
-EMPTY = Catalog(0, (), {}, {})
+EMPTY = Catalog(0, (), {}, {}, requires_keys=True)
 
 
 def _find_gap_slos_ms(
