Settings are current only while the newest ones can be read

Callers saw: an operator publishes a configuration that cannot be decoded and takes a key away in it. The last good one stays, and the removed key went on being accepted without end although keys are strict.

Cause: the read that found the problem confirmed nothing, but the next one, without any changes, confirmed the settings again, as it asked for problems of its own. A VM that restarted then took the last good settings from a peer, which cleared what the store had shown it.

Change: settings are confirmed only while the newest configuration could be read, and a VM that could not read it leaves peers' questions to the store.

Why it holds: what clears the state is a readable configuration read from the store, or from a peer that has read one.

--- a/src/ruddergate/entry/store_sync.py
+++ b/src/ruddergate/entry/store_sync.py
@@ -129,7 +129,9 @@
     ) -> store_changes.StoreChangesReply | None:
         """Returns the changes that this VM knows, for a peer that follows."""
         position = self._position
-        if position is None:
+        if position is None or self._is_unreadable:
+            # Without a reply the peer reads the store, and finds out as well
+            # that the latest settings can't be parsed.
             return None
         if request.epoch > position.epoch:
             self._is_history_lost = True
@@ -378,8 +380,7 @@
             self._is_unreadable = bool(changes.problems)
         if changes.catalog is not None:
             self._adopt_catalog(changes.catalog, changes.document)
-        if not changes.problems:
-            self._confirm_settings(as_of_ms)
+        self._confirm_settings(as_of_ms)
 
     def _adopt_catalog(
         self, catalog: catalogs.Catalog, document: bytes
@@ -400,8 +401,11 @@
     def _confirm_settings(self, as_of_ms: float) -> None:
         """Records that the settings are current, if a read can show it.
 
-        Not while a peer has later ones, or a restored store may lack some.
+        Not while later ones could not be parsed or are known only to a peer, or
+        a restored store may lack some.
         """
+        if self._is_unreadable:
+            return
         own = self._view.catalog.revision
         is_known = self._claims.find_unconfirmed(own, as_of_ms) is None
         if (
--- a/tests/test_removed_keys.py
+++ b/tests/test_removed_keys.py
@@ -14,6 +14,7 @@
 from standins import gateway_cluster
 from tests import gateway_fixture
 
+_REVOKE_S = gateway_cluster.REVOKE_MS / 1000.0
 # Settings are in force on all VMs after this time.
 _APPLY_S = 2.0
 
@@ -107,9 +108,61 @@
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             await self._publish_keys(fixture, {"w1": []})
             fixture.cluster.store.failure = "silent"
-            await asyncio.sleep(gateway_cluster.REVOKE_MS / 1000.0)
+            await asyncio.sleep(_REVOKE_S)
             result = await fixture.call("unsafe")
             self.assertEqual(result.status, 503)
             self.assertIn("retry-after", result.headers)
 
         gateway_fixture.run_scenario(scenario)
+
+
+class UnreadableSettingsTest(unittest.TestCase):
+    """Settings that remove a key and cannot be decoded.
+
+    Guards against keys that stay valid for good: reads without any changes
+    confirmed the last settings that could be decoded.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_strict_vms_stop_accepting_keys(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.cluster.publish(tenants={"w1": []})
+            await asyncio.sleep(_REVOKE_S)
+            for vm in fixture.cluster.vms:
+                result = await fixture.call("unsafe", vm)
+                self.assertEqual(result.status, 503, vm)
+                self.assertEqual(fixture.find_runs(result), [])
+                self.assertEqual((await fixture.call("open", vm)).status, 200)
+            fixture.cluster.publish()
+            await asyncio.sleep(_APPLY_S)
+            for vm in fixture.cluster.vms:
+                self.assertEqual((await fixture.call("unsafe", vm)).status, 200)
+
+        gateway_fixture.run_scenario(scenario, vms=6, halls=2)
+
+    def test_restarted_vm_does_not_accept_keys_by_its_peers(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.cluster.publish(tenants={"w1": []})
+            await asyncio.sleep(1.0)
+            node = fixture.cluster.vms["vm-0"]
+            fixture.cluster.kill(node)
+            fixture.cluster.start_vm(node)
+            await asyncio.sleep(_REVOKE_S)
+            result = await fixture.call("unsafe")
+            self.assertEqual(result.status, 503)
+
+        gateway_fixture.run_scenario(scenario, vms=6, halls=2)
+
+    def test_lenient_vms_keep_the_last_settings(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.cluster.publish(tenants={"w1": []})
+            await asyncio.sleep(_REVOKE_S)
+            self.assertEqual((await fixture.call("unsafe")).status, 200)
+            self.assertEqual(
+                (await fixture.call("unsafe", key="unknown")).status, 503
+            )
+
+        gateway_fixture.run_scenario(scenario, is_strict=False)
