Log and count what becomes of silent targets

Cause: a stream that was cut while its engine paused showed only its end (`retry_budget_spent`). Whether it was given up on a retry that others took, for want of a place, or as a lost connection could not be told.

Change: one line and a counter for each decision on a silent target, with the tokens, attempts, streams of the target and times that it rests on.

--- a/src/ruddergate/entry/attempt_log.py
+++ b/src/ruddergate/entry/attempt_log.py
@@ -66,3 +66,33 @@
         last_event=progress.last_event_id,
         waited_ms=round(context.env.now_ms() - request.arrived_ms),
     )
+
+
+def log_silence(
+    request: requests.Request,
+    placement: scheduler_messages.Placement,
+    can_fail_over: bool,
+    progress: relay_progress.Progress,
+    context: contexts.EntryContext,
+) -> None:
+    """Logs what becomes of an attempt whose target is silent, and why."""
+    context.metrics.silent_attempts.inc(
+        {"result": "given_up" if can_fail_over else "kept"}
+    )
+    now_ms = context.env.now_ms()
+    logs.make_logger("attempt").info(
+        "Target {} is silent; {}.",
+        placement.target.target_id,
+        "giving it up" if can_fail_over else "waiting for it",
+        request_id=request.request_id,
+        hall=placement.target.hall,
+        tokens=round(context.budget.tokens, 2),
+        sent=progress.counted_attempts,
+        targets_max=request.payload.route.targets_max,
+        last_event=progress.last_event_id,
+        streams=round(
+            context.scheduler.count_streams(placement.target.target_id), 1
+        ),
+        waited_ms=round(now_ms - request.arrived_ms),
+        left_ms=round(request.remaining_ms(now_ms)),
+    )
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -486,12 +486,20 @@
         """
         request = self._request
         sending_to = frozenset({self._placements[0].target.target_id})
-        if await crashed_targets.is_limit_reached(
+        can_fail_over = not await crashed_targets.is_limit_reached(
             request, self._progress, self._context, sending_to
-        ):
-            return False
-        is_large = length_band.is_long(request.prompt_tokens)
-        return await self._context.ensure_retry(is_large)
+        )
+        if can_fail_over:
+            is_large = length_band.is_long(request.prompt_tokens)
+            can_fail_over = await self._context.ensure_retry(is_large)
+        attempt_log.log_silence(
+            self._request,
+            self._placements[0],
+            can_fail_over,
+            self._progress,
+            self._context,
+        )
+        return can_fail_over
 
 
 def _make_helper(
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -67,6 +67,10 @@
             "ruddergate_uncounted_crashes_total",
             "Crashed targets that did not count against a route's limit.",
         )
+        self.silent_attempts = self._counter(
+            "ruddergate_silent_attempts_total",
+            "Attempts whose target fell silent, by what became of them.",
+        )
         self.tokens = self._counter(
             "ruddergate_tokens_total", "Tokens delivered."
         )
