A silent target is left only once another one has responded

Callers saw: streams were cut in the middle while their engines paused for a second to read a long prompt, with most of their time left.

Cause: a silent attempt was closed first, and verdict, retry and place were looked for after it. Before the close only the existence of a token was checked. Streams of one engine fall silent together, so all of them were given up for the same token.

Change: the adapter reports a silence and reads on until the deadline. A second attempt is made beside the first (entry/failover.py) with a token that is taken, at another target; the first to respond goes on. A failed, refused or unplaced second attempt costs the first one nothing.

--- a/src/ruddergate/decisions/retries.py
+++ b/src/ruddergate/decisions/retries.py
@@ -67,6 +67,10 @@
         self.tokens -= RETRY_COST
         return True
 
+    def refund(self) -> None:
+        """Returns the tokens of a retry that was not sent."""
+        self.receive_transfer(RETRY_COST)
+
     def transfer_out(self, requested: float, is_large: bool) -> float:
         """Takes out retries to transfer to a peer; returns how many.
 
--- a/src/ruddergate/entry/attempt_log.py
+++ b/src/ruddergate/entry/attempt_log.py
@@ -71,19 +71,16 @@
 def log_silence(
     request: requests.Request,
     placement: scheduler_messages.Placement,
-    can_fail_over: bool,
+    state: str,
     progress: relay_progress.Progress,
     context: contexts.EntryContext,
 ) -> None:
     """Logs what becomes of an attempt whose target is silent, and why."""
-    context.metrics.silent_attempts.inc(
-        {"result": "given_up" if can_fail_over else "kept"}
-    )
     now_ms = context.env.now_ms()
     logs.make_logger("attempt").info(
         "Target {} is silent; {}.",
         placement.target.target_id,
-        "giving it up" if can_fail_over else "waiting for it",
+        state,
         request_id=request.request_id,
         hall=placement.target.hall,
         tokens=round(context.budget.tokens, 2),
--- a/src/ruddergate/entry/crash_detector.py
+++ b/src/ruddergate/entry/crash_detector.py
@@ -67,7 +67,10 @@
         incarnation = lost.target.incarnation
         probe = self._probes.get(incarnation)
         if probe is not None:
-            probe.lost.append(lost)
+            # A request is reported when its target falls silent, and again if
+            # the target is given up.
+            if all(each.request_id != lost.request_id for each in probe.lost):
+                probe.lost.append(lost)
             return
         task = asyncio.ensure_future(self._probe_target(lost.target))
         self._probes[incarnation] = _Probe(task, [lost])
--- a/src/ruddergate/entry/placing.py
+++ b/src/ruddergate/entry/placing.py
@@ -64,6 +64,14 @@
             lacks_peer_loads: Whether there are peers, but no load of any of
                 them is known yet.
         """
+        if request.forbidden:
+            usable = [
+                each
+                for each in usable
+                if each.target.target_id not in request.forbidden
+            ]
+            if not usable:
+                return ()
         candidates = [
             each
             for each in usable
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -11,7 +11,6 @@
 from ruddergate.decisions import poison_requests
 from ruddergate.entry import attempt_log
 from ruddergate.entry import context as contexts
-from ruddergate.entry import crashed_targets
 from ruddergate.entry import first_event
 from ruddergate.entry import lost_call
 from ruddergate.entry import quarantine
@@ -25,9 +24,9 @@
 
 # Longer than what all ways to a target may take together.
 CONNECT_TIMEOUT_MS = target_connector.TOTAL_TIMEOUT_MS + 30.0
-# How long a target may be silent before the request fails over to another one,
-# where the route allows that: a multiple of the route's `latency_slo_ms` for
-# the first event, and of its `gap_slo_ms` for later ones, with a minimum.
+# How long a target may be silent before another one is tried beside it, where
+# the route allows that: a multiple of the route's `latency_slo_ms` for the
+# first event, and of its `gap_slo_ms` for later ones, with a minimum.
 SILENCE_TIMEOUT_SLO_FACTOR = 3.0
 MIN_SILENCE_TIMEOUT_MS = 900.0
 # Retry-after when helpers refused memory; some may be free again by then.
@@ -95,6 +94,7 @@
         self._sent_ms = context.env.now_ms()
         # Whether a token of the target's rate limit was taken.
         self._has_rate_token = False
+        self._is_sent = False
         self._has_first_event = False
         self._begun_ms = 0.0
         self._has_lasted = False
@@ -103,8 +103,29 @@
         self._has_answered = False
         self._answered_ms: float | None = None
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request was sent to the target."""
+        return self._is_sent
+
+    def give_up(self) -> outcomes.NotServed:
+        """Records that the target is abandoned; returns the outcome.
+
+        The iterator of `run` is to be closed after this.
+        """
+        failure = outcomes.NotServed(
+            outcomes.Reason.TARGET_LOST,
+            outcomes.Ran.UNKNOWN,
+            "the target did not respond in time",
+        )
+        self._record_failure(failure)
+        return failure
+
     async def run(self) -> AsyncIterator[response_events.Event]:
-        """Yields what the caller is to get, and last the outcome."""
+        """Yields what the caller is to get, and last the outcome.
+
+        A silence of the target is yielded, too.
+        """
         reservations = self._make_reservations()
         self._progress.faulted_helpers = ()
         attempt_log.log_start(
@@ -158,6 +179,7 @@
         if refusal is not None:
             self._context.return_rate_token(placement.target)
             self._has_rate_token = False
+        self._is_sent = refusal is None
         return refusal
 
     def _check_admission(self) -> outcomes.NotServed | None:
@@ -228,16 +250,18 @@
         async with contextlib.aclosing(self._send(upstream_request)) as events:
             failure_watches = []
             if upstream_request.helpers:
-                failure_watches.append(self._wait_for_helper_end())
+                failure_watches.append(self._wait_for_helper_end)
             if is_watched:
-                failure_watches.append(self._wait_for_silence())
-            if failure_watches:
+                failure_watches.append(self._wait_for_silence)
+            while failure_watches:
                 first = await first_event.wait_for_first(
-                    events, failure_watches
+                    events, [watch() for watch in failure_watches]
                 )
                 yield first
                 if isinstance(first, outcomes.NotServed):
                     return
+                if not isinstance(first, response_events.TargetSilent):
+                    break
             async for event in events:
                 yield event
 
@@ -326,6 +350,8 @@
                 is_new = not self._progress.has_head
                 self._progress.has_head = True
                 return is_new
+            case response_events.TargetSilent():
+                self._context.report_lost_call(self._make_lost_call())
             case response_events.CompleteResponse():
                 self._has_answered = True
                 self._answered_ms = self._context.env.now_ms()
@@ -457,7 +483,11 @@
         )
 
     def _find_timeouts(self) -> upstream_requests.Timeouts:
-        """Returns the timeouts; for what must not run twice, the deadline."""
+        """Returns the timeouts; for what must not run twice, the deadline.
+
+        Silence alone is no failure: an engine that reads a long prompt is
+        silent for seconds and then goes on.
+        """
         request = self._request
         route = request.payload.route
         left_ms = request.remaining_ms(self._context.env.now_ms())
@@ -475,31 +505,7 @@
                 MIN_SILENCE_TIMEOUT_MS,
                 SILENCE_TIMEOUT_SLO_FACTOR * route.gap_slo_ms,
             ),
-            self._can_fail_over,
-        )
-
-    async def _can_fail_over(self) -> bool:
-        """Returns whether another target may be tried instead of this one.
-
-        Silence alone is no failure: an engine that reads a long prompt is
-        silent for seconds and then goes on.
-        """
-        request = self._request
-        sending_to = frozenset({self._placements[0].target.target_id})
-        can_fail_over = not await crashed_targets.is_limit_reached(
-            request, self._progress, self._context, sending_to
-        )
-        if can_fail_over:
-            is_large = length_band.is_long(request.prompt_tokens)
-            can_fail_over = await self._context.ensure_retry(is_large)
-        attempt_log.log_silence(
-            self._request,
-            self._placements[0],
-            can_fail_over,
-            self._progress,
-            self._context,
         )
-        return can_fail_over
 
 
 def _make_helper(
--- a/src/ruddergate/entry/relay_placement.py
+++ b/src/ruddergate/entry/relay_placement.py
@@ -34,15 +34,23 @@
     request: requests.Request,
     progress: relay_progress.Progress,
     context: contexts.EntryContext,
+    forbidden: frozenset[str] = frozenset(),
 ) -> scheduler_messages.PlacementGrant | outcomes.NotServed:
-    """Waits for a target: ahead of late requests first, then among them."""
+    """Waits for a target: ahead of late requests first, then among them.
+
+    Args:
+        request: The request.
+        progress: Its progress.
+        context: Shared objects of the entry.
+        forbidden: Targets that must not be chosen.
+    """
     for is_late, wait_ms in _find_wait_times(request, progress, context):
         left_ms = request.remaining_ms(context.env.now_ms())
         wait_ms = min(wait_ms, left_ms)
         if wait_ms <= 0.0:
             continue
         placement_request = _make_placement_request(
-            request, progress, context, is_late, wait_ms
+            request, progress, context, is_late, wait_ms, forbidden
         )
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
@@ -100,6 +108,7 @@
     context: contexts.EntryContext,
     is_late: bool,
     wait_ms: float,
+    forbidden: frozenset[str],
 ) -> scheduler_messages.PlacementRequest:
     now_ms = context.env.now_ms()
     pool = request.workload.pool
@@ -143,4 +152,5 @@
         segments=(),
         excluded=progress.excluded,
         reply=asyncio.get_running_loop().create_future(),
+        forbidden=forbidden,
     )
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -10,8 +10,10 @@
 from ruddergate.decisions import length_band
 from ruddergate.decisions import retries
 from ruddergate.entry import attempt_log
+from ruddergate.entry import attempt_outcome
 from ruddergate.entry import context as contexts
 from ruddergate.entry import crashed_targets
+from ruddergate.entry import failover
 from ruddergate.entry import model_run
 from ruddergate.entry import relay_attempt
 from ruddergate.entry import relay_placement
@@ -27,37 +29,6 @@
 MAX_UNSENT_ATTEMPTS = 8
 # How often a request goes to the same target again after a helper has failed.
 MAX_HELPER_FAILURES = 3
-# One of the targets, or a helper, accepts no requests at the moment. No target
-# has to be excluded for this: the scheduler knows which one it is when it
-# chooses the next ones.
-_UNAVAILABLE_REASONS = (
-    outcomes.Reason.TARGET_LEAVING,
-    outcomes.Reason.TARGET_QUIET,
-    outcomes.Reason.TARGET_RATE_LIMITED,
-)
-# The attempt ended before the request was sent.
-_UNSENT_REASONS = (
-    outcomes.Reason.TARGET_GONE,
-    outcomes.Reason.TARGET_UNREACHABLE,
-    outcomes.Reason.NO_MEMORY,
-    outcomes.Reason.HELPER_UNREACHABLE,
-    outcomes.Reason.QUARANTINED,
-    outcomes.Reason.TRIAL_RUNNING,
-    *_UNAVAILABLE_REASONS,
-)
-# The target that was to respond need not be the one that failed, so it is not
-# excluded.
-_KEEP_TARGET_REASONS = (
-    outcomes.Reason.NO_MEMORY,
-    outcomes.Reason.HELPER_UNREACHABLE,
-    outcomes.Reason.TRIAL_RUNNING,
-    *_UNAVAILABLE_REASONS,
-)
-# After these, a target that refused because of a helper stays pinned.
-_KEEP_PIN_REASONS = (outcomes.Reason.HELPER_UNREACHABLE, *_UNAVAILABLE_REASONS)
-# Responses below this status are final. From here on a repeatable request is
-# retried; if all retries fail, the caller gets the last such response.
-_MIN_SERVER_ERROR_STATUS = 500
 # How long a request waits for a way to any target while there is none. Callers
 # may be served by another VM, so it is short.
 MAX_WAY_WAIT_MS = 80.0
@@ -85,6 +56,7 @@
         yield refusal
         return
     context.budget.note_first_attempt()
+    make_attempt = _make_attempt_factory(request, send, keeper, context)
     while True:
         refusal = await context.quarantine.wait_for_trial(
             request, request.remaining_ms(context.env.now_ms())
@@ -99,8 +71,8 @@
             yield _conclude(grant, progress)
             return
         outcome: response_events.Event | None = None
-        attempt = relay_attempt.RelayAttempt(
-            request, grant, progress, send, keeper, context
+        attempt = failover.FailoverAttempt(
+            request, grant, progress, make_attempt, context
         )
         async with contextlib.aclosing(attempt.run()) as events:
             async for event in events:
@@ -111,6 +83,7 @@
                     yield event
                 else:
                     outcome = event
+        grant, progress = attempt.grant, attempt.progress
         if isinstance(
             outcome,
             response_events.StreamEnd | response_events.CompleteResponse,
@@ -127,6 +100,23 @@
             return
 
 
+def _make_attempt_factory(
+    request: requests.Request,
+    send: upstream_requests.Send,
+    keeper: reservation_keeper.ReservationKeeper,
+    context: contexts.EntryContext,
+) -> failover.MakeAttempt:
+    def make_attempt(
+        grant: scheduler_messages.PlacementGrant,
+        progress: relay_progress.Progress,
+    ) -> relay_attempt.RelayAttempt:
+        return relay_attempt.RelayAttempt(
+            request, grant, progress, send, keeper, context
+        )
+
+    return make_attempt
+
+
 async def _conclude_or_retry(
     request: requests.Request,
     grant: scheduler_messages.PlacementGrant,
@@ -135,55 +125,37 @@
     context: contexts.EntryContext,
 ) -> response_events.Event | None:
     """Returns the final event, or None after the delay before a retry."""
-    if isinstance(outcome, response_events.CompleteResponse):
-        if outcome.status < _MIN_SERVER_ERROR_STATUS:
-            return outcome
-        progress.error_response = outcome
-        outcome = outcomes.NotServed(
-            outcomes.Reason.TARGET_REFUSED,
-            outcomes.Ran.RAN,
-            f"the target answered {outcome.status}",
-        )
     if outcome is None:
         raise AssertionError("an attempt ended without an outcome")
+    failure = attempt_outcome.find_failure(outcome, progress)
+    if failure is None:
+        return outcome
     route = request.payload.route
     placement = grant.placements[0]
-    attempt_log.log_failure(request, placement, outcome, progress, context)
-    context.metrics.failed_attempts.inc({"result": outcome.reason.value})
-    progress.ran = model_run.combine_ran(progress.ran, outcome.ran)
-    if outcome.reason not in _UNSENT_REASONS:
-        progress.sent_targets |= {placement.target.target_id}
-    if _is_helper_failure(outcome, progress):
+    attempt_log.log_failure(request, placement, failure, progress, context)
+    context.metrics.failed_attempts.inc({"result": failure.reason.value})
+    attempt_outcome.note_failure(placement.target.target_id, failure, progress)
+    if _is_helper_failure(failure, progress):
         # The target itself may accept the request with other helpers. It is
         # the same target, so this doesn't count as sending to a further one.
         progress.pinned_target_id = placement.target.target_id
         progress.helper_failures += 1
-        return await _pause_for_retry(request, outcome, progress, context)
-    _exclude_target(placement.target.target_id, outcome, progress)
-    if outcome.reason in _UNSENT_REASONS:
-        return _conclude_unsent(outcome, progress, context)
+        return await _pause_for_retry(request, failure, progress, context)
+    attempt_outcome.exclude_target(
+        placement.target.target_id, failure, progress
+    )
+    if failure.reason in attempt_outcome.UNSENT_REASONS:
+        return _conclude_unsent(failure, progress, context)
     progress.counted_attempts += 1
     await _wait_for_verdict(
-        request, placement.target, outcome, progress, context
+        request, placement.target, failure, progress, context
     )
     can_continue = route.is_resumable or not progress.has_head
     if not can_continue or await crashed_targets.is_limit_reached(
         request, progress, context
     ):
-        return _conclude(outcome, progress)
-    return await _pause_for_retry(request, outcome, progress, context)
-
-
-def _exclude_target(
-    target_id: str,
-    outcome: outcomes.NotServed,
-    progress: relay_progress.Progress,
-) -> None:
-    """Excludes a target that failed from further attempts."""
-    if outcome.reason not in _KEEP_PIN_REASONS:
-        progress.pinned_target_id = ""
-    if outcome.reason not in _KEEP_TARGET_REASONS:
-        progress.excluded |= {target_id}
+        return _conclude(failure, progress)
+    return await _pause_for_retry(request, failure, progress, context)
 
 
 async def _wait_for_verdict(
--- a/src/ruddergate/entry/scheduler_messages.py
+++ b/src/ruddergate/entry/scheduler_messages.py
@@ -54,8 +54,10 @@
             began; the policy gets the duration.
         pool: The pool to choose from.
         segments: Parts of a prompt that spans a gang; else empty.
-        excluded: Ids of targets that have failed this request.
+        excluded: Ids of targets that have failed this request; they are chosen
+            only if there are no others.
         reply: Receives a PlacementGrant or a NotServed.
+        forbidden: Ids of targets that must not be chosen.
     """
 
     job: queueing.Job
@@ -64,6 +66,7 @@
     segments: tuple[gangs.Segment, ...]
     excluded: frozenset[str]
     reply: "asyncio.Future[PlacementGrant | outcomes.NotServed]"
+    forbidden: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -132,6 +132,10 @@
         env.now_ms() + upstream_request.timeouts.first_ms,
     )
     fault = await _wait(exchange.read_head, env, until_ms, upstream_request)
+    if isinstance(fault, response_events.TargetSilent):
+        yield fault
+        until_ms = upstream_request.deadline_ms
+        fault = await _wait(exchange.read_head, env, until_ms, upstream_request)
     if fault is not None:
         yield (
             _make_target_lost(fault)
@@ -162,33 +166,22 @@
     env: environment.Environment,
     until_ms: float,
     upstream_request: upstream_requests.UpstreamRequest,
-) -> T | outcomes.NotServed:
+) -> T | response_events.TargetSilent | outcomes.NotServed:
     """Waits until a time; distinguishes the deadline from a silent target.
 
     A process that was suspended may wake up after that time while the response
-    has already arrived, so it reads once more before it reports a lost target.
+    has already arrived, so it reads once more before it reports a silence.
     """
     found = await _read_until(read, env, until_ms)
     late_ms = env.now_ms() - until_ms
     if isinstance(found, _TimedOut) and late_ms > _SUSPENDED_MS:
         reread_until_ms = env.now_ms() + _REREAD_MS
         found = await _read_until(read, env, reread_until_ms)
-    is_before_deadline = env.now_ms() < upstream_request.deadline_ms
-    if (
-        isinstance(found, _TimedOut)
-        and is_before_deadline
-        and not await upstream_request.timeouts.may_give_up()
-    ):
-        found = await _read_until(read, env, upstream_request.deadline_ms)
     if not isinstance(found, _TimedOut):
         return found
-    if env.now_ms() >= upstream_request.deadline_ms:
+    if max(until_ms, env.now_ms()) >= upstream_request.deadline_ms:
         return _make_time_limit()
-    return outcomes.NotServed(
-        outcomes.Reason.TARGET_LOST,
-        outcomes.Ran.UNKNOWN,
-        "the target did not respond in time",
-    )
+    return response_events.TargetSilent()
 
 
 def _make_time_limit() -> outcomes.NotServed:
@@ -349,6 +342,10 @@
         chunk = await _wait(
             exchange.read_chunk, env, until_ms, upstream_request
         )
+        if isinstance(chunk, response_events.TargetSilent):
+            yield chunk
+            until_ms = upstream_request.deadline_ms
+            continue
         if isinstance(chunk, client.Fault):
             yield _make_target_lost(chunk)
             return
--- a/src/ruddergate/relay/response_event.py
+++ b/src/ruddergate/relay/response_event.py
@@ -71,6 +71,11 @@
     target_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSilent:
+    """Nothing was received for a while; the response may still go on."""
+
+
 Event = (
     CompleteResponse
     | StreamHead
@@ -78,6 +83,7 @@
     | StreamEnd
     | LoadReported
     | HelperFaultReported
+    | TargetSilent
     | outcomes.NotServed
 )
 """The last event is a CompleteResponse, a StreamEnd or a NotServed."""
--- a/src/ruddergate/relay/upstream_request.py
+++ b/src/ruddergate/relay/upstream_request.py
@@ -1,7 +1,6 @@
 """A request as it is sent to one target."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 from typing import TypeAlias
@@ -28,10 +27,6 @@
     reservation_name: str = ""
 
 
-async def _always_give_up() -> bool:
-    return True
-
-
 def _admit() -> outcomes.NotServed | None:
     return None
 
@@ -40,19 +35,19 @@
 class Timeouts:
     """Timeouts for a target, in milliseconds.
 
+    After `first_ms` or `gap_ms` a silence is reported, once; the response is
+    then waited for until the deadline.
+
     Attributes:
         connect_ms: For connecting.
         first_ms: For the first event, or for the response head of a plain
             service.
         gap_ms: Between two events.
-        may_give_up: Called when a timeout has expired; returns whether to give
-            up on the target. If not, it is waited for until the deadline.
     """
 
     connect_ms: float
     first_ms: float
     gap_ms: float
-    may_give_up: Callable[[], Awaitable[bool]] = _always_give_up
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
