--- a/src/ruddergate/entry/failover.py
+++ b/src/ruddergate/entry/failover.py
@@ -339,6 +339,7 @@
             sent_targets=shared.sent_targets | {silent_id},
             excluded=shared.excluded | {silent_id},
             interrupted=interrupted,
+            has_retry=False,
             faulted_helpers=(),
             pinned_target_id="",
         )
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -16,6 +16,7 @@
 from ruddergate.entry import quarantine
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
+from ruddergate.entry import retry_budget
 from ruddergate.entry import scheduler_messages
 from ruddergate.entry import target_connector
 from ruddergate.relay import orders
@@ -257,6 +258,12 @@
                 first = await first_event.wait_for_first(
                     events, [watch() for watch in failure_watches]
                 )
+                is_helper_end = (
+                    isinstance(first, outcomes.NotServed)
+                    and first.reason is outcomes.Reason.HELPER_ENDED
+                )
+                if not is_helper_end:
+                    retry_budget.return_retry(self._progress, self._context)
                 yield first
                 if isinstance(first, outcomes.NotServed):
                     return
@@ -293,6 +300,8 @@
         is_repeatable = request.payload.route.repeatable
         if not is_repeatable or not await self._context.ensure_retry(is_large):
             await asyncio.Event().wait()
+        # Taken now, as other prompts may be waiting for the same helper.
+        self._progress.has_retry = self._context.budget.try_spend()
         self._process_event(
             response_events.HelperFaultReported(incarnation.target_id)
         )
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -19,6 +19,7 @@
 from ruddergate.entry import relay_placement
 from ruddergate.entry import relay_progress
 from ruddergate.entry import reservation_keeper
+from ruddergate.entry import retry_budget
 from ruddergate.entry import scheduler_messages
 from ruddergate.fleet import target as targets
 from ruddergate.relay import response_event as response_events
@@ -222,6 +223,8 @@
     context: contexts.EntryContext,
 ) -> response_events.Event | None:
     """Returns None after the delay, or the outcome if no retry is allowed."""
+    # Taken again below, before any other task runs.
+    retry_budget.return_retry(progress, context)
     if retries.is_safe_to_retry(outcome, request.repeatable):
         await context.ensure_retry(length_band.is_long(request.prompt_tokens))
     decided = retries.decide(
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -186,6 +186,46 @@
         self.assertEqual((result.status, result.is_complete), (200, True))
         return result
 
+    def test_reported_ends_of_helpers_give_up_one_prompt_for_each_retry(
+        self,
+    ) -> None:
+        # Prompts whose helpers were reported as ended were all given up for
+        # the same retry, and those that found it spent were lost.
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            calls = [
+                asyncio.ensure_future(
+                    fixture.call(
+                        "long",
+                        prompt_tokens=250_000,
+                        output_tokens=100,
+                        time_limit_ms=15_000.0,
+                    )
+                )
+                for _ in range(3)
+            ]
+            await asyncio.sleep(0.3)
+            context = fixture.cluster.vms["vm-0"].gateway.context
+            context.budget.tokens = 1.0
+            writers = {
+                run.replica
+                for replica in fixture.cluster.all_replicas
+                for run in replica.runs
+            }
+            # They live on, so prompts that are not given up are served.
+            for each in context.scheduler.list_estimates():
+                target = each.target
+                if each.own_streams() and target.target_id not in writers:
+                    context.scheduler.incarnation_ends.note(
+                        target.incarnation, context.env.now_ms()
+                    )
+            results = await asyncio.gather(*calls)
+            self.assertEqual(
+                [(each.status, each.is_complete) for each in results],
+                [(200, True)] * 3,
+            )
+
+        gateway_fixture.run_scenario(scenario, vms=1, halls=1, engines=24)
+
     def test_only_target_of_a_pool_gets_all_allowed_attempts(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             fixture.inject_faults("engine", lose=1.0)
