A whole answer to a resumed stream does not end it as complete

Callers saw: a stream broke off, was resumed at another target, which answered with a status and a body (404, 201, ...): the stream ended as if it were complete, without its last events.

Cause: an answer below 500 counted as final wherever it came from, and the handler ends a stream regularly after whatever is no failure.

Change: once the caller has the head of a stream, a whole answer is a failure of the target (target_broke_protocol), for first and second attempts alike.

A caller that resumes by itself still gets the answer unchanged.

--- a/src/ruddergate/entry/attempt_outcome.py
+++ b/src/ruddergate/entry/attempt_outcome.py
@@ -49,6 +49,13 @@
         return outcome
     if not isinstance(outcome, response_events.CompleteResponse):
         return None
+    if progress.has_head:
+        # It can't go on with the stream that the caller has begun to receive.
+        return outcomes.NotServed(
+            outcomes.Reason.TARGET_BROKE_PROTOCOL,
+            outcomes.Ran.UNKNOWN,
+            f"the target answered {outcome.status} to a resumed stream",
+        )
     if outcome.status < _MIN_SERVER_ERROR_STATUS:
         return None
     progress.error_response = outcome
--- a/src/ruddergate/entry/failover.py
+++ b/src/ruddergate/entry/failover.py
@@ -309,7 +309,7 @@
         self._attempt = self._make_attempt(grant, self.progress)
         self._events = self._attempt.run()
         event = await self._read_first()
-        failure = self._find_failure(event)
+        failure = attempt_outcome.find_failure(event, self._shared_progress)
         if failure is None:
             self.first_event = event
             return None
@@ -344,20 +344,6 @@
             pinned_target_id="",
         )
 
-    def _find_failure(
-        self, event: response_events.Event
-    ) -> outcomes.NotServed | None:
-        """Returns the failure that an event is, or None for a response."""
-        failure = attempt_outcome.find_failure(event, self._shared_progress)
-        is_whole = isinstance(event, response_events.CompleteResponse)
-        if failure is None and is_whole and self._shared_progress.has_head:
-            return outcomes.NotServed(
-                outcomes.Reason.TARGET_BROKE_PROTOCOL,
-                outcomes.Ran.UNKNOWN,
-                f"the target answered {event.status} to a resumed stream",
-            )
-        return failure
-
     def _note_failure(self, failure: outcomes.NotServed) -> None:
         """Records a failed attempt in the progress of the request."""
         request = self._request
--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -31,6 +31,7 @@
             wait for the answer.
         body: Request body.
         parts: Names of the parts of the prompt that requests share.
+        resume_after: Id of the last event that the caller has, or empty.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     disconnects_after_ms: float | None = None
     body: bytes = b"prompt"
     parts: tuple[str, ...] = ("aa",)
+    resume_after: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +162,8 @@
         own_tokens = call.prompt_tokens - _PART_TOKENS * len(call.parts)
         parts = [f"{name}:{_PART_TOKENS}" for name in call.parts]
         headers["x-prefix-hash"] = ",".join([*parts, f"bb:{own_tokens}"])
+    if call.resume_after:
+        headers["Last-Event-Id"] = call.resume_after
     return message.OutgoingRequest(
         "POST",
         f"/{call.route}/x",
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -91,6 +91,8 @@
         hang: Probability of accepting a request and never answering.
         silent_s: How long streams stall after their third event, with the
             connection left open.
+        resumed_status: Status of answers to resumed streams; 0 to go on with
+            them.
         answer_delay_s: How much longer a plain service takes.
         is_unfit_helper: Whether replicas that get a request with this one as a
             helper refuse it.
@@ -106,6 +108,7 @@
     mute: bool = False
     hang: float = 0.0
     silent_s: float = 0.0
+    resumed_status: int = 0
     answer_delay_s: float = 0.0
     is_unfit_helper: bool = False
     retry_after: str = ""
@@ -294,6 +297,9 @@
             headers = self._make_headers(run)
             if self.engine is None:
                 return await self._answer_plain(run, headers)
+            if after and self.faults.resumed_status:
+                status = self.faults.resumed_status
+                return message.Response(status, headers, b"whole")
             prompt, output = map(int, fields["x-token-usage"].split(","))
             if self._draw(self.faults.lose):
                 return message.Response(200, headers, _abort(()))
--- /dev/null
+++ b/tests/test_resumed_streams.py
@@ -0,0 +1,54 @@
+"""Streams that break off and are resumed at another target.
+
+Guards against broken streams that look complete: a target that answered a
+resumed stream with a status and a whole body ended it regularly.
+"""
+
+import asyncio
+import unittest
+
+import loguru
+
+from standins import gateway_guarantees
+from tests import gateway_fixture
+
+# A body is not allowed with 204 and 304.
+_STATUSES = (201, 202, 302, 400, 401, 404, 409, 413, 429, 500, 502, 503, 504)
+
+
+class ResumedStreamsTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def _run_with_resumed_status(self, status: int) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.inject_faults("engine", resumed_status=status)
+            call = asyncio.ensure_future(
+                fixture.call("short", output_tokens=2_000)
+            )
+            await asyncio.sleep(0.2)
+            for node in fixture.cluster.targets.values():
+                if node.replica.runs:
+                    fixture.cluster.network.reset_node(node.process)
+            result = await call
+            self.assertEqual((result.status, result.is_complete), (200, False))
+            self.assertNotIn(b"whole", result.body)
+            self.assertEqual(
+                gateway_guarantees.find_broken(fixture.cluster, [result]), []
+            )
+
+        gateway_fixture.run_scenario(scenario, engines=4, halls=1)
+
+    def test_whole_answer_does_not_complete_a_stream(self) -> None:
+        for status in _STATUSES:
+            with self.subTest(status=status):
+                self._run_with_resumed_status(status)
+
+    def test_whole_answer_to_a_new_stream_is_forwarded(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.inject_faults("engine", resumed_status=404)
+            result = await fixture.call("short", resume_after="3")
+            self.assertEqual((result.status, result.body), (404, b"whole"))
+
+        gateway_fixture.run_scenario(scenario, engines=4, halls=1)
