A planned stop reads no request that it can't answer

Callers saw: requests sent on connections that were busy during the stop were passed on to targets and cut when the process exited, lookups that must not run twice among them.

Cause: a response whose head was sent before the stop did not announce the end of its connection, and the next request on it was read up to the end.

Change: once the load balancer has noticed the stop, connections end with their response; a request that was being sent at that moment is refused if it can't finish by the end of the stop.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -28,6 +28,7 @@
 from ruddergate.entry import peer_connector
 from ruddergate.entry import peer_gossip
 from ruddergate.entry import peer_rpc
+from ruddergate.entry import planned_stop
 from ruddergate.entry import poll_config
 from ruddergate.entry import quarantine_gossip
 from ruddergate.entry import rate_limiter
@@ -140,7 +141,7 @@
         self._config = config
         self._gateway_config = gateway_config
         self._log = logs.make_logger("entry")
-        self._is_stopping = False
+        self._stop = planned_stop.PlannedStop()
         self._connections = http_server.Connections()
         self._open_requests = in_flight.InFlightCalls(
             platform.caller_protocol.write_failure
@@ -287,6 +288,7 @@
                 gateway_config.settings_age_max_ms,
                 gateway_config.not_found_age_max_ms,
             ),
+            self._stop.must_refuse,
         )
         self._peers = peer_gossip.PeerGossip(
             env,
@@ -438,7 +440,7 @@
         )
         try:
             await _private.wait_while_running(stop.wait(), tasks)
-            await self._stop(callers)
+            await self._finish(callers)
         finally:
             for server in (*servers, callers):
                 server.close()
@@ -481,6 +483,7 @@
             self._find_http_limits(),
             self._should_close,
             self._connections,
+            lambda: self._stop.is_accepting,
         )
         await handler(reader, writer)
 
@@ -499,7 +502,7 @@
 
     def _should_close(self) -> bool:
         """Returns whether callers should connect to another VM."""
-        return self._is_stopping or not self._has_fresh_settings()
+        return self._stop.is_stopping or not self._has_fresh_settings()
 
     def _has_fresh_settings(self) -> bool:
         view = self.context.view
@@ -520,7 +523,7 @@
         self, incoming: message.IncomingRequest
     ) -> message.Response:
         is_ready = (
-            not self._is_stopping
+            not self._stop.is_stopping
             and self._has_fresh_settings()
             and self._has_room()
             and self._connector.links.state is not links.State.ISOLATED
@@ -534,7 +537,7 @@
             return status.make_status(
                 self.context,
                 False,
-                self._is_stopping,
+                self._stop.is_stopping,
                 self._describe_links(),
             )
         status.set_gauges(self.context)
@@ -567,19 +570,25 @@
             "carriers": len(self._peers.list_carriers()),
         }
 
-    async def _stop(self, callers: asyncio.Server) -> None:
+    async def _finish(self, callers: asyncio.Server) -> None:
+        """Makes a planned stop."""
         config = self._gateway_config
         self._log.info("Planned stop begins.", open=len(self._open_requests))
-        began_ms = self._env.now_ms()
-        self._is_stopping = True
+        self._stop.begin(self._env.now_ms() + config.stop_limit_ms)
         self._detours.is_stopping = True
         self._peers.note_change()
         # Callers still connect until the load balancer has noticed.
         await asyncio.sleep(config.stop_lag_ms / 1000.0)
         callers.close()
+        self._stop.stop_accepting()
         self._connections.close_idle()
-        until_ms = began_ms + config.stop_limit_ms
-        while self._count_open() and self._env.now_ms() < until_ms:
+        self._log.info(
+            "Planned stop accepts no further requests.",
+            open=len(self._open_requests),
+            connections=len(self._connections),
+            left_ms=round(self._stop.ends_ms - self._env.now_ms()),
+        )
+        while self._count_open() and self._env.now_ms() < self._stop.ends_ms:
             await asyncio.sleep(_POLL_MS / 1000.0)
             self._connections.close_idle()
         self._log.info("Planned stop ends.", open=len(self._open_requests))
--- a/src/ruddergate/entry/program.py
+++ b/src/ruddergate/entry/program.py
@@ -91,6 +91,7 @@
             self._in_flight.track(handle),
             self._config.limits,
             lambda: self._is_closing,
+            is_accepting=lambda: not self._is_closing,
         )
         return await self._env.serve(handler, self._config.listen)
 
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 from ruddergate import outcomes
@@ -25,6 +26,12 @@
 # Time after its start in which a VM waits for settings. If it has none later,
 # the store is unreachable.
 STARTUP_PERIOD_MS = 3_000.0
+_STOPPING = outcomes.refuse(
+    outcomes.Reason.STOPPING,
+    "this VM stops before the request could finish",
+    # The load balancer has chosen another VM by now.
+    0.0,
+)
 
 
 class RelayHandler:
@@ -36,6 +43,8 @@
         send: Sends a request to a target.
         keeper: Holds memory on targets for requests.
         age_limits: How old settings may be.
+        must_refuse: Returns whether a planned stop leaves no time for a request
+            with the given deadline.
     """
 
     def __init__(
@@ -45,12 +54,14 @@
         send: upstream_requests.Send,
         keeper: reservation_keeper.ReservationKeeper,
         age_limits: relay_admit.SettingsAgeLimits,
+        must_refuse: Callable[[float], bool] = lambda deadline_ms: False,
     ) -> None:
         self._context = context
         self._protocol = protocol
         self._send = send
         self._keeper = keeper
         self._age_limits = age_limits
+        self._must_refuse = must_refuse
         self._log = logs.make_logger("entry")
 
     async def handle(
@@ -72,6 +83,8 @@
         )
         if isinstance(request, outcomes.NotServed):
             return self._refuse(request, caller_request.request_id)
+        if self._must_refuse(request.deadline_ms):
+            return self._refuse(_STOPPING, caller_request.request_id)
         events = relay_run.run(request, self._send, self._keeper, self._context)
         try:
             first = await anext(events)
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -89,6 +89,7 @@
     limits: Limits,
     is_closing: Callable[[], bool] = lambda: False,
     connections: Connections | None = None,
+    is_accepting: Callable[[], bool] = lambda: True,
 ) -> environment.StreamHandler:
     """Returns a stream handler that serves HTTP requests with `handle`.
 
@@ -96,6 +97,9 @@
         handle: Handles one request; must not raise.
         limits: Limits on what callers may use.
         is_closing: Whether to close connections after their next response.
+        is_accepting: Whether to read further requests. If not, a connection is
+            closed at the end of a response, also if its head, which was sent
+            before, did not announce that.
         connections: Is kept up to date with the open connections.
     """
     open_connections = connections if connections is not None else Connections()
@@ -111,7 +115,13 @@
                 )
                 return
             await _serve_connection(
-                reader, writer, handle, limits, is_closing, open_connections
+                reader,
+                writer,
+                handle,
+                limits,
+                is_closing,
+                open_connections,
+                is_accepting,
             )
         except (ConnectionError, OSError, TimeoutError):
             pass  # The peer has disconnected, so the error can't be reported.
@@ -129,17 +139,20 @@
     limits: Limits,
     is_closing: Callable[[], bool],
     open_connections: Connections,
+    is_accepting: Callable[[], bool],
 ) -> None:
     connection = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes_max
     )
-    while True:
+    while is_accepting():
         open_connections.note_idle(writer)
         incoming = await _read_request(
             reader,
             connection,
             limits,
             lambda: open_connections.note_busy(writer),
+            # Closed as idle, just as this request was arriving.
+            writer.is_closing,
         )
         if incoming is None:
             return
@@ -161,6 +174,7 @@
     connection: h11.Connection,
     limits: Limits,
     on_first_bytes: Callable[[], None],
+    is_closed: Callable[[], bool],
 ) -> message.IncomingRequest | _InvalidInput | None:
     try:
         async with asyncio.timeout(limits.idle_timeout_ms / 1000.0):
@@ -171,6 +185,8 @@
                 connection.receive_data(data)
     except TimeoutError:
         return None
+    if is_closed():
+        return None
     on_first_bytes()
     try:
         async with asyncio.timeout(limits.read_timeout_ms / 1000.0):
--- /dev/null
+++ b/standins/stop_schedules.py
@@ -0,0 +1,265 @@
+"""Random schedules of planned stops under load on kept connections.
+
+`python -m standins.stop_schedules --first 1 --count 100` runs many. Callers
+send one request after the other on the same connections, at once or after a
+while, some with their bodies in two halves; streams begin before the stop and
+end after it. The process may get several stop signals, and may be suspended
+before or during its stop. It prints the seeds in which a request that a gateway
+had passed on was cut, a request was read without being answered, or the stop
+took longer than it may.
+"""
+
+import asyncio
+import collections
+from collections.abc import Mapping
+import contextlib
+import dataclasses
+import random
+import sys
+
+import cyclopts
+
+from ruddergate import environment
+from standins import gateway_caller
+from standins import gateway_cluster
+from standins import kept_connection
+from standins import schedule_runner
+from standins import virtual_process
+
+GRACE_S = 8.0
+# What is still at work in the last sixth of the grace may be cut, if it was
+# sent no later than this after the signal.
+EXCUSED_SENT_S = 3.0
+EXCUSED_FROM_S = GRACE_S * 5.0 / 6.0
+# A request counts if nothing but the stop disturbed its VM for so long before.
+CONTACT_S = 3.0
+_VM = "vm-0"
+_WARM_UP_S = 2.0
+_TOKENS_PER_S = 1_000.0
+_ROUTES = ("short", "short", "unsafe", "safe", "once")
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Result of one schedule.
+
+    Attributes:
+        broken: A message for each violation.
+        counts: How often each kind of event occurred.
+    """
+
+    broken: list[str]
+    counts: Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """One request on a kept connection.
+
+    Attributes:
+        call: The request.
+        is_first: Whether it is the first one on its connection.
+        sent_s: When its last byte was sent.
+        ended_s: When its answer or its connection ended.
+        answer: What the caller received.
+    """
+
+    call: gateway_caller.Call
+    is_first: bool
+    sent_s: float
+    ended_s: float
+    answer: kept_connection.Answer
+
+
+class Schedule:
+    """The state of one schedule.
+
+    Args:
+        seed: Seed of the schedule.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(f"stop {seed}")
+        self._cluster = gateway_cluster.GatewayCluster(
+            gateway_cluster.Layout(
+                vms=2,
+                halls=1,
+                engines=self._rng.choice((3, 6)),
+                services=2,
+                seed=seed,
+            )
+        )
+        self._exchanges: list[Exchange] = []
+        self._stop_s = 0.0
+        self._is_suspended = False
+        self._resumed_s = float("-inf")
+        self._took_s = 0.0
+        self._count = 0
+
+    async def run(self) -> Result:
+        """Runs the schedule."""
+        await self._cluster.start()
+        process = virtual_process.VirtualProcess("callers", "")
+        env = self._cluster.network.make_environment(process, 1)
+        stopping = asyncio.ensure_future(self._stop())
+        await process.start(lambda: self._run_callers(env))
+        await stopping
+        return Result(self._find_broken(), self._count_events())
+
+    async def _stop(self) -> None:
+        rng = self._rng
+        loop = asyncio.get_running_loop()
+        node = self._cluster.vms[_VM]
+        await asyncio.sleep(_WARM_UP_S + rng.uniform(0.0, 6.0))
+        if rng.random() < 0.2:
+            self._is_suspended = True
+            node.process.freeze()
+            suspended_s = rng.uniform(0.1, 2.0)
+            self._resumed_s = loop.time() + suspended_s
+            loop.call_later(suspended_s, node.process.resume)
+        self._stop_s = loop.time()
+        node.stop.set()
+        for _ in range(rng.randrange(3)):
+            loop.call_later(rng.uniform(0.0, 7.0), node.stop.set)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_S):
+                await asyncio.shield(node.task)
+        self._took_s = loop.time() - self._stop_s
+        self._cluster.kill(node)
+
+    async def _run_callers(self, env: environment.Environment) -> None:
+        callers = [
+            self._run_caller(env) for _ in range(self._rng.randrange(4, 24))
+        ]
+        await asyncio.gather(*callers)
+
+    async def _run_caller(self, env: environment.Environment) -> None:
+        """Sends requests until a connection can't be made any more."""
+        rng = self._rng
+        address = environment.Address(_VM, gateway_cluster.FRONT_PORT)
+        await asyncio.sleep(rng.uniform(0.0, 4.0))
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    streams = await env.connect(address)
+            except (OSError, TimeoutError):
+                return
+            connection = kept_connection.KeptConnection(*streams)
+            is_first = True
+            while await self._exchange(connection, address, is_first):
+                is_first = False
+                if rng.random() < 0.5:
+                    await asyncio.sleep(rng.choice((0.0, 0.001, 0.02, 0.5)))
+            connection.close()
+
+    async def _exchange(
+        self,
+        connection: kept_connection.KeptConnection,
+        address: environment.Address,
+        is_first: bool,
+    ) -> bool:
+        """Sends one request; returns whether another may follow."""
+        rng = self._rng
+        loop = asyncio.get_running_loop()
+        call = self._draw_call()
+        data = connection.encode(gateway_caller.make_request(call), address)
+        if rng.random() < 0.2:
+            cut = rng.randrange(1, len(data))
+            connection.write_part(data[:cut])
+            await asyncio.sleep(rng.uniform(0.0, 4.0))
+            data = data[cut:]
+        connection.write_part(data)
+        sent_s = loop.time()
+        answer = await connection.read_answer()
+        self._exchanges.append(
+            Exchange(call, is_first, sent_s, loop.time(), answer)
+        )
+        return not answer.closes
+
+    def _draw_call(self) -> gateway_caller.Call:
+        rng = self._rng
+        self._count += 1
+        route = rng.choice(_ROUTES)
+        if route not in ("short", "once"):
+            return gateway_caller.Call(
+                f"r{self._count}", route, _VM, time_limit_ms=2_000.0
+            )
+        output_tokens = round(rng.uniform(0.1, 7.0) * _TOKENS_PER_S)
+        return gateway_caller.Call(
+            f"r{self._count}",
+            route,
+            _VM,
+            prompt_tokens=2_000,
+            output_tokens=output_tokens,
+            time_limit_ms=rng.choice((3_000.0, 10_000.0)),
+        )
+
+    def _find_broken(self) -> list[str]:
+        broken = []
+        if self._took_s >= GRACE_S and not self._is_suspended:
+            broken.append(f"the stop took {self._took_s:.2f} s")
+        run_ids = {
+            run.request_id
+            for replica in self._cluster.all_replicas
+            for run in replica.runs
+        }
+        for each in self._exchanges:
+            was_run = each.call.request_id in run_ids
+            if was_run and self._is_cut(each):
+                broken.append(
+                    f"{each.call.request_id} ({each.call.route}) was sent "
+                    f"{each.sent_s - self._stop_s:.2f} s after the signal and "
+                    f"cut at {each.ended_s - self._stop_s:.2f} s"
+                )
+            if was_run and each.answer.status == 503:
+                broken.append(f"{each.call.request_id} ran and got 503")
+        return broken
+
+    def _is_cut(self, exchange: Exchange) -> bool:
+        """Returns whether a request that ran was cut without an excuse."""
+        if exchange.answer.is_complete:
+            return False
+        if exchange.sent_s < self._resumed_s + CONTACT_S:
+            return False
+        sent_s = exchange.sent_s - self._stop_s
+        ended_s = exchange.ended_s - self._stop_s
+        took_ms = (exchange.ended_s - exchange.sent_s) * 1_000.0
+        if took_ms >= exchange.call.time_limit_ms - 1.0:
+            return False
+        is_excused = sent_s <= EXCUSED_SENT_S and ended_s >= EXCUSED_FROM_S
+        return not is_excused
+
+    def _count_events(self) -> Mapping[str, int]:
+        counts: collections.Counter[str] = collections.Counter()
+        for each in self._exchanges:
+            counts["requests"] += 1
+            is_later = each.sent_s > self._stop_s
+            counts["sent after the signal"] += is_later
+            counts["of these on used connections"] += (
+                is_later and not each.is_first
+            )
+            counts["of these answered"] += is_later and each.answer.is_complete
+            counts["refused"] += each.answer.status == 503
+            counts["cut"] += not each.answer.is_complete
+        counts["suspended"] += self._is_suspended
+        return counts
+
+
+def run_schedule(seed: int) -> Result:
+    """Runs one schedule."""
+    return virtual_process.run(lambda: Schedule(seed).run())
+
+
+def main(*, first: int = 1, count: int = 100, jobs: int = 4) -> None:
+    """Runs many seeds.
+
+    Args:
+        first: First seed.
+        count: Number of seeds.
+        jobs: Number of seeds that run in parallel.
+    """
+    sys.exit(schedule_runner.run_all(run_schedule, first, count, jobs))
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
