Requests that no pool can hold are refused at admission

Cause: the scheduler split the memory of the request into a tuple with one entry for each engine that it would need. The number came from a header without a bound, and a MemoryError in the scheduler ends the process. A number too large for a float counted as no number at all, so as an empty prompt.

Change: what needs more engines than one request may use is refused at once, 503 without Retry-After, with both counts in the detail. Numbers in headers are capped where they are decoded.

--- a/src/ruddergate/decisions/gangs.py
+++ b/src/ruddergate/decisions/gangs.py
@@ -61,13 +61,20 @@
     return tuple(segments)
 
 
-def split_memory(held_tokens: int, memory_tokens: int) -> tuple[int, ...]:
-    """Returns the memory that each engine of a gang holds, evenly divided.
+def count_engines(held_tokens: int, memory_tokens: int) -> int:
+    """Returns how many engines a request needs for its memory.
 
     A request that fits one engine, with memory left for others, stays whole.
     """
     if held_tokens <= memory_tokens * (1.0 - FREE_MEMORY_SHARE):
+        return 1
+    return math.ceil(held_tokens / (memory_tokens * MAX_SEGMENT_SHARE))
+
+
+def split_memory(held_tokens: int, memory_tokens: int) -> tuple[int, ...]:
+    """Returns the memory that each engine of a gang holds, evenly divided."""
+    count = count_engines(held_tokens, memory_tokens)
+    if count == 1:
         return (held_tokens,)
-    count = math.ceil(held_tokens / (memory_tokens * MAX_SEGMENT_SHARE))
     tokens_per_engine = math.ceil(held_tokens / count)
     return (tokens_per_engine,) * count
--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -6,6 +6,7 @@
 from ruddergate import outcomes
 from ruddergate import payload as payloads
 from ruddergate import request as requests
+from ruddergate.decisions import gangs
 from ruddergate.entry import context as contexts
 from ruddergate.http import message
 from ruddergate.relay import caller_protocol as caller_protocols
@@ -24,6 +25,7 @@
 # is available.
 _MAX_QUEUE_COST_MS = 600_000.0
 _OUTPUT_TOKENS_TYPICAL = 512
+_ENGINE_POOL = "engine"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +90,9 @@
             f"route {route.name} names a pool that is not published",
             _NO_SETTINGS_RETRY_MS,
         )
+    refusal = _check_size(caller_request, pool)
+    if refusal is not None:
+        return refusal
     return _make_request(
         incoming,
         caller_request,
@@ -99,6 +104,25 @@
     )
 
 
+def _check_size(
+    caller_request: caller_protocols.CallerRequest, pool: effective.Pool
+) -> outcomes.NotServed | None:
+    """Returns a refusal if no engines of the pool can hold the request."""
+    if pool.pool_kind != _ENGINE_POOL:
+        return None
+    held_tokens = (
+        caller_request.prompt_tokens + caller_request.output_tokens_max
+    )
+    needed = gangs.count_engines(held_tokens, pool.memory_tokens)
+    if needed <= pool.gang_engines_max:
+        return None
+    return outcomes.refuse(
+        outcomes.Reason.PROMPT_TOO_LONG,
+        f"prompt and output need the memory of {needed} engines of pool"
+        f" {pool.name}, and one request may use {pool.gang_engines_max}",
+    )
+
+
 def _settings_age_ms(context: contexts.EntryContext) -> float:
     return context.view.settings_age_ms(context.env.now_ms())
 
--- a/src/ruddergate/platform/callers.py
+++ b/src/ruddergate/platform/callers.py
@@ -18,6 +18,9 @@
 _NOT_RUN_STATUS = 503
 _TIME_STATUS = 504
 _OTHER_STATUS = 502
+# Larger numbers in headers count as this one. It exceeds any time limit, in
+# milliseconds, and the memory of any pool, in tokens.
+_MAX_NUMBER = 1e15
 
 
 def make_caller_protocol() -> caller_protocols.CallerProtocol:
@@ -49,12 +52,14 @@
 
 
 def _read_number(text: str) -> float | None:
-    """Returns a finite, non-negative number, or None."""
+    """Returns a non-negative number of bounded size, or None."""
     try:
         number = float(text)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0.0 else None
+    if math.isnan(number) or number < 0.0:
+        return None
+    return min(number, _MAX_NUMBER)
 
 
 def _read_part_names(text: str) -> tuple[str, ...]:
--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -1,6 +1,7 @@
 """A caller that sends requests to gateways and records the responses."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 
 import h11
@@ -32,6 +33,7 @@
         body: Request body.
         parts: Names of the parts of the prompt that requests share.
         resume_after: Id of the last event that the caller has, or empty.
+        headers: Further headers, or other values of those above.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     body: bytes = b"prompt"
     parts: tuple[str, ...] = ("aa",)
     resume_after: str = ""
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,7 +166,8 @@
         parts = [f"{name}:{_PART_TOKENS}" for name in call.parts]
         headers["x-prefix-hash"] = ",".join([*parts, f"bb:{own_tokens}"])
     if call.resume_after:
-        headers["Last-Event-Id"] = call.resume_after
+        headers["last-event-id"] = call.resume_after
+    headers |= call.headers
     return message.OutgoingRequest(
         "POST",
         f"/{call.route}/x",
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import re
 
 import orjson
 
@@ -300,7 +301,10 @@
             if after and self.faults.resumed_status:
                 status = self.faults.resumed_status
                 return message.Response(status, headers, b"whole")
-            prompt, output = map(int, fields["x-token-usage"].split(","))
+            usage = fields.get("x-token-usage", "")
+            if not _USAGE.fullmatch(usage):
+                return message.Response(400, {"X-Not-Executed": "1"}, b"")
+            prompt, output = map(int, usage.split(","))
             if self._draw(self.faults.lose):
                 return message.Response(200, headers, _abort(()))
             helpers = fields.get("helpers", "")
@@ -391,6 +395,9 @@
         return probability > 0.0 and self._env.random.random() < probability
 
 
+_USAGE = re.compile(r"\d{1,9},\d{1,9}", re.ASCII)
+
+
 def _parse_seconds(text: str) -> float:
     """Returns a time that is a decimal number; 0 for anything else."""
     is_number = text.replace(".", "", 1).isdecimal()
