Header values that are not ASCII are passed on

Callers saw: an answer with such a header (a file name in UTF-8) was lost after the request had run; a request with one got 502 and was never sent. So did every request of a workspace whose name is not ASCII.

Cause: header lines are kept as Latin-1 text and were handed to h11 as such, which encodes text as ASCII. The UnicodeEncodeError ended the answer.

Change: header lines are encoded as Latin-1 in the two places that send, and names from the configuration as UTF-8. Names of workspaces and targets that can't be header values are refused where they are decoded; a stream whose event ids can't be sent is not resumed.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -109,7 +109,9 @@
         if request.body or request.method != "GET":
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            headers=message.encode_fields(headers),
         )
         data = self._connection.send(head)
         if request.body:
--- a/src/ruddergate/http/message.py
+++ b/src/ruddergate/http/message.py
@@ -1,18 +1,26 @@
 """HTTP messages as plain data."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import re
 from typing import TypeAlias
 
 import orjson
 
-# Header lines in order; a name may occur more than once.
+# Header lines in order; a name may occur more than once. Values are bytes, each
+# as the Latin-1 character of that number.
 Fields: TypeAlias = tuple[tuple[str, str], ...]
 
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
+# Visible characters, with blanks and tabs between them.
+_FIELD_VALUE = re.compile(
+    r"([\x21-\x7e\x80-\xff]([\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?"
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingRequest:
@@ -77,6 +85,26 @@
     fields: Fields = ()
 
 
+def encode_fields(
+    fields: Iterable[tuple[str, str]],
+) -> list[tuple[bytes, bytes]]:
+    """Returns header lines as bytes."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in fields
+    ]
+
+
+def make_field_value(text: str) -> str:
+    """Returns any text as a header value, which holds its UTF-8 bytes."""
+    return text.encode().decode("latin-1")
+
+
+def is_field_value(text: str) -> bool:
+    """Returns whether a text can be sent as a header value."""
+    return _FIELD_VALUE.fullmatch(text) is not None
+
+
 def make_json_response(
     status: int, document: object, headers: Mapping[str, str] | None = None
 ) -> Response:
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -290,13 +290,17 @@
         headers.append(("connection", "close"))
     if isinstance(response.body, bytes):
         headers.append(("content-length", str(len(response.body))))
-        head = h11.Response(status_code=response.status, headers=headers)
+        head = h11.Response(
+            status_code=response.status, headers=message.encode_fields(headers)
+        )
         sent = connection.send(head)
         sent += connection.send(h11.Data(data=response.body))
         writer.write(sent + connection.send(h11.EndOfMessage()))
         await writer.drain()
         return
-    head = h11.Response(status_code=response.status, headers=headers)
+    head = h11.Response(
+        status_code=response.status, headers=message.encode_fields(headers)
+    )
     # The head is sent with the first chunk, in one write. This also starts the
     # iterator before anything can fail, so that closing it always runs its
     # cleanup.
--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -5,6 +5,7 @@
 from typing import TypeAlias
 
 from ruddergate.adapters import _private
+from ruddergate.http import message
 from ruddergate.settings import caller_limits
 from ruddergate.settings import catalog as catalogs
 from ruddergate.settings import effective
@@ -164,6 +165,9 @@
 ) -> Iterator[tuple[str, catalogs.Workspace]]:
     for each in tenants:
         name = _private.get(each, "name", str, "")
+        if not message.is_field_value(message.make_field_value(name)):
+            # Targets could not be told whose request it is.
+            continue
         workspace = catalogs.Workspace(name, _read_rank(each))
         for key in _private.get(each, "api-keys", list, []):
             if name and isinstance(key, str) and key:
--- a/src/ruddergate/platform/targets.py
+++ b/src/ruddergate/platform/targets.py
@@ -47,6 +47,8 @@
     missing or has an unexpected type or value was not written by a target, and
     does not describe a usable one.
     """
+    if not (target_id.isascii() and target_id.isprintable()):
+        return f"target {target_id!r:.40}: the name is not printable ASCII"
     if not isinstance(document, dict):
         return f"target {target_id}: the entry is not an object"
     for name, types in _FIELDS.items():
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -78,6 +78,8 @@
     exchange: client.Exchange,
 ) -> outcomes.NotServed | None:
     """Sends the request if admitted; nothing may run between check and send."""
+    if not message.is_field_value(upstream_request.resume_after):
+        return _make_protocol_error("the id of the last event is malformed")
     refusal = upstream_request.check_admission()
     if refusal is not None:
         return refusal
@@ -96,7 +98,9 @@
         headers.URGENCY: str(upstream_request.urgency),
     }
     if upstream_request.workspace:
-        own_headers[headers.WORKSPACE] = upstream_request.workspace
+        own_headers[headers.WORKSPACE] = message.make_field_value(
+            upstream_request.workspace
+        )
     if upstream_request.resume_after:
         own_headers[headers.LAST_EVENT] = upstream_request.resume_after
     if upstream_request.helpers:
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -36,6 +36,7 @@
         body: Body of the request.
         at_s: When it began, on the loop's clock.
         parts: Names of the parts of its prompt, without the last.
+        note: Value of X-Note, or empty.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     body: bytes = b""
     at_s: float = 0.0
     parts: tuple[str, ...] = ()
+    note: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +100,8 @@
         is_unfit_helper: Whether replicas that get a request with this one as a
             helper refuse it.
         retry_after: Value of Retry-After in a refusal; empty for none.
+        answer_header: Value of X-Note in all answers; empty for none.
+        event_id_suffix: What follows the numbers in the ids of events.
     """
 
     refuse: float = 0.0
@@ -113,6 +117,8 @@
     answer_delay_s: float = 0.0
     is_unfit_helper: bool = False
     retry_after: str = ""
+    answer_header: str = ""
+    event_id_suffix: str = ""
 
 
 class PlatformReplica:
@@ -197,6 +203,8 @@
             self.probe_times_s.append(now_s)
         answer = await self._answer(incoming)
         hints: tuple[tuple[str, str], ...] = ()
+        if self.faults.answer_header:
+            hints += (("X-Note", self.faults.answer_header),)
         if self.draining_hint:
             self.has_announced_draining = (
                 self.has_announced_draining or self.draining_hint == "1"
@@ -291,6 +299,7 @@
             incoming.body,
             asyncio.get_running_loop().time(),
             _parse_shared_parts(fields.get("x-prefix-hash", "")),
+            fields.get("x-note", ""),
         )
         self.runs.append(run)
         self.active_runs += 1
@@ -382,6 +391,10 @@
                     if self.faults.silent_s and number == first + 3:
                         await asyncio.sleep(self.faults.silent_s)
                     event = make_event(run.request_id, number)
+                    if self.faults.event_id_suffix:
+                        event = _add_id_suffix(
+                            event, self.faults.event_id_suffix
+                        )
                     if number == reset_number:
                         yield event[: len(event) // 2]
                         raise ConnectionResetError(
@@ -395,6 +408,11 @@
         return probability > 0.0 and self._env.random.random() < probability
 
 
+def _add_id_suffix(event: bytes, suffix: str) -> bytes:
+    first, _, rest = event.partition(b"\n")
+    return first + suffix.encode("latin-1") + b"\n" + rest
+
+
 _USAGE = re.compile(r"\d{1,9},\d{1,9}", re.ASCII)
 
 
