Addresses that can't be looked up are refused where they are decoded

Operators saw: an entry of another client in the store whose address has a host label of 64 characters ended the process.

Cause: the event loop raises UnicodeError for such a host, which is no OSError, and the task that probes listed targets ends the process if it fails.

Change: an address is checked against the limits of the name system when it is parsed, and connecting to one that can't be looked up fails like any other connection.

Evidence: tests.test_malformed_entries.AddressTest: 2 of 2 failed before.

--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -31,6 +31,10 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 6_000
+# Limits of the domain name system.
+MAX_HOST_BYTES = 253
+MAX_LABEL_BYTES = 63
+MAX_PORT_DIGITS = 5
 
 
 class UnreachableError(TimeoutError):
@@ -98,11 +102,24 @@
     host, separator, port = text.rpartition(":")
     if not separator or not host or not port.isdigit():
         raise ValueError(f"expected HOST:PORT, found {text!r}")
-    if not 0 < int(port) < 65536:
-        raise ValueError(f"expected a port from 1 to 65535, found {port}")
+    if len(port) > MAX_PORT_DIGITS or not 0 < int(port) < 65536:
+        raise ValueError(f"expected a port from 1 to 65535, found {port:.40}")
+    if not _is_host(host):
+        raise ValueError(f"expected an IP number or name, found {host:.40}")
     return Address(host, int(port))
 
 
+def _is_host(text: str) -> bool:
+    """Returns whether the event loop can look up a host."""
+    labels = text.removesuffix(".").split(".")
+    return (
+        text.isascii()
+        and text.isprintable()
+        and len(text) <= MAX_HOST_BYTES
+        and all(0 < len(label) <= MAX_LABEL_BYTES for label in labels)
+    )
+
+
 class _DatagramProtocol(asyncio.DatagramProtocol):
     """Passes datagrams to a handler; ignores unreachable-port errors."""
 
@@ -117,9 +134,12 @@
     """Returns the system clocks, a generator seeded by the system, and TCP."""
 
     async def connect(address: Address) -> StreamPair:
-        reader, writer = await asyncio.open_connection(
-            address.host, address.port, limit=STREAM_LIMIT_BYTES
-        )
+        try:
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port, limit=STREAM_LIMIT_BYTES
+            )
+        except (UnicodeError, OverflowError) as error:
+            raise OSError(f"{address!s:.40} is no address") from error
         _enable_keepalive(writer)
         return reader, writer
 
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -9,7 +9,6 @@
 
 import loguru
 
-from ruddergate.http import message
 from ruddergate.platform import configuration
 from ruddergate.platform import targets
 from standins import gateway_cluster
--- a/tests/test_malformed_entries.py
+++ b/tests/test_malformed_entries.py
@@ -17,10 +17,12 @@
 import loguru
 import orjson
 
+from ruddergate import environment
 from ruddergate.decisions import draining
 from ruddergate.entry import target_list
 from ruddergate.fleet import condition
 from ruddergate.platform import store
+from ruddergate.platform import targets
 from ruddergate.relay import published
 from tests import gateway_fixture
 
@@ -190,3 +192,36 @@
             self.assertEqual(set(statuses), {200})
 
         gateway_fixture.run_scenario(scenario, engines=6)
+
+
+class AddressTest(unittest.TestCase):
+    """Addresses that the event loop can't look up.
+
+    Guards against the end of the process: an entry of another client with a
+    host label of 64 characters made a probe raise UnicodeError, which is no
+    OSError.
+    """
+
+    def test_entry_with_such_an_address_is_malformed(self) -> None:
+        for address in (
+            "a" * 64 + ":80",
+            "a." * 200 + "b:80",
+            "a..b:80",
+            "\u017d:80",
+            "a\x00b:80",
+            "a b\n:80",
+            "10.0.0.1:99999",
+            "10.0.0.1:" + "1" * 5_000,
+        ):
+            entry = _make_entry("a", address=address)
+            self.assertIsInstance(targets.read_target("a", entry), str)
+
+    def test_connecting_to_such_an_address_fails_as_a_connection(self) -> None:
+        env = environment.make_system_environment()
+        for address in (
+            environment.Address("a" * 64, 80),
+            environment.Address("a..b", 80),
+            environment.Address("127.0.0.1", 99_999),
+        ):
+            with self.assertRaises(OSError):
+                asyncio.run(env.connect(address))
