A caller that leaves is noticed after it has sent further bytes

Callers saw nothing; targets went on with requests whose callers had left.

Cause: the server watched for the end of the connection only until it had read anything behind the request.

Change: it reads on, up to 64 KiB of further requests.

Evidence: tests.test_disconnects: one of three failed before; further requests are still answered in order, and a flood is not read without end.

--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -23,6 +23,9 @@
 ]
 
 _READ_BYTES = 1 << 16
+# Bytes of further requests that are read before a response is complete, while
+# watching whether the caller disconnects.
+_READ_AHEAD_BYTES = 1 << 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -250,20 +253,24 @@
         _respond(writer, connection, handle, incoming, is_closing)
     )
     read_task = asyncio.ensure_future(reader.read(_READ_BYTES))
+    ahead_bytes = 0
     try:
-        await asyncio.wait(
-            {response_task, read_task}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if read_task.done() and not response_task.done():
+        # Without a limit, a caller that sends on and on would fill the memory.
+        while ahead_bytes <= _READ_AHEAD_BYTES:
+            await asyncio.wait(
+                {response_task, read_task}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not read_task.done():
+                break
             data = b"" if read_task.exception() else read_task.result()
-            if not data:
+            if not data and not response_task.done():
                 return True
             connection.receive_data(data)
-            await response_task
-            return False
-        response_task.result()
-        if read_task.done() and not read_task.exception():
-            connection.receive_data(read_task.result())
+            ahead_bytes += len(data)
+            if response_task.done():
+                break
+            read_task = asyncio.ensure_future(reader.read(_READ_BYTES))
+        await response_task
         return False
     finally:
         await _stop(read_task)
