--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,60 @@
+"""Signals while a gateway starts, with real processes.
+
+Guards against a SIGHUP that ended a gateway in its first half second, before it
+handled the signal.
+"""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import unittest
+
+from standins import _private
+
+_TOP = pathlib.Path(__file__).parent.parent
+# After the interpreter has begun to run the program, up to when it serves.
+_DELAYS_S = (0.1, 0.2, 0.3, 0.4, 0.6, 0.8)
+_OBSERVE_S = 0.5
+
+
+class SignalsTest(unittest.TestCase):
+    def test_hangup_while_starting_does_not_end_the_process(self) -> None:
+        started = []
+        try:
+            for _ in _DELAYS_S:
+                started.append(_start_gateway())
+            began_s = time.monotonic()
+            for delay_s, process in zip(_DELAYS_S, started, strict=True):
+                time.sleep(max(0.0, began_s + delay_s - time.monotonic()))
+                process.send_signal(signal.SIGHUP)
+            time.sleep(_OBSERVE_S)
+            ended = [process.poll() for process in started]
+            self.assertEqual(ended, [None] * len(started))
+        finally:
+            for process in started:
+                process.kill()
+                process.wait()
+
+
+def _start_gateway() -> subprocess.Popen:
+    return subprocess.Popen(
+        [sys.executable, "deploy/gateway.py", *_make_flags()],
+        cwd=_TOP,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+def _make_flags() -> list[str]:
+    def find_address() -> str:
+        return f"127.0.0.1:{_private.find_free_port()}"
+
+    flags = {"vm-id": "vm-1", "hall": "h"}
+    for name in ("", "ready-", "metrics-", "peer-"):
+        flags[f"{name}listen"] = find_address()
+    flags["store-address"] = find_address()
+    return [
+        part for name, value in flags.items() for part in (f"--{name}", value)
+    ]
