HEAD requests are answered without a body, and CONNECT is refused

Callers saw: a HEAD request to a known or unknown route closed the connection without an answer; CONNECT did, too, once a target had answered it.

Cause: the body of the answer was handed to h11, which allows none for HEAD, and no data after a success to CONNECT. The LocalProtocolError ended the connection.

Change: no body is sent in response to HEAD, and CONNECT gets 405 when its head is read.

--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -22,6 +22,7 @@
     [message.IncomingRequest], Awaitable[message.Response]
 ]
 
+_HEAD = "HEAD"
 _READ_BYTES = 1 << 16
 # Bytes of further requests that are read before a response is complete, while
 # watching whether the caller disconnects.
@@ -212,6 +213,9 @@
         if event is h11.NEED_DATA:
             connection.receive_data(await reader.read(_READ_BYTES))
         elif isinstance(event, h11.Request):
+            if event.method == b"CONNECT":
+                # A success would turn the connection into a tunnel.
+                return _InvalidInput(405, "CONNECT is not supported")
             head = event
         elif isinstance(event, h11.Data):
             body += event.data
@@ -301,7 +305,8 @@
             status_code=response.status, headers=message.encode_fields(headers)
         )
         sent = connection.send(head)
-        sent += connection.send(h11.Data(data=response.body))
+        if incoming.method != _HEAD:
+            sent += connection.send(h11.Data(data=response.body))
         writer.write(sent + connection.send(h11.EndOfMessage()))
         await writer.drain()
         return
@@ -316,6 +321,8 @@
     try:
         async with contextlib.aclosing(response.body) as chunks:
             async for chunk in chunks:
+                if incoming.method == _HEAD:
+                    break
                 writer.write(pending + connection.send(h11.Data(data=chunk)))
                 pending = b""
                 await writer.drain()
