--- /dev/null
+++ b/standins/fuzz_inputs.py
@@ -0,0 +1,253 @@
+"""Arbitrary inputs at the boundaries of a gateway, as `hypothesis` strategies.
+
+Most are close to valid: they are valid ones with some bytes or fields replaced,
+as others are refused before they reach much code.
+"""
+
+import base64
+import dataclasses
+import enum
+from typing import TypeAlias
+
+from hypothesis import strategies
+import orjson
+
+from standins import gateway_cluster
+
+
+class Boundary(enum.StrEnum):
+    """Where inputs come from."""
+
+    CALLERS = "callers"
+    TARGETS = "targets"
+    PEERS = "peers"
+    STORE = "store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """What somebody writes to the store, or an answer of the store itself.
+
+    Attributes:
+        key: The key; empty for the body of an answer.
+        value: The raw value or body.
+    """
+
+    key: str
+    value: bytes
+
+
+Input: TypeAlias = bytes | Item
+
+_NUMBERS = strategies.one_of(
+    strategies.integers(-(2**70), 2**70).map(str),
+    strategies.floats().map(str),
+    strategies.sampled_from(
+        ("", "0", "-1", "1e400", "nan", "9" * 4_400, "1_0", "0x10", "1,2", " 1")
+    ),
+)
+_TEXTS = strategies.one_of(
+    _NUMBERS,
+    strategies.text(
+        strategies.characters(min_codepoint=32, max_codepoint=255), max_size=40
+    ),
+    strategies.sampled_from(("a" * 5_000, "close", "chunked", "\xff\xfe", "*")),
+)
+_CALLER_HEADERS = (
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Token-Usage",
+    "X-Prefix-Hash",
+    "X-Api-Key",
+    "Last-Event-Id",
+    "Content-Length",
+    "Transfer-Encoding",
+    "Connection",
+    "Expect",
+    "Host",
+    "Helpers",
+    "Priority",
+    "Upgrade",
+)
+_TARGET_HEADERS = (
+    "X-Attempt-Id",
+    "X-Replica-Signature",
+    "X-Replica-Load",
+    "X-Not-Executed",
+    "At-Server",
+    "Retry-After",
+    "Server-Leaving",
+    "Server-Limit",
+    "Content-Length",
+    "Transfer-Encoding",
+    "Connection",
+    "Versions",
+)
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=6,
+)
+
+
+@strategies.composite
+def _mutated(draw, data: bytes) -> bytes:  # noqa: ANN001
+    """Draws bytes with a few places replaced, removed or doubled."""
+    for _ in range(draw(strategies.integers(0, 3))):
+        at = draw(strategies.integers(0, len(data)))
+        length = draw(strategies.integers(0, 12))
+        put = draw(strategies.binary(max_size=12))
+        if draw(strategies.booleans()):
+            put = data[at : at + length] * 2
+        data = data[:at] + put + data[at + length :]
+    return (
+        data[: draw(strategies.integers(0, len(data)))]
+        if draw(strategies.integers(0, 9)) == 0
+        else data
+    )
+
+
+def _encode_head(first_line: str, headers: dict[str, str]) -> bytes:
+    lines = [first_line, *(f"{name}: {text}" for name, text in headers.items())]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
+@strategies.composite
+def _caller_bytes(draw) -> bytes:  # noqa: ANN001
+    body = draw(strategies.binary(max_size=60))
+    route = draw(strategies.sampled_from(("short", "unsafe", "open", "none")))
+    method = draw(
+        strategies.sampled_from(("POST", "GET", "HEAD", "CONNECT", "OPTIONS"))
+    )
+    version = draw(strategies.sampled_from(("1.1", "1.1", "1.1", "1.0", "2.0")))
+    headers = {
+        "Host": gateway_cluster.HOST,
+        "X-Attempt-Id": draw(strategies.uuids()).hex,
+        "X-Deadline-Ms": "500",
+        "X-Api-Key": gateway_cluster.KEY,
+        "X-Token-Usage": "100,40",
+        "X-Prefix-Hash": "aa:40,bb:60",
+        "Content-Length": str(len(body)),
+    }
+    headers |= draw(
+        strategies.dictionaries(
+            strategies.sampled_from(_CALLER_HEADERS), _TEXTS, max_size=3
+        )
+    )
+    head = _encode_head(f"{method} /{route}/x HTTP/{version}", headers)
+    return draw(_mutated(head + body))
+
+
+@strategies.composite
+def _target_bytes(draw) -> bytes:  # noqa: ANN001
+    body = draw(
+        strategies.one_of(
+            strategies.binary(max_size=80),
+            strategies.sampled_from(
+                (
+                    b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                    b"id: 1\ndata: a\n\nid: 2\nda",
+                    b"10\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+                )
+            ),
+        )
+    )
+    status = draw(
+        strategies.sampled_from(
+            (200, 200, 200, 201, 204, 304, 404, 421, 429, 500, 503, 100, 101)
+        )
+    )
+    headers = {
+        "X-Replica-Signature": "s",
+        "X-Replica-Load": "1,0,8",
+        "Content-Length": str(len(body)),
+    }
+    headers |= draw(
+        strategies.dictionaries(
+            strategies.sampled_from(_TARGET_HEADERS), _TEXTS, max_size=4
+        )
+    )
+    return draw(_mutated(_encode_head(f"HTTP/1.1 {status} x", headers) + body))
+
+
+@strategies.composite
+def _store_item(draw) -> Item:  # noqa: ANN001
+    entry = {
+        "service": draw(strategies.sampled_from(("engines", "notices"))),
+        "address": "10.0.0.1:80",
+        "zone": "hall-0",
+        "slots": 8,
+        # It is never used, so that callers are not sent there.
+        "state": "draining",
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    }
+    entry |= draw(
+        strategies.dictionaries(
+            strategies.sampled_from((*entry, "cold-remaining-ms", "x")),
+            _JSON,
+            max_size=3,
+        )
+    )
+    data = draw(_mutated(orjson.dumps(entry)))
+    name = draw(
+        strategies.one_of(
+            strategies.text(min_size=1, max_size=30),
+            strategies.sampled_from(("a" * 150, "x\r\ny", "\x00", "../x", "%")),
+        )
+    )
+    key = draw(strategies.sampled_from(("servers/", "op/", "other/"))) + name
+    if draw(strategies.integers(0, 3)) == 0:
+        return Item("", draw(_store_answer()))
+    return Item(key, data)
+
+
+@strategies.composite
+def _store_answer(draw) -> bytes:  # noqa: ANN001
+    item = {
+        "key": "servers/other",
+        "value": base64.b64encode(b"{}").decode(),
+        "revision": 5,
+    }
+    item |= draw(
+        strategies.dictionaries(
+            strategies.sampled_from((*item, "gone")), _JSON, max_size=2
+        )
+    )
+    document = {"items": [item], "events": [item], "more": False, "at": 7}
+    document |= draw(
+        strategies.dictionaries(
+            strategies.sampled_from((*document, "x")), _JSON, max_size=2
+        )
+    )
+    return draw(_mutated(orjson.dumps(document)))
+
+
+def make_strategy(
+    boundary: Boundary, datagrams: tuple[bytes, ...] = ()
+) -> strategies.SearchStrategy[Input]:
+    """Returns inputs at a boundary.
+
+    Args:
+        boundary: Where they come from.
+        datagrams: Valid datagrams of peers, to be changed.
+    """
+    match boundary:
+        case Boundary.CALLERS:
+            return _caller_bytes()
+        case Boundary.TARGETS:
+            return _target_bytes()
+        case Boundary.STORE:
+            return _store_item()
+        case Boundary.PEERS:
+            return strategies.one_of(
+                strategies.binary(max_size=200),
+                strategies.sampled_from(datagrams).flatmap(_mutated),
+            )
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -289,7 +289,10 @@
 
     async def _run(self, incoming: message.IncomingRequest) -> message.Response:
         fields = incoming.headers
-        after = int(fields.get("last-event-id", "0") or 0)
+        after_text = fields.get("last-event-id", "") or "0"
+        if "x-attempt-id" not in fields or not after_text.isdecimal():
+            return message.Response(400, {"X-Not-Executed": "1"}, b"")
+        after = int(after_text)
         run = Run(
             fields["x-attempt-id"],
             self.name,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -42,6 +42,7 @@
         calls: Number of requests, answered or not.
         watch_revision_max: Watches return changes only up to this revision;
             None for all.
+        overrides: Bodies that answer the next calls, in place of the content.
     """
 
     def __init__(self) -> None:
@@ -50,6 +51,7 @@
         self.failure = ""
         self.calls = 0
         self.watch_revision_max: int | None = None
+        self.overrides: list[bytes] = []
         self._items: dict[str, _Change] = {}
         self._history: list[_Change] = []
         self._compacted_revision = 0
@@ -126,6 +128,8 @@
                 return message.Response(200, {}, _abort())
             case "silent":
                 await asyncio.sleep(3_600.0)
+        if self.overrides:
+            return message.Response(200, {}, self.overrides.pop(0))
         query = dict(urllib.parse.parse_qsl(incoming.query))
         if incoming.path.endswith("kv-range"):
             return self._read(query)
