--- a/src/ruddergate/entry/failover.py
+++ b/src/ruddergate/entry/failover.py
@@ -360,9 +360,10 @@
         shared.interrupted |= self.progress.interrupted - {
             self._silent.incarnation
         }
-        self._count_sent()
         if self._is_sent():
             self._has_retry = False
+        self._count_sent()
+        self._attempt = None
 
 
 async def _end(task: asyncio.Future) -> None:
