--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -290,7 +290,7 @@
     async def _run(self, incoming: message.IncomingRequest) -> message.Response:
         fields = incoming.headers
         after_text = fields.get("last-event-id", "") or "0"
-        if "x-attempt-id" not in fields or not after_text.isdecimal():
+        if "x-attempt-id" not in fields or not _EVENT_ID.fullmatch(after_text):
             return message.Response(400, {"X-Not-Executed": "1"}, b"")
         after = int(after_text)
         run = Run(
@@ -416,6 +416,7 @@
     return first + suffix.encode("latin-1") + b"\n" + rest
 
 
+_EVENT_ID = re.compile(r"\d{1,9}", re.ASCII)
 _USAGE = re.compile(r"\d{1,9},\d{1,9}", re.ASCII)
 
 
