An error of a silent target does not end the second attempt

Callers saw: a repeatable service call whose target was silent, and then answered 500, got that 500 although another target was about to answer.

Cause: any response of the silent target counted as one to go on with.

Change: what would be retried counts as a failure of the silent attempt, and the second one, if it was sent, goes on.

Evidence: the new test in tests.test_silent_targets failed before.

--- a/src/ruddergate/entry/failover.py
+++ b/src/ruddergate/entry/failover.py
@@ -134,13 +134,14 @@
             event = reading.result()
         finally:
             await _end(reading)
-        if not isinstance(event, outcomes.NotServed):
+        failure = attempt_outcome.find_failure(event, self.progress)
+        if failure is None:
             self._log_silence("it responds again", "responded")
             return event
         self._log_silence("it has failed", "failed")
         await standby.finish_alone()
         if standby.has_responded():
-            self._log_failure(event)
+            self._log_failure(failure)
             return None
         return event
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -148,6 +148,21 @@
 
         gateway_fixture.run_scenario(scenario, engines=1, services=2, halls=1)
 
+    def test_error_of_a_silent_target_does_not_end_the_second_attempt(
+        self,
+    ) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            fixture.inject_faults("service", answer_delay_s=1.5, fail=1.0)
+            call = asyncio.ensure_future(fixture.call("safe"))
+            await asyncio.sleep(0.3)
+            for node in fixture.cluster.targets.values():
+                if not node.replica.runs:
+                    node.replica.faults.fail = 0.0
+                    node.replica.faults.answer_delay_s = 0.8
+            self._check_all_served(fixture, [await call])
+
+        gateway_fixture.run_scenario(scenario, engines=1, services=2, halls=1)
+
     def test_unused_retries_are_returned(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             budget = fixture.cluster.vms["vm-0"].gateway.context.budget
