--- a/standins/fuzz_inputs.py
+++ b/standins/fuzz_inputs.py
@@ -83,7 +83,8 @@
     "Connection",
     "Versions",
 )
-_JSON = strategies.recursive(
+# Any JSON document of a small size.
+JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-(2**63), 2**64 - 1)
@@ -192,7 +193,7 @@
     entry |= draw(
         strategies.dictionaries(
             strategies.sampled_from((*entry, "cold-remaining-ms", "x")),
-            _JSON,
+            JSON,
             max_size=3,
         )
     )
@@ -236,13 +237,13 @@
     }
     item |= draw(
         strategies.dictionaries(
-            strategies.sampled_from((*item, "gone")), _JSON, max_size=2
+            strategies.sampled_from((*item, "gone")), JSON, max_size=2
         )
     )
     document = {"items": [item], "events": [item], "more": False, "at": 7}
     document |= draw(
         strategies.dictionaries(
-            strategies.sampled_from((*document, "x")), _JSON, max_size=2
+            strategies.sampled_from((*document, "x")), JSON, max_size=2
         )
     )
     return draw(_mutated(orjson.dumps(document)))
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -34,6 +34,12 @@
         call = gateway_caller.Call(f"r{self._count}", route, vm, **fields)
         return await self.caller.send(call)
 
+    def reset_busy_targets(self) -> None:
+        """Resets the connections of the targets that have run a request."""
+        for node in self.cluster.targets.values():
+            if node.replica.runs:
+                self.cluster.network.reset_node(node.process)
+
     def find_runs(
         self, result: gateway_caller.CallResult
     ) -> list[platform_replica.Run]:
--- a/tests/test_malformed_settings.py
+++ b/tests/test_malformed_settings.py
@@ -14,20 +14,9 @@
 from ruddergate.platform import targets
 from ruddergate.settings import catalog as catalogs
 from ruddergate.settings import route as routes
+from standins import fuzz_inputs
 from standins import gateway_cluster
 
-_JSON = strategies.recursive(
-    strategies.none()
-    | strategies.booleans()
-    | strategies.integers(-(2**63), 2**64 - 1)
-    | strategies.floats(allow_nan=False, allow_infinity=False)
-    | strategies.text(max_size=8),
-    lambda inner: (
-        strategies.lists(inner, max_size=3)
-        | strategies.dictionaries(strategies.text(max_size=8), inner)
-    ),
-    max_leaves=6,
-)
 _KEYS = {"w1": ["k1"], "w2": ["k2"]}
 
 
@@ -56,7 +45,7 @@
 
 
 class SettingsTest(unittest.TestCase):
-    @hypothesis.given(strategies.sampled_from(_PATHS), _JSON)
+    @hypothesis.given(strategies.sampled_from(_PATHS), fuzz_inputs.JSON)
     @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
     def test_malformed_value_is_refused_or_usable(
         self, path: tuple, value: object
@@ -77,7 +66,7 @@
         self.assertGreaterEqual(route.targets_max, 1)
         self.assertGreater(len(route.shares), 0)
 
-    @hypothesis.given(_JSON)
+    @hypothesis.given(fuzz_inputs.JSON)
     @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
     def test_any_document_is_refused_or_read(self, document: object) -> None:
         found = configuration.read_catalog(document)
@@ -85,7 +74,7 @@
 
 
 class LoadReportTest(unittest.TestCase):
-    @hypothesis.given(_JSON)
+    @hypothesis.given(fuzz_inputs.JSON)
     @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
     def test_start_time_is_an_integer_or_unknown(self, document) -> None:
         started_ms = targets.read_started_ms(document)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -28,9 +28,7 @@
                 fixture.call("short", output_tokens=2_000)
             )
             await asyncio.sleep(0.2)
-            for node in fixture.cluster.targets.values():
-                if node.replica.runs:
-                    fixture.cluster.network.reset_node(node.process)
+            fixture.reset_busy_targets()
             result = await call
             self.assertEqual((result.status, result.is_complete), (200, False))
             self.assertNotIn(b"whole", result.body)
