--- a/standins/stop_schedules.py
+++ b/standins/stop_schedules.py
@@ -36,6 +36,7 @@
 _VM = "vm-0"
 _WARM_UP_S = 2.0
 _TOKENS_PER_S = 1_000.0
+_DELIVERY_S = 0.1
 _ROUTES = ("short", "short", "unsafe", "safe", "once")
 
 
@@ -125,6 +126,9 @@
             async with asyncio.timeout(GRACE_S):
                 await asyncio.shield(node.task)
         self._took_s = loop.time() - self._stop_s
+        if node.task.done():
+            # The system still delivers what a process that has ended had sent.
+            await asyncio.sleep(_DELIVERY_S)
         self._cluster.kill(node)
 
     async def _run_callers(self, env: environment.Environment) -> None:
