--- a/src/ruddergate/platform/configuration.py
+++ b/src/ruddergate/platform/configuration.py
@@ -166,7 +166,7 @@
     for each in tenants:
         name = _private.get(each, "name", str, "")
         if not message.is_field_value(message.make_field_value(name)):
-            # Targets could not be told whose request it is.
+            # Such a name cannot be sent to targets.
             continue
         workspace = catalogs.Workspace(name, _read_rank(each))
         for key in _private.get(each, "api-keys", list, []):
