Interim responses without end no longer stop a VM

Cause: reading a head skipped each interim response without counting them. The reader returns at once while there is data, so the event loop had no turn and its overload guard closed new connections.

Change: after 16 interim responses the connection is closed, and the attempt ends as target_broke_protocol, ran unknown; it is retried where that is safe, and counts against the target.

Evidence: tests.test_endless_responses.EndlessResponseTest .test_interim_responses_without_end did not end within 100 s before, and takes 4 ms now. Why it holds: what is parsed before a response is at most 16 heads of 16 KiB (h11's limit) and what was received with them.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -14,6 +14,12 @@
 from ruddergate.http import message
 
 _READ_BYTES = 1 << 18
+# Interim responses (1xx) that may precede a response.
+MAX_INTERIM_RESPONSES = 16
+
+
+class ResponseError(Exception):
+    """The peer sent what can't belong to a response."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,11 +30,13 @@
         sent: Whether any byte of the request may have left this process.
         timed_out: Whether it failed because of a timeout.
         detail: One sentence for logs.
+        broke_protocol: Whether the peer sent what can't belong to a response.
     """
 
     sent: bool
     timed_out: bool
     detail: str
+    broke_protocol: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +102,7 @@
         self._reader = reader
         self._writer = writer
         self._connection = h11.Connection(h11.CLIENT)
+        self._interim_responses = 0
 
     def send(
         self, address: environment.Address, request: message.OutgoingRequest
@@ -137,6 +146,8 @@
             return Fault(False, True, f"not sent: {error}")
         except (OSError, h11.RemoteProtocolError) as error:
             return Fault(True, False, f"no response: {error}")
+        except ResponseError as error:
+            return _make_protocol_fault(error)
         if not isinstance(event, h11.Response):
             return Fault(
                 True, False, "the connection was closed before a response"
@@ -156,6 +167,8 @@
             event = await self._next_event()
         except (OSError, h11.RemoteProtocolError) as error:
             return Fault(True, False, f"the response was cut off: {error}")
+        except ResponseError as error:
+            return _make_protocol_fault(error)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -187,6 +200,7 @@
                     raise ConnectionError("the target closed it") from error
                 raise
             if isinstance(event, h11.InformationalResponse):
+                self._note_interim_response()
                 continue
             if event is not h11.NEED_DATA:
                 return event
@@ -194,6 +208,17 @@
             has_ended = not data
             self._connection.receive_data(data)
 
+    def _note_interim_response(self) -> None:
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise ResponseError(
+                f"more than {MAX_INTERIM_RESPONSES} interim responses"
+            )
+
+
+def _make_protocol_fault(error: ResponseError) -> Fault:
+    return Fault(True, False, str(error), broke_protocol=True)
+
 
 async def start(
     env: environment.Environment,
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -215,6 +215,8 @@
 
 
 def _make_target_lost(fault: client.Fault) -> outcomes.NotServed:
+    if fault.broke_protocol:
+        return _make_protocol_error(fault.detail)
     if not fault.sent:
         reason = outcomes.Reason.TARGET_GONE
         if fault.timed_out:
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,103 @@
+"""Targets that send without end cost a bounded amount and are left at once."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from ruddergate import environment
+from ruddergate import outcomes
+from ruddergate.http import client
+from ruddergate.platform import upstream
+from ruddergate.relay import hints as hint_types
+from ruddergate.relay import response_event as response_events
+from standins import flooding_target
+from standins import virtual_network
+from standins import virtual_process
+from tests import upstream_fixture
+
+_ADDRESS = environment.Address("target", 1)
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-replica-signature: s\r\n"
+    b"content-type: text/event-stream\r\n"
+)
+_CHUNKED = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
+_UNFRAMED = _HEAD + b"\r\n"
+_INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+_TEXT = b"x" * flooding_target.PIECE_BYTES
+_MB = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """How a flooded request ended.
+
+    Attributes:
+        last: Its last event.
+        took_s: How long it took.
+        flooded_bytes: What its target had sent by its end.
+        turns: Turns that another task of the process had meanwhile.
+    """
+
+    last: response_events.Event
+    took_s: float
+    flooded_bytes: int
+    turns: int
+
+
+def _receive_flood(head: bytes, piece: bytes, is_stream: bool) -> _Result:
+    flood = flooding_target.Flood(head, piece)
+
+    async def run() -> _Result:
+        network = virtual_network.VirtualNetwork(1, virtual_network.Latency())
+        target = virtual_process.VirtualProcess("target", "h")
+        target_env = network.make_environment(target, 1)
+        await target.start(
+            lambda: flooding_target.start_flood(target_env, _ADDRESS, flood)
+        )
+        vm = virtual_process.VirtualProcess("vm", "h")
+        return await vm.start(
+            lambda: _send_request(network.make_environment(vm, 1), flood)
+        )
+
+    async def _send_request(
+        env: environment.Environment, flood: flooding_target.Flood
+    ) -> _Result:
+        turns = 0
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                await asyncio.sleep(0.001)
+                turns += 1
+
+        counting = asyncio.ensure_future(count_turns())
+        send = upstream.make_send(env, hint_types.ignore_hints)
+        began_ms = env.now_ms()
+        request = upstream_fixture.make_request(is_stream, began_ms)
+        events = [event async for event in send(request)]
+        counting.cancel()
+        took_s = (env.now_ms() - began_ms) / 1000.0
+        return _Result(events[-1], took_s, flood.sent_bytes, turns)
+
+    return virtual_process.run(run)
+
+
+class EndlessResponseTest(unittest.TestCase):
+    def check_left_at_once(
+        self, result: _Result, max_bytes: int, within_s: float = 1.0
+    ) -> None:
+        """Checks that a target is left, and what is told of its request."""
+        self.assertIsInstance(result.last, outcomes.NotServed)
+        self.assertIs(result.last.reason, outcomes.Reason.TARGET_BROKE_PROTOCOL)
+        self.assertIs(result.last.ran, outcomes.Ran.UNKNOWN)
+        self.assertLess(result.took_s, within_s)
+        self.assertLess(result.flooded_bytes, max_bytes)
+
+    # Interim responses were skipped without a bound, and without giving other
+    # requests a turn.
+    def test_interim_responses_without_end(self) -> None:
+        piece = flooding_target.make_piece(_INTERIM)
+        for is_stream in (False, True):
+            with self.subTest(is_stream=is_stream):
+                result = _receive_flood(b"", piece, is_stream)
+                self.check_left_at_once(result, _MB)
--- a/tests/upstream_fixture.py
+++ b/tests/upstream_fixture.py
@@ -36,9 +36,10 @@
     )
 
 
-def _make_request(
+def make_request(
     is_stream: bool, now_ms: float
 ) -> upstream_requests.UpstreamRequest:
+    """Returns a request with a deadline of 10 s."""
     payload = payloads.Payload(
         _make_route(is_stream),
         "POST",
@@ -86,7 +87,7 @@
         send = upstream.make_send(env, hint_types.ignore_hints)
 
         async def collect() -> list[response_events.Event]:
-            request = _make_request(is_stream, env.now_ms())
+            request = make_request(is_stream, env.now_ms())
             return [event async for event in send(request)]
 
         return await vm.start(collect)
