An event that never ends costs bounded memory and linear work

Cause: the splitter joined all that it held with each piece and searched it again from the start, without a bound, until the deadline.

Change: each byte is searched once, and a partial event of more than 1 MiB ends the attempt as target_broke_protocol. Events of engines hold some hundred bytes.

Why it holds: what is buffered is below the bound before each read, and a read adds at most 256 KiB.

--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -363,6 +363,11 @@
             yield _make_stream_lost("the stream ended without any event")
             return
         events = splitter.feed(chunk) if chunk else None
+        if splitter.is_too_long():
+            yield _make_protocol_error(
+                f"an event exceeds {event_splitter.MAX_EVENT_BYTES} bytes"
+            )
+            return
         if chunk and events is None:
             continue
         if not has_begun:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,8 +6,8 @@
 
 from ruddergate import environment
 from ruddergate import outcomes
-from ruddergate.http import client
 from ruddergate.platform import upstream
+from ruddergate.relay import event_splitter
 from ruddergate.relay import hints as hint_types
 from ruddergate.relay import response_event as response_events
 from standins import flooding_target
@@ -101,3 +101,16 @@
             with self.subTest(is_stream=is_stream):
                 result = _receive_flood(b"", piece, is_stream)
                 self.check_left_at_once(result, _MB)
+
+    # An event was joined and searched anew with each of its pieces, and grew
+    # until the deadline.
+    def test_event_without_end(self) -> None:
+        for head, piece in (
+            (_UNFRAMED, _TEXT),
+            (_CHUNKED, flooding_target.make_chunk(_TEXT)),
+        ):
+            with self.subTest(head=head):
+                result = _receive_flood(head, piece, is_stream=True)
+                self.check_left_at_once(
+                    result, 2 * event_splitter.MAX_EVENT_BYTES
+                )
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -1,5 +1,6 @@
 """Streams are split at the ends of events, however the bytes arrive."""
 
+import time
 import unittest
 
 import hypothesis
@@ -39,3 +40,16 @@
         self.assertEqual(events.data, b"id: 1\ndata: a\n\n")
         self.assertEqual(events.last_event_id, "1")
         self.assertFalse(splitter.is_between_events())
+
+    # Each piece was joined with all that was buffered, so a long event in
+    # small pieces took the square of its length.
+    def test_work_is_linear_in_the_length_of_an_event(self) -> None:
+        splitter = event_splitter.EventSplitter()
+        piece = b"x" * 16
+        began_s = time.process_time()
+        for _ in range(event_splitter.MAX_EVENT_BYTES // len(piece)):
+            self.assertIsNone(splitter.feed(piece))
+        self.assertFalse(splitter.is_too_long())
+        self.assertIsNone(splitter.feed(piece))
+        self.assertTrue(splitter.is_too_long())
+        self.assertLess(time.process_time() - began_s, 2.0)
