Bodies that are read whole share a bounded amount of memory

Cause: a body that is not streamed was gathered until its end or the deadline, so its size was its sender's choice.

Change: all such bodies of a VM share an eighth of its memory (--memory-mb, given by the platform). Beyond that the longest one is dropped, at once, also while its target is silent: target_broke_protocol, ran unknown. A length that exceeds all of it is refused with the head. A sound body is read as long as there is memory for all.

Why it holds: no byte is kept that isn't counted, and the count is brought below the limit in the step that adds.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -15,6 +15,7 @@
 from ruddergate.entry import gateway as gateways
 from ruddergate.entry import peer_gossip
 from ruddergate.entry import poll_config
+from ruddergate.http import body_memory
 from ruddergate.http import client
 from ruddergate.http import server
 from ruddergate.platform import callers
@@ -60,6 +61,7 @@
 # A planned stop ends this long before its time limit, even if requests are
 # still open.
 _STOP_MARGIN_MS = 400.0
+_BYTES_PER_MB = 1_000_000
 StrictRevoke: TypeAlias = Literal["true", "false"]
 
 
@@ -82,6 +84,7 @@
     apply_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     leave_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     link_mbps: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
+    memory_mb: Annotated[float, _private.number(1, 1_000_000)] = 256.0,
     store_timeout_ms: Annotated[float, _private.number(10, 60_000)] = 1_500.0,
     body_bytes_max: Annotated[int, _private.number(1, 64_000_000)] = 8_000_000,
     connections_max: Annotated[int, _private.number(1, 100_000)] = 3_000,
@@ -114,6 +117,8 @@
         leave_ms: Time within which a draining target gets no new work (ms).
         link_mbps: Bandwidth of this VM's link (Mbit/s); VMs with fast links
             relay digests.
+        memory_mb: Memory of this VM (MB); a part of it bounds the bodies of
+            responses that are being read.
         store_timeout_ms: Longest pause in a response of the store (ms).
         body_bytes_max: Maximum size of a request body (bytes).
         connections_max: Maximum number of open connections of callers.
@@ -154,9 +159,14 @@
             round(link_mbps),
         ),
     )
+    response_memory = body_memory.BodyMemory(
+        round(memory_mb * _BYTES_PER_MB * body_memory.MEMORY_FRACTION)
+    )
     platform = gateways.Platform(
         caller_protocol=callers.make_caller_protocol(),
-        make_send=upstream.make_send,
+        make_send=lambda target_env, on_hints: upstream.make_send(
+            target_env, on_hints, response_memory
+        ),
         make_orders=lambda target_env, on_hints: orders.make_orders(
             target_env, _ORDER_TIMEOUTS, on_hints
         ),
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -11,6 +11,7 @@
 import orjson
 
 from ruddergate import environment
+from ruddergate.http import body_memory
 from ruddergate.http import message
 
 _READ_BYTES = 1 << 18
@@ -175,16 +176,42 @@
             return b""
         return Fault(True, False, "the response was cut off")
 
-    async def read_all(self) -> bytes | Fault:
-        """Returns the rest of the body."""
-        body = bytearray()
-        while True:
+    async def read_all(
+        self, memory: body_memory.BodyMemory | None = None
+    ) -> bytes | Fault:
+        """Returns the rest of the body.
+
+        Args:
+            memory: Bounds the memory of this body and others that are read.
+        """
+        memory = memory or body_memory.BodyMemory()
+        if self._read_length() > memory.limit_bytes:
+            return _make_dropped_fault()
+        try:
+            async with asyncio.timeout(None) as scope:
+                # A time in the past ends the reading at once.
+                body = memory.open(lambda: scope.reschedule(0.0))
+                try:
+                    return await self._gather(body)
+                finally:
+                    body.close()
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return _make_dropped_fault()
+
+    async def _gather(self, body: body_memory.Body) -> bytes | Fault:
+        while not body.is_dropped:
             chunk = await self.read_chunk()
             if isinstance(chunk, Fault):
                 return chunk
             if not chunk:
-                return bytes(body)
-            body += chunk
+                return body.copy()
+            body.append(chunk)
+        return _make_dropped_fault()
+
+    def _read_length(self) -> int:
+        return int(self.headers.get("content-length", "0"))
 
     def close(self) -> None:
         """Closes the stream and drops the rest of the response."""
@@ -216,6 +243,12 @@
             )
 
 
+def _make_dropped_fault() -> Fault:
+    return Fault(
+        True, False, "the body takes too much memory", broke_protocol=True
+    )
+
+
 def _make_protocol_fault(error: ResponseError) -> Fault:
     return Fault(True, False, str(error), broke_protocol=True)
 
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -10,6 +10,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.fleet import load_report
+from ruddergate.http import body_memory
 from ruddergate.http import client
 from ruddergate.http import message
 from ruddergate.platform import headers
@@ -35,14 +36,18 @@
 
 
 def make_send(
-    env: environment.Environment, on_hints: hint_types.OnHints
+    env: environment.Environment,
+    on_hints: hint_types.OnHints,
+    memory: body_memory.BodyMemory | None = None,
 ) -> upstream_requests.Send:
     """Returns the function that sends a request to a target.
 
     Args:
         env: Clock and streams.
         on_hints: Handles the hints in the responses of targets.
+        memory: Bounds the memory of responses that are not streamed.
     """
+    bounded_memory = memory or body_memory.BodyMemory()
 
     async def send(
         upstream_request: upstream_requests.UpstreamRequest,
@@ -63,7 +68,12 @@
                 return
             sent_ms = env.now_ms()
             async for event in _read(
-                env, upstream_request, exchange, on_hints, sent_ms
+                env,
+                upstream_request,
+                exchange,
+                on_hints,
+                sent_ms,
+                bounded_memory,
             ):
                 yield event
         finally:
@@ -130,6 +140,7 @@
     exchange: client.Exchange,
     on_hints: hint_types.OnHints,
     sent_ms: float,
+    memory: body_memory.BodyMemory,
 ) -> AsyncIterator[response_events.Event]:
     until_ms = min(
         upstream_request.deadline_ms,
@@ -159,7 +170,7 @@
         yield failure
         return
     if not upstream_request.payload.route.is_stream or exchange.status != _OK:
-        yield await _read_whole(env, upstream_request, exchange)
+        yield await _read_whole(env, upstream_request, exchange, memory)
         return
     async for event in _read_stream(env, upstream_request, exchange, until_ms):
         yield event
@@ -320,11 +331,12 @@
     env: environment.Environment,
     upstream_request: upstream_requests.UpstreamRequest,
     exchange: client.Exchange,
+    memory: body_memory.BodyMemory,
 ) -> response_events.Event:
     # What was read of a body is lost when reading times out, so there is no
     # second read as in `_wait`.
     body = await _read_until(
-        exchange.read_all, env, upstream_request.deadline_ms
+        lambda: exchange.read_all(memory), env, upstream_request.deadline_ms
     )
     if isinstance(body, _TimedOut):
         return _make_time_limit()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 from ruddergate import environment
 from ruddergate import outcomes
+from ruddergate.http import body_memory
 from ruddergate.platform import upstream
 from ruddergate.relay import event_splitter
 from ruddergate.relay import hints as hint_types
@@ -25,6 +26,7 @@
 _INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TEXT = b"x" * flooding_target.PIECE_BYTES
 _MB = 1 << 20
+_MEMORY_BYTES = 4 * _MB
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,8 +46,16 @@
     turns: int
 
 
-def _receive_flood(head: bytes, piece: bytes, is_stream: bool) -> _Result:
-    flood = flooding_target.Flood(head, piece)
+def _receive_flood(
+    head: bytes,
+    piece: bytes,
+    is_stream: bool,
+    requests: int = 1,
+    interval_s: float = flooding_target.PIECE_INTERVAL_S,
+) -> _Result:
+    """Sends requests to a target that floods; returns how the last ends."""
+    flood = flooding_target.Flood(head, piece, interval_s)
+    memory = body_memory.BodyMemory(_MEMORY_BYTES)
 
     async def run() -> _Result:
         network = virtual_network.VirtualNetwork(1, virtual_network.Latency())
@@ -71,13 +81,18 @@
                 turns += 1
 
         counting = asyncio.ensure_future(count_turns())
-        send = upstream.make_send(env, hint_types.ignore_hints)
+        send = upstream.make_send(env, hint_types.ignore_hints, memory)
         began_ms = env.now_ms()
-        request = upstream_fixture.make_request(is_stream, began_ms)
-        events = [event async for event in send(request)]
+
+        async def collect() -> list[response_events.Event]:
+            request = upstream_fixture.make_request(is_stream, began_ms)
+            return [event async for event in send(request)]
+
+        results = await asyncio.gather(*(collect() for _ in range(requests)))
         counting.cancel()
         took_s = (env.now_ms() - began_ms) / 1000.0
-        return _Result(events[-1], took_s, flood.sent_bytes, turns)
+        assert memory.used_bytes == 0
+        return _Result(results[-1][-1], took_s, flood.sent_bytes, turns)
 
     return virtual_process.run(run)
 
@@ -114,3 +129,42 @@
                 self.check_left_at_once(
                     result, 2 * event_splitter.MAX_EVENT_BYTES
                 )
+
+    # A body that is not streamed grew until the deadline.
+    def test_body_without_end(self) -> None:
+        length = b"content-length: 99999999999999\r\n\r\n"
+        for head, piece in (
+            (_UNFRAMED, _TEXT),
+            (_CHUNKED, flooding_target.make_chunk(_TEXT)),
+            (_HEAD + length, _TEXT),
+        ):
+            with self.subTest(head=head):
+                result = _receive_flood(head, piece, is_stream=False)
+                self.check_left_at_once(result, 2 * _MEMORY_BYTES)
+
+    def test_bodies_without_end_share_the_memory(self) -> None:
+        result = _receive_flood(_UNFRAMED, _TEXT, False, requests=20)
+        self.check_left_at_once(result, 20 * _MEMORY_BYTES, within_s=3.0)
+
+
+class BodyMemoryTest(unittest.TestCase):
+    def test_longest_body_is_dropped_first(self) -> None:
+        memory = body_memory.BodyMemory(100)
+        dropped: list[str] = []
+        small = memory.open(lambda: dropped.append("small"))
+        large = memory.open(lambda: dropped.append("large"))
+        small.append(b"x" * 30)
+        large.append(b"x" * 60)
+        self.assertEqual(dropped, [])
+        small.append(b"x" * 20)
+        self.assertEqual(dropped, ["large"])
+        self.assertTrue(large.is_dropped)
+        self.assertEqual(memory.used_bytes, 50)
+        self.assertEqual(small.copy(), b"x" * 50)
+
+    def test_body_that_exceeds_all_memory_is_dropped(self) -> None:
+        memory = body_memory.BodyMemory(100)
+        body = memory.open(lambda: None)
+        body.append(b"x" * 101)
+        self.assertTrue(body.is_dropped)
+        self.assertEqual((memory.used_bytes, memory.dropped), (0, 1))
