Tiny chunks without end leave the event loop to other requests

Callers saw: requests beside a response in tiny chunks waited, as one read of 256 KiB holds some 40,000 chunks, all parsed before any other task has a turn.

Cause: StreamReader.read returns at once while it holds data, so a peer that sends faster than it is parsed is read without a pause.

Change: a connection's pieces are parsed at up to 2,000 a second after a burst of 256; beyond that reading pauses for 20 ms at a time, and TCP holds the peer back. Sound streams have some ten events a second.

Why it holds: what is parsed between two waits is bounded by the burst.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -13,6 +13,7 @@
 from ruddergate import environment
 from ruddergate.http import body_memory
 from ruddergate.http import message
+from ruddergate.http import parsing_rate
 
 _READ_BYTES = 1 << 18
 # Interim responses (1xx) that may precede a response.
@@ -104,6 +105,7 @@
         self._writer = writer
         self._connection = h11.Connection(h11.CLIENT)
         self._interim_responses = 0
+        self._rate = parsing_rate.ParsingRate()
 
     def send(
         self, address: environment.Address, request: message.OutgoingRequest
@@ -220,6 +222,7 @@
     async def _next_event(self) -> object:
         has_ended = False
         while True:
+            await self._rate.wait()
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
@@ -230,6 +233,7 @@
                 self._note_interim_response()
                 continue
             if event is not h11.NEED_DATA:
+                self._rate.note_piece()
                 return event
             data = await self._reader.read(_READ_BYTES)
             has_ended = not data
--- /dev/null
+++ b/src/ruddergate/http/parsing_rate.py
@@ -0,0 +1,42 @@
+"""Limits the processor time that the parsing of one connection takes."""
+
+import asyncio
+
+# Pieces, such as chunks, that are parsed at once and every second. Parsing
+# one takes some 10 microseconds.
+BURST_PIECES = 256
+PIECES_PER_S = 2_000.0
+_PAUSE_S = 0.02
+
+
+class ParsingRate:
+    """The rate at which one connection's pieces are parsed: a token bucket.
+
+    A peer that sends tiny pieces without end would otherwise keep the event
+    loop busy, as reading doesn't yield to it while there is data.
+    """
+
+    def __init__(self) -> None:
+        self._free_pieces = float(BURST_PIECES)
+        self._refilled_s = asyncio.get_running_loop().time()
+
+    def note_piece(self) -> None:
+        """Counts a piece that was parsed."""
+        self._free_pieces -= 1.0
+
+    async def wait(self) -> None:
+        """Waits until a further piece may be parsed."""
+        if self._free_pieces > 0.0:
+            return
+        loop = asyncio.get_running_loop()
+        self._refill(loop.time())
+        while self._free_pieces <= 0.0:
+            await asyncio.sleep(_PAUSE_S)
+            self._refill(loop.time())
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = now_s - self._refilled_s
+        self._refilled_s = now_s
+        self._free_pieces = min(
+            float(BURST_PIECES), self._free_pieces + elapsed_s * PIECES_PER_S
+        )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
 
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.http import body_memory
+from ruddergate.http import parsing_rate
 from ruddergate.platform import upstream
 from ruddergate.relay import event_splitter
 from ruddergate.relay import hints as hint_types
@@ -142,6 +144,40 @@
                 result = _receive_flood(head, piece, is_stream=False)
                 self.check_left_at_once(result, 2 * _MEMORY_BYTES)
 
+    # A body in tiny chunks took all of the event loop, since reading yields
+    # to it only when no data is there.
+    def test_tiny_chunks_leave_turns_to_other_requests(self) -> None:
+        piece = flooding_target.make_piece(flooding_target.make_chunk(b"x"))
+        for is_stream in (False, True):
+            with self.subTest(is_stream=is_stream):
+                with mock.patch.object(
+                    parsing_rate.ParsingRate,
+                    "note_piece",
+                    autospec=True,
+                    side_effect=parsing_rate.ParsingRate.note_piece,
+                ) as note_piece:
+                    result = _receive_flood(
+                        _CHUNKED, piece, is_stream, interval_s=0.1
+                    )
+                self.assertIsInstance(result.last, outcomes.NotServed)
+                self.assertLess(
+                    note_piece.call_count,
+                    parsing_rate.BURST_PIECES
+                    + (result.took_s + 0.1) * parsing_rate.PIECES_PER_S,
+                )
+                self.assertGreater(result.turns, 100 * result.took_s)
+
+    # Sound responses come in pieces, too, and must not be slowed down.
+    def test_burst_of_events_is_read_at_once(self) -> None:
+        events = b"".join(
+            flooding_target.make_chunk(b"id: %d\ndata: x\n\n" % number)
+            for number in range(100)
+        )
+        received = upstream_fixture.receive(
+            _CHUNKED + events + b"0\r\n\r\n", is_stream=True
+        )
+        self.assertIsInstance(received[-1], response_events.StreamEnd)
+
     def test_bodies_without_end_share_the_memory(self) -> None:
         result = _receive_flood(_UNFRAMED, _TEXT, False, requests=20)
         self.check_left_at_once(result, 20 * _MEMORY_BYTES, within_s=3.0)
