Answers to probes, orders and reads of the store have a longest body

Callers saw: nothing yet; a target or store that answered a probe, an order or a read without end filled the memory of the VM until the timeout, 16 MB a second for up to 15 s at the store.

Cause: fetch_within gathered a body without a bound.

Change: it takes the longest body: 1 MiB for reports and orders of targets, 32 MB for the store, whose values have up to a megabyte each. Beyond it the connection is closed.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -292,10 +292,11 @@
     address: environment.Address,
     request: message.OutgoingRequest,
     timeout_ms: float,
+    body_bytes_max: int = body_memory.DEFAULT_LIMIT_BYTES,
 ) -> CompleteResponse | Fault:
     """Sends the request and reads the whole response within the timeout."""
     timeouts = Timeouts(timeout_ms, timeout_ms, timeout_ms)
-    return await fetch_within(env, address, request, timeouts)
+    return await fetch_within(env, address, request, timeouts, body_bytes_max)
 
 
 async def fetch_within(
@@ -303,11 +304,13 @@
     address: environment.Address,
     request: message.OutgoingRequest,
     timeouts: Timeouts,
+    body_bytes_max: int,
 ) -> CompleteResponse | Fault:
     """Sends the request and reads the whole response.
 
     A response that keeps arriving may take longer than the read timeout, as a
-    large one does on a slow link.
+    large one does on a slow link. A body of more than `body_bytes_max` bytes is
+    a fault.
     """
     started_ms = env.now_ms()
     exchange = await start(env, address, request, timeouts.connect_ms)
@@ -321,24 +324,33 @@
                 fault = await exchange.read_head()
             if fault is not None:
                 return fault
-            body = bytearray()
-            while True:
-                async with asyncio.timeout(read_timeout_s):
-                    chunk = await exchange.read_chunk()
-                if isinstance(chunk, Fault):
-                    return chunk
-                if not chunk:
-                    break
-                body += chunk
+            body = await _fetch_body(exchange, read_timeout_s, body_bytes_max)
     except TimeoutError:
         return Fault(True, True, f"no response from {address} in time")
     finally:
         exchange.close()
+    if isinstance(body, Fault):
+        return body
     return CompleteResponse(
-        exchange.status, exchange.headers, bytes(body), exchange.fields
+        exchange.status, exchange.headers, body, exchange.fields
     )
 
 
+async def _fetch_body(
+    exchange: Exchange, read_timeout_s: float, body_bytes_max: int
+) -> bytes | Fault:
+    body = bytearray()
+    while len(body) <= body_bytes_max:
+        async with asyncio.timeout(read_timeout_s):
+            chunk = await exchange.read_chunk()
+        if isinstance(chunk, Fault):
+            return chunk
+        if not chunk:
+            return bytes(body)
+        body += chunk
+    return _make_dropped_fault()
+
+
 def make_json_request(
     method: str, target: str, document: object = None
 ) -> message.OutgoingRequest:
--- a/src/ruddergate/platform/orders.py
+++ b/src/ruddergate/platform/orders.py
@@ -11,6 +11,8 @@
 
 _PATH = "/api/order"
 _REPORT_PATH = "/api/report"
+# A report lists up to 64 reservations and the models of its target.
+MAX_RESPONSE_BYTES = 1 << 20
 _OK = 200
 # Statuses with which a target rejects an order.
 _REFUSALS = frozenset({400, 409, 412, 421})
@@ -34,7 +36,7 @@
     ) -> client.CompleteResponse | client.Fault:
         sent_ms = env.now_ms()
         response = await client.fetch_within(
-            env, target.address, request, timeouts
+            env, target.address, request, timeouts, MAX_RESPONSE_BYTES
         )
         if isinstance(response, client.CompleteResponse):
             response_hints = hints.read_hints(
--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -23,6 +23,8 @@
 from ruddergate.settings import catalog as catalogs
 
 ReadCatalog: TypeAlias = Callable[[object], catalogs.Catalog | str]
+# Values have up to a megabyte, and changes are read several at a time.
+MAX_RESPONSE_BYTES = 32_000_000
 _OK = 200
 _HISTORY_LOST = 410
 # Peers are sent the epoch as a 64-bit integer.
@@ -137,7 +139,9 @@
 ) -> _Response | published.HistoryLost | published.Unavailable:
     target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
     request = client.make_json_request("GET", target)
-    response = await client.fetch_within(env, address, request, timeouts)
+    response = await client.fetch_within(
+        env, address, request, timeouts, MAX_RESPONSE_BYTES
+    )
     if isinstance(response, client.Fault):
         return published.Unavailable(response.detail)
     epoch = _read_epoch(response.headers)
