A list of the store that has no end is given up

Callers saw: nothing yet; a store whose list always has a further page kept a starting VM reading, with all pages in memory.

Cause: pages were read for as long as the answer said that there are more.

Change: a page that does not advance, or more than 50,000 items, ends the read as unavailable; the last good list stays.

Why it holds: keys only rise, and their number is bounded.

--- a/src/ruddergate/platform/store.py
+++ b/src/ruddergate/platform/store.py
@@ -25,6 +25,8 @@
 ReadCatalog: TypeAlias = Callable[[object], catalogs.Catalog | str]
 # Values have up to a megabyte, and changes are read several at a time.
 MAX_RESPONSE_BYTES = 32_000_000
+# Items of a whole list: each of 12,000 targets and its successor, and more.
+MAX_ITEMS = 50_000
 _OK = 200
 _HISTORY_LOST = 410
 # Peers are sent the epoch as a 64-bit integer.
@@ -90,7 +92,7 @@
     """
     items: list[object] = []
     first_position: store_position.StorePosition | None = None
-    query: dict[str, object] = {"path-prefix": ""}
+    query: dict[str, str] = {"path-prefix": ""}
     while True:
         response = await _fetch(env, address, "/api/kv-range", query, timeouts)
         if isinstance(response, published.HistoryLost):
@@ -114,7 +116,10 @@
         if not page or not _private.get(response.document, "more", bool, False):
             return _read_items(items, first_position, read_catalog)
         # The next page begins after this key.
-        query["since-rev"] = _private.get(page[-1], "key", str, "")
+        last_key = _private.get(page[-1], "key", str, "")
+        if last_key <= query.get("since-rev", "") or len(items) > MAX_ITEMS:
+            return published.Unavailable("the list of items has no end")
+        query["since-rev"] = last_key
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +139,7 @@
     env: environment.Environment,
     address: environment.Address,
     path: str,
-    query: dict[str, object],
+    query: Mapping[str, object],
     timeouts: client.Timeouts,
 ) -> _Response | published.HistoryLost | published.Unavailable:
     target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
