Peers avoid a target that sent a response without end

Callers saw: each VM of a fleet found out by itself that a target floods, and again after each half-open try, at the cost of its own requests: those that must not run twice end with 502.

Cause: the failure opened this VM's circuit breaker only. Peers are told of targets that don't respond or have ended, and this one responds.

Change: such responses have a reason of their own, response_too_large; the target is gossiped for 1.2 s as unresponsive, so that each peer avoids it for 0.6 to 1.8 s and few of them try it again; its hall still counts as reachable. A line, and ruddergate_oversized_responses_total.

Why it holds: reports name the incarnation, lapse, and a target that has answered a VM within 300 ms stays as it is there.

--- a/src/ruddergate/adapters/callers/render.py
+++ b/src/ruddergate/adapters/callers/render.py
@@ -23,6 +23,7 @@
     outcomes.Reason.TARGET_LOST: 502,
     outcomes.Reason.TARGET_REFUSED: 502,
     outcomes.Reason.TARGET_BROKE_PROTOCOL: 502,
+    outcomes.Reason.RESPONSE_TOO_LARGE: 502,
 }
 _DEFAULT_STATUS = 503
 _DONE = b"data: [DONE]\n\n"
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -112,6 +112,7 @@
         self._has_lasted = False
         # Whether the target was lost, which may have been due to the request.
         self._is_lost = False
+        self._is_flooding = False
         self._has_answered = False
         self._answered_ms: float | None = None
         self._silent_targets: frozenset[str] = frozenset()
@@ -438,6 +439,9 @@
             self._unreachable.add(target_id)
         if failure.reason in _EXITED_REASONS:
             self._exited.add(target_id)
+        if failure.reason is outcomes.Reason.RESPONSE_TOO_LARGE:
+            self._is_flooding = True
+            self._context.metrics.oversized_responses.inc({})
 
     def _make_lost_call(self) -> lost_call.LostCall:
         target = self._placements[0].target
@@ -497,6 +501,7 @@
                     self._has_answered,
                     target_id in self._exited,
                     self._answered_ms,
+                    self._is_flooding and placement is self._placements[0],
                 )
             )
 
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -386,6 +386,8 @@
             self._losses.note_unreachable(target, now_ms)
         elif message.has_exited:
             self._losses.note_ended(target, now_ms)
+        elif message.is_flooding:
+            self._losses.note_flooding(target, now_ms)
         if message.is_target_fault:
             estimate.note_fault(now_ms)
         elif message.has_answered:
--- a/src/ruddergate/entry/scheduler_messages.py
+++ b/src/ruddergate/entry/scheduler_messages.py
@@ -104,6 +104,7 @@
         has_exited: Whether nothing listened at the target's address any more,
             or another incarnation responded there.
         answered_ms: When the target last responded; None if that was now.
+        is_flooding: Whether the target sent a response without end.
     """
 
     placement: Placement
@@ -112,6 +113,7 @@
     has_answered: bool = True
     has_exited: bool = False
     answered_ms: float | None = None
+    is_flooding: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ruddergate/entry/target_losses.py
+++ b/src/ruddergate/entry/target_losses.py
@@ -67,6 +67,23 @@
             hall, target.incarnation, True, now_ms
         )
 
+    def note_flooding(self, target: targets.Target, now_ms: float) -> None:
+        """Records that a target sent a response without end.
+
+        Peers avoid it for a moment, as if it did not respond. Its hall is
+        reachable, though.
+        """
+        is_reported = self._loss_reports.note_unreachable(
+            target.hall, target.incarnation, True, now_ms
+        )
+        self._log.warning(
+            "Target {} sent a response without end.",
+            target.target_id,
+            born_ms=target.started_ms,
+            hall=target.hall,
+            is_reported=is_reported,
+        )
+
     def note_ended(self, target: targets.Target, now_ms: float) -> None:
         """Records that a target's incarnation seems to have ended.
 
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -18,10 +18,11 @@
 _READ_BYTES = 1 << 18
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 16
+_BODY_TOO_LARGE = "the body takes too much memory"
 
 
-class ResponseError(Exception):
-    """The peer sent what can't belong to a response."""
+class ResponseTooLargeError(Exception):
+    """A response exceeds a bound."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,13 +33,13 @@
         sent: Whether any byte of the request may have left this process.
         timed_out: Whether it failed because of a timeout.
         detail: One sentence for logs.
-        broke_protocol: Whether the peer sent what can't belong to a response.
+        is_too_large: Whether the response exceeds a bound.
     """
 
     sent: bool
     timed_out: bool
     detail: str
-    broke_protocol: bool = False
+    is_too_large: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,8 +150,8 @@
             return Fault(False, True, f"not sent: {error}")
         except (OSError, h11.RemoteProtocolError) as error:
             return Fault(True, False, f"no response: {error}")
-        except ResponseError as error:
-            return _make_protocol_fault(error)
+        except ResponseTooLargeError as error:
+            return _make_size_fault(str(error))
         if not isinstance(event, h11.Response):
             return Fault(
                 True, False, "the connection was closed before a response"
@@ -170,8 +171,8 @@
             event = await self._next_event()
         except (OSError, h11.RemoteProtocolError) as error:
             return Fault(True, False, f"the response was cut off: {error}")
-        except ResponseError as error:
-            return _make_protocol_fault(error)
+        except ResponseTooLargeError as error:
+            return _make_size_fault(str(error))
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -188,7 +189,7 @@
         """
         memory = memory or body_memory.BodyMemory()
         if self._read_length() > memory.limit_bytes:
-            return _make_dropped_fault()
+            return _make_size_fault(_BODY_TOO_LARGE)
         try:
             async with asyncio.timeout(None) as scope:
                 # A time in the past ends the reading at once.
@@ -200,7 +201,7 @@
         except TimeoutError:
             if not scope.expired():
                 raise
-            return _make_dropped_fault()
+            return _make_size_fault(_BODY_TOO_LARGE)
 
     async def _gather(self, body: body_memory.Body) -> bytes | Fault:
         while not body.is_dropped:
@@ -210,7 +211,7 @@
             if not chunk:
                 return body.copy()
             body.append(chunk)
-        return _make_dropped_fault()
+        return _make_size_fault(_BODY_TOO_LARGE)
 
     def _read_length(self) -> int:
         return int(self.headers.get("content-length", "0"))
@@ -242,19 +243,13 @@
     def _note_interim_response(self) -> None:
         self._interim_responses += 1
         if self._interim_responses > MAX_INTERIM_RESPONSES:
-            raise ResponseError(
+            raise ResponseTooLargeError(
                 f"more than {MAX_INTERIM_RESPONSES} interim responses"
             )
 
 
-def _make_dropped_fault() -> Fault:
-    return Fault(
-        True, False, "the body takes too much memory", broke_protocol=True
-    )
-
-
-def _make_protocol_fault(error: ResponseError) -> Fault:
-    return Fault(True, False, str(error), broke_protocol=True)
+def _make_size_fault(detail: str) -> Fault:
+    return Fault(True, False, detail, is_too_large=True)
 
 
 async def start(
@@ -348,7 +343,7 @@
         if not chunk:
             return bytes(body)
         body += chunk
-    return _make_dropped_fault()
+    return _make_size_fault(_BODY_TOO_LARGE)
 
 
 def make_json_request(
--- a/src/ruddergate/outcomes.py
+++ b/src/ruddergate/outcomes.py
@@ -43,6 +43,7 @@
     TARGET_LOST = "target_lost"
     TARGET_SILENT = "target_silent"
     TARGET_BROKE_PROTOCOL = "target_broke_protocol"
+    RESPONSE_TOO_LARGE = "response_too_large"
     QUARANTINED = "quarantined"
     TRIAL_RUNNING = "trial_running"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -226,8 +226,8 @@
 
 
 def _make_target_lost(fault: client.Fault) -> outcomes.NotServed:
-    if fault.broke_protocol:
-        return _make_protocol_error(fault.detail)
+    if fault.is_too_large:
+        return _make_size_error(fault.detail)
     if not fault.sent:
         reason = outcomes.Reason.TARGET_GONE
         if fault.timed_out:
@@ -321,6 +321,12 @@
     return None
 
 
+def _make_size_error(detail: str) -> outcomes.NotServed:
+    return outcomes.NotServed(
+        outcomes.Reason.RESPONSE_TOO_LARGE, outcomes.Ran.UNKNOWN, detail
+    )
+
+
 def _make_protocol_error(detail: str) -> outcomes.NotServed:
     return outcomes.NotServed(
         outcomes.Reason.TARGET_BROKE_PROTOCOL, outcomes.Ran.UNKNOWN, detail
@@ -376,7 +382,7 @@
             return
         events = splitter.feed(chunk) if chunk else None
         if splitter.is_too_long():
-            yield _make_protocol_error(
+            yield _make_size_error(
                 f"an event exceeds {event_splitter.MAX_EVENT_BYTES} bytes"
             )
             return
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -76,6 +76,10 @@
             "Attempts whose target missed health probes while helpers held"
             " memory for it.",
         )
+        self.oversized_responses = self._counter(
+            "ruddergate_oversized_responses_total",
+            "Responses given up as they took too much memory or had no end.",
+        )
         self.tokens = self._counter(
             "ruddergate_tokens_total", "Tokens delivered."
         )
--- a/standins/flooding_target.py
+++ b/standins/flooding_target.py
@@ -21,16 +21,14 @@
         piece: Is repeated.
         interval_s: Time between two pieces.
         sent_bytes: Bytes that were sent so far, of all connections.
-        open_connections: Connections that are being flooded.
-        max_connections: Most connections that were open at once.
+        connections: Connections that were flooded so far.
     """
 
     head: bytes
     piece: bytes
     interval_s: float = PIECE_INTERVAL_S
     sent_bytes: int = 0
-    open_connections: int = 0
-    max_connections: int = 0
+    connections: int = 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -38,14 +36,8 @@
         """Answers one request, until its connection is closed."""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
-            self.open_connections += 1
-            self.max_connections = max(
-                self.max_connections, self.open_connections
-            )
-            try:
-                await self._send(reader, writer)
-            finally:
-                self.open_connections -= 1
+            self.connections += 1
+            await self._send(reader, writer)
         writer.close()
 
     async def _send(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -105,7 +105,7 @@
     ) -> None:
         """Checks that a target is left, and what is told of its request."""
         self.assertIsInstance(result.last, outcomes.NotServed)
-        self.assertIs(result.last.reason, outcomes.Reason.TARGET_BROKE_PROTOCOL)
+        self.assertIs(result.last.reason, outcomes.Reason.RESPONSE_TOO_LARGE)
         self.assertIs(result.last.ran, outcomes.Ran.UNKNOWN)
         self.assertLess(result.took_s, within_s)
         self.assertLess(result.flooded_bytes, max_bytes)
