A response line that never ends counts as a flood, not as a crash

Callers saw: nothing else than a 502; but the request's content was suspected of having crashed its target, and peers went on to send to it.

Cause: h11's error for a head, chunk header or trailer over its limit was taken for a lost connection.

Change: errors for which h11 suggests status 431 end the attempt as response_too_large.

Evidence: test_line_of_a_response_without_end failed in 4 of 4 cases before (target_lost), 0 now. Why it holds: h11 sets that status only for its limit.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -18,6 +18,8 @@
 _READ_BYTES = 1 << 18
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 16
+# Status that h11 suggests for a head, chunk header or trailer over its limit.
+_HEAD_TOO_LARGE = 431
 _BODY_TOO_LARGE = "the body takes too much memory"
 
 
@@ -229,6 +231,8 @@
             except h11.RemoteProtocolError as error:
                 if has_ended:
                     raise ConnectionError("the target closed it") from error
+                if error.error_status_hint == _HEAD_TOO_LARGE:
+                    raise ResponseTooLargeError(str(error)) from error
                 raise
             if isinstance(event, h11.InformationalResponse):
                 self._note_interim_response()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -119,6 +119,20 @@
                 result = _receive_flood(b"", piece, is_stream)
                 self.check_left_at_once(result, _MB)
 
+    # Such a response counted as lost, as if the target had crashed under its
+    # request.
+    def test_line_of_a_response_without_end(self) -> None:
+        fields = flooding_target.make_piece(b"x-a: b\r\n")
+        for head, piece in (
+            (_HEAD + b"x-a: ", _TEXT),
+            (_HEAD, fields),
+            (_CHUNKED + b"5;", _TEXT),
+            (_CHUNKED + b"0\r\n", fields),
+        ):
+            with self.subTest(head=head, piece=piece[:1]):
+                result = _receive_flood(head, piece, is_stream=False)
+                self.check_left_at_once(result, _MB)
+
     # An event was joined and searched anew with each of its pieces, and grew
     # until the deadline.
     def test_event_without_end(self) -> None:
