Callers' chunks are parsed at a bounded rate, sound bodies without a pause

Callers saw: requests beside one that came in tiny chunks waited, as for targets' responses; a large body in small chunks was to be held up by the bound itself.

Cause: the server parsed all that had arrived before any other task had a turn. The bound of 256 pieces is less than a sound body of 4 MB in chunks of 1 KiB.

Change: both sides parse 64 pieces a turn of the event loop, 4,096 without a pause, and 2,000 a second beyond that.

--- a/src/ruddergate/http/parsing_rate.py
+++ b/src/ruddergate/http/parsing_rate.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
-# Pieces, such as chunks, that are parsed at once and every second. Parsing
-# one takes some 10 microseconds.
-BURST_PIECES = 256
+# Pieces, such as chunks, that are parsed without a pause, and how many a second
+# beyond them. Parsing one takes some 10 microseconds.
+BURST_PIECES = 4_096
 PIECES_PER_S = 2_000.0
+# Pieces that are parsed before other tasks have a turn.
+PIECES_PER_TURN = 64
 _PAUSE_S = 0.02
 
 
@@ -19,22 +21,26 @@
     def __init__(self) -> None:
         self._free_pieces = float(BURST_PIECES)
         self._refilled_s = asyncio.get_running_loop().time()
+        self._pieces_in_turn = 0
 
     def note_piece(self) -> None:
         """Counts a piece that was parsed."""
         self._free_pieces -= 1.0
+        self._pieces_in_turn += 1
 
     async def wait(self) -> None:
         """Waits until a further piece may be parsed."""
-        if self._free_pieces > 0.0:
+        if self._pieces_in_turn < PIECES_PER_TURN:
             return
-        loop = asyncio.get_running_loop()
-        self._refill(loop.time())
+        self._pieces_in_turn = 0
+        await asyncio.sleep(0.0)
+        self._refill()
         while self._free_pieces <= 0.0:
             await asyncio.sleep(_PAUSE_S)
-            self._refill(loop.time())
+            self._refill()
 
-    def _refill(self, now_s: float) -> None:
+    def _refill(self) -> None:
+        now_s = asyncio.get_running_loop().time()
         elapsed_s = now_s - self._refilled_s
         self._refilled_s = now_s
         self._free_pieces = min(
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -17,6 +17,7 @@
 
 from ruddergate import environment
 from ruddergate.http import message
+from ruddergate.http import parsing_rate
 
 Handler: TypeAlias = Callable[
     [message.IncomingRequest], Awaitable[message.Response]
@@ -227,11 +228,15 @@
 ) -> message.IncomingRequest | _InvalidInput | None:
     head: h11.Request | None = None
     body = bytearray()
+    rate = parsing_rate.ParsingRate()
     while True:
+        await rate.wait()
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await reader.read(_READ_BYTES))
-        elif isinstance(event, h11.Request):
+            continue
+        rate.note_piece()
+        if isinstance(event, h11.Request):
             if event.method == b"CONNECT":
                 # A success would turn the connection into a tunnel.
                 return _InvalidInput(405, "CONNECT is not supported")
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -177,6 +177,7 @@
                 self.assertLess(
                     note_piece.call_count,
                     parsing_rate.BURST_PIECES
+                    + parsing_rate.PIECES_PER_TURN
                     + (result.took_s + 0.1) * parsing_rate.PIECES_PER_S,
                 )
                 self.assertGreater(result.turns, 100 * result.took_s)
