--- a/standins/flooding_target.py
+++ b/standins/flooding_target.py
@@ -5,11 +5,14 @@
 import dataclasses
 
 from ruddergate import environment
+from standins import virtual_network
 
 # About as much as a target sends at once, and the time between two pieces:
 # 16 MB/s.
 PIECE_BYTES = 1 << 16
 PIECE_INTERVAL_S = 0.004
+# What systems and processes hold of a connection that is not read, about.
+_MAX_UNREAD_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +34,9 @@
     connections: int = 0
 
     async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: virtual_network.VirtualWriter,
     ) -> None:
         """Answers one request, until its connection is closed."""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -41,14 +46,16 @@
         writer.close()
 
     async def _send(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: virtual_network.VirtualWriter,
     ) -> None:
         closed = asyncio.ensure_future(reader.read())
         writer.write(self.head)
         while not closed.done():
-            writer.write(self.piece)
-            self.sent_bytes += len(self.piece)
-            await writer.drain()
+            if writer.count_unread_bytes() < _MAX_UNREAD_BYTES:
+                writer.write(self.piece)
+                self.sent_bytes += len(self.piece)
             await asyncio.sleep(self.interval_s)
 
 
--- a/standins/virtual_network.py
+++ b/standins/virtual_network.py
@@ -125,6 +125,10 @@
             self._is_closed = True
             self.reader.feed_eof()
 
+    def count_unread_bytes(self) -> int:
+        """Returns the bytes that were sent and not read."""
+        return sum(map(len, self._in_flight)) + len(self.reader._buffer)
+
     def reset(self) -> None:
         """Resets the stream: its reader raises an error."""
         if not self._is_closed:
@@ -151,6 +155,10 @@
         if data and not self._is_closed and not self.is_broken:
             self._outgoing.send(bytes(data))
 
+    def count_unread_bytes(self) -> int:
+        """Returns how many bytes were written that the peer has not read."""
+        return self._outgoing.count_unread_bytes()
+
     async def drain(self) -> None:
         """Raises if the connection was reset."""
         if self.is_broken:
