Events of the product's own engines are bounded, too

Callers of ruddergate-entry would see: an engine that sends an event without end takes the event loop, as for gateways.

Each piece was joined with what was buffered and all of it split again, without a bound.

Change: each byte is searched once; an event of more than 1 MiB ends the attempt as response_too_large, ran unknown.

--- a/src/ruddergate/adapters/engines/stream.py
+++ b/src/ruddergate/adapters/engines/stream.py
@@ -28,6 +28,8 @@
 
 _OK = 200
 _EVENT_END = b"\n\n"
+# Longest event; those of engines hold some hundred bytes.
+MAX_EVENT_BYTES = 1 << 20
 _DATA = b"data: "
 
 
@@ -65,7 +67,9 @@
         self._exchange = exchange
         self._stream_id = stream_id
         self._silence_ms = silence_ms
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Bytes of the buffer that were searched for the end of an event.
+        self._searched = 0
 
     async def next_event(
         self, get_remaining_ms: Callable[[], float]
@@ -84,11 +88,19 @@
                 if texts and isinstance(found, stream_event.End):
                     # The tokens are returned first. The end goes back into the
                     # buffer for the next call.
-                    self._buffer = _encode_end(self._stream_id, found)
+                    self._buffer = bytearray(
+                        _encode_end(self._stream_id, found)
+                    )
+                    self._searched = 0
                     return stream_event.Tokens(first, tuple(texts))
                 return found
             if texts:
                 return stream_event.Tokens(first, tuple(texts))
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                return _make_lost(
+                    outcomes.Reason.RESPONSE_TOO_LARGE,
+                    f"an event exceeds {MAX_EVENT_BYTES} bytes",
+                )
             fault = await self._read_more(get_remaining_ms())
             if fault is not None:
                 return fault
@@ -124,8 +136,7 @@
         self, texts: list[str]
     ) -> stream_event.End | outcomes.NotServed | None:
         """Appends buffered tokens to `texts`; returns an end or a failure."""
-        *events, self._buffer = self._buffer.split(_EVENT_END)
-        for event in events:
+        for event in self._take_events():
             if event.startswith(b":"):
                 continue
             found = self._parse_event(event, texts)
@@ -133,6 +144,19 @@
                 return found
         return None
 
+    def _take_events(self) -> list[bytes]:
+        """Removes the complete events from the buffer and returns them."""
+        # What was searched holds no end, but perhaps the start of one.
+        search_from = max(0, self._searched - len(_EVENT_END) + 1)
+        end = self._buffer.rfind(_EVENT_END, search_from)
+        if end < 0:
+            self._searched = len(self._buffer)
+            return []
+        complete = bytes(self._buffer[:end])
+        del self._buffer[: end + len(_EVENT_END)]
+        self._searched = len(self._buffer)
+        return complete.split(_EVENT_END)
+
     def _parse_event(
         self, event: bytes, texts: list[str]
     ) -> stream_event.End | outcomes.NotServed | None:
--- a/tests/test_engine_stream.py
+++ b/tests/test_engine_stream.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import collections
+import time
 import unittest
 
 import orjson
@@ -17,10 +19,10 @@
     """An HTTP exchange whose body consists of prepared pieces."""
 
     def __init__(self, *pieces: bytes) -> None:
-        self._pieces = list(pieces)
+        self._pieces = collections.deque(pieces)
 
     async def read_chunk(self) -> bytes:
-        return self._pieces.pop(0) if self._pieces else b""
+        return self._pieces.popleft() if self._pieces else b""
 
     def close(self) -> None:
         """Does nothing."""
@@ -107,6 +109,16 @@
                     events[-1].reason, outcomes.Reason.TARGET_BROKE_PROTOCOL
                 )
 
+    # Each piece was joined with all that was buffered, without a bound.
+    def test_event_without_end(self) -> None:
+        piece = b"x" * 16
+        pieces = [piece] * (2 * stream.MAX_EVENT_BYTES // len(piece))
+        began_s = time.process_time()
+        events = _read_events(b"data: ", *pieces)
+        self.assertIs(events[-1].reason, outcomes.Reason.RESPONSE_TOO_LARGE)
+        self.assertIs(events[-1].ran, outcomes.Ran.UNKNOWN)
+        self.assertLess(time.process_time() - began_s, 10.0)
+
     def test_truncated_stream_is_a_lost_target(self) -> None:
         events = _read_events(_encode_event(first=0, tokens=["a"]))
         self.assertIs(events[-1].reason, outcomes.Reason.TARGET_LOST)
