A body that is dropped as it ends is not handed on as complete

Callers would have seen: an empty body under a success, where the last piece of a response and the moment at which its body was dropped for others fell into one turn of the event loop.

Cause: the reader looked at whether its body was dropped before it waited for the next piece, not after; and a dropped body went on to count bytes that were never released.

Change: the end of a body counts only if it was not dropped, and bytes after that are ignored.

Evidence: test_body_that_is_dropped_as_it_ends_is_not_complete (b'' for a body of 60 bytes before) and test_dropped_body_counts_nothing_more (30 bytes left counted before). Why it holds: the check and the return are in one step.

--- a/src/ruddergate/http/body_memory.py
+++ b/src/ruddergate/http/body_memory.py
@@ -70,7 +70,12 @@
         return len(self._data)
 
     def append(self, data: bytes) -> None:
-        """Adds bytes, which may drop this body or others."""
+        """Adds bytes, which may drop this body or others.
+
+        Bytes that arrive after it was dropped are ignored.
+        """
+        if self.is_dropped:
+            return
         self._data += data
         self._memory.add(len(data))
 
--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -210,7 +210,7 @@
             chunk = await self.read_chunk()
             if isinstance(chunk, Fault):
                 return chunk
-            if not chunk:
+            if not chunk and not body.is_dropped:
                 return body.copy()
             body.append(chunk)
         return _make_size_fault(_BODY_TOO_LARGE)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -8,6 +8,7 @@
 from ruddergate import environment
 from ruddergate import outcomes
 from ruddergate.http import body_memory
+from ruddergate.http import client
 from ruddergate.http import parsing_rate
 from ruddergate.platform import upstream
 from ruddergate.relay import event_splitter
@@ -213,6 +214,38 @@
         self.assertEqual(memory.used_bytes, 50)
         self.assertEqual(small.copy(), b"x" * 50)
 
+    # A body that was dropped while its last bytes were being read could be
+    # handed on as complete, and its bytes stayed counted.
+    def test_body_that_is_dropped_as_it_ends_is_not_complete(self) -> None:
+        memory = body_memory.BodyMemory(100)
+
+        async def read(pieces: list[bytes]) -> bytes | client.Fault:
+            exchange = client.Exchange(mock.Mock(), mock.Mock())
+
+            async def read_chunk() -> bytes:
+                await asyncio.sleep(0.0)
+                return pieces.pop(0)
+
+            with mock.patch.object(exchange, "read_chunk", read_chunk):
+                return await exchange.read_all(memory)
+
+        async def run() -> list[bytes | client.Fault]:
+            return await asyncio.gather(
+                read([b"x" * 60, b"", b""]), read([b"x" * 50, b""])
+            )
+
+        first, second = asyncio.run(run())
+        self.assertIsInstance(first, client.Fault)
+        self.assertEqual(second, b"x" * 50)
+        self.assertEqual(memory.used_bytes, 0)
+
+    def test_dropped_body_counts_nothing_more(self) -> None:
+        memory = body_memory.BodyMemory(100)
+        body = memory.open(lambda: None)
+        body.append(b"x" * 101)
+        body.append(b"x" * 30)
+        self.assertEqual(memory.used_bytes, 0)
+
     def test_body_that_exceeds_all_memory_is_dropped(self) -> None:
         memory = body_memory.BodyMemory(100)
         body = memory.open(lambda: None)
