A response to HEAD may name any length

Callers saw: 502 for a HEAD of a body longer than the memory for bodies, which is not sent at all.

Cause: the length in a response's head was compared with the memory, whatever the request's method.

Change: the length of a response to HEAD is not that of what is read.

Evidence: test_response_to_head_may_name_any_length failed before, passes now.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -15,6 +15,7 @@
 from ruddergate.http import message
 from ruddergate.http import parsing_rate
 
+_HEAD = "HEAD"
 _READ_BYTES = 1 << 18
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 16
@@ -109,6 +110,7 @@
         self._connection = h11.Connection(h11.CLIENT)
         self._interim_responses = 0
         self._rate = parsing_rate.ParsingRate()
+        self._is_head = False
 
     def send(
         self, address: environment.Address, request: message.OutgoingRequest
@@ -118,6 +120,7 @@
         The response may arrive before the server has read a long body, so
         reading must not wait until everything is sent.
         """
+        self._is_head = request.method == _HEAD
         headers = [("host", request.host or str(address))]
         headers.extend(request.headers.items())
         headers.extend(request.fields)
@@ -216,6 +219,8 @@
         return _make_size_fault(_BODY_TOO_LARGE)
 
     def _read_length(self) -> int:
+        if self._is_head:
+            return 0
         return int(self.headers.get("content-length", "0"))
 
     def close(self) -> None:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 from ruddergate import outcomes
 from ruddergate.http import body_memory
 from ruddergate.http import client
+from ruddergate.http import message
 from ruddergate.http import parsing_rate
 from ruddergate.platform import upstream
 from ruddergate.relay import event_splitter
@@ -198,6 +199,19 @@
         result = _receive_flood(_UNFRAMED, _TEXT, False, requests=20)
         self.check_left_at_once(result, 20 * _MEMORY_BYTES, within_s=3.0)
 
+    # The length of a response to HEAD is that of a body that is not sent.
+    def test_response_to_head_may_name_any_length(self) -> None:
+        async def run() -> bytes | client.Fault:
+            reader = asyncio.StreamReader()
+            reader.feed_data(_HEAD + b"content-length: 99999999999\r\n\r\n")
+            exchange = client.Exchange(reader, mock.Mock())
+            request = message.OutgoingRequest("HEAD", "/", {}, b"")
+            exchange.send(_ADDRESS, request)
+            self.assertIsNone(await exchange.read_head())
+            return await exchange.read_all()
+
+        self.assertEqual(asyncio.run(run()), b"")
+
 
 class BodyMemoryTest(unittest.TestCase):
     def test_longest_body_is_dropped_first(self) -> None:
