--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,7 +10,6 @@
 from ruddergate.http import body_memory
 from ruddergate.http import client
 from ruddergate.http import message
-from ruddergate.http import parsing_rate
 from ruddergate.platform import upstream
 from ruddergate.relay import event_splitter
 from ruddergate.relay import hints as hint_types
@@ -18,6 +17,7 @@
 from standins import flooding_target
 from standins import virtual_network
 from standins import virtual_process
+from tests import parsing_fixture
 from tests import upstream_fixture
 
 _ADDRESS = environment.Address("target", 1)
@@ -166,21 +166,14 @@
         piece = flooding_target.make_piece(flooding_target.make_chunk(b"x"))
         for is_stream in (False, True):
             with self.subTest(is_stream=is_stream):
-                with mock.patch.object(
-                    parsing_rate.ParsingRate,
-                    "note_piece",
-                    autospec=True,
-                    side_effect=parsing_rate.ParsingRate.note_piece,
-                ) as note_piece:
+                with parsing_fixture.count_pieces() as pieces:
                     result = _receive_flood(
                         _CHUNKED, piece, is_stream, interval_s=0.1
                     )
                 self.assertIsInstance(result.last, outcomes.NotServed)
                 self.assertLess(
-                    note_piece.call_count,
-                    parsing_rate.BURST_PIECES
-                    + parsing_rate.PIECES_PER_TURN
-                    + (result.took_s + 0.1) * parsing_rate.PIECES_PER_S,
+                    pieces.call_count,
+                    parsing_fixture.find_max_pieces(result.took_s + 0.1),
                 )
                 self.assertGreater(result.turns, 100 * result.took_s)
 
