--- a/src/ruddergate/http/parsing_rate.py
+++ b/src/ruddergate/http/parsing_rate.py
@@ -3,7 +3,7 @@
 import asyncio
 
 # Pieces, such as chunks, that are parsed without a pause, and how many a second
-# beyond them. Parsing one takes some 10 microseconds.
+# beyond them.
 BURST_PIECES = 4_096
 PIECES_PER_S = 2_000.0
 # Pieces that are parsed before other tasks have a turn.
