--- a/review/rig.py
+++ b/review/rig.py
@@ -24,6 +24,7 @@
 KEY = "key-of-workspace-w1"
 SIGNATURE = "X-Replica-Signature"
 HOST = "service.example"
+MAX_GATEWAYS = 9
 HEARTBEAT_S = 1.2
 # Time that the store takes for an answer.
 ANSWER_S = 0.004
@@ -79,16 +80,26 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Returns ports that are free on all loopback addresses."""
+    """Returns ports that are free at all addresses of gateways."""
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            opened = stack.enter_context(socket.socket())
-            opened.bind(("0.0.0.0", 0))  # noqa: S104
-            ports.append(opened.getsockname()[1])
+        ports: list[int] = []
+        while len(ports) < count:
+            first = stack.enter_context(socket.socket())
+            first.bind((find_host(0), 0))
+            port = first.getsockname()[1]
+            with contextlib.suppress(OSError):
+                for number in range(1, MAX_GATEWAYS):
+                    other = stack.enter_context(socket.socket())
+                    other.bind((find_host(number), port))
+                ports.append(port)
         return ports
 
 
+def find_host(number: int) -> str:
+    """Returns the loopback address at which a gateway listens."""
+    return f"127.0.0.{number + 2}"
+
+
 async def read_head(
     reader: asyncio.StreamReader,
 ) -> tuple[str, dict[str, str]] | None:
@@ -378,7 +389,7 @@
     """One gateway process, started as the deploy file does.
 
     Args:
-        number: Its number; it listens at 127.0.0.(number + 2).
+        number: Its number, from 0 and below `MAX_GATEWAYS`.
         ports: Ports for callers, readiness, metrics and peers.
         store_port: Port of the store.
         folder: Folder for its log.
@@ -395,7 +406,7 @@
         hall: str = "hall-a",
         **bounds: str,
     ) -> None:
-        self.host = f"127.0.0.{number + 2}"
+        self.host = find_host(number)
         self.port = ports[0]
         self._ready_port = ports[1]
         self._log_path = folder / f"gateway-{number}.log"
@@ -407,7 +418,7 @@
             "ready_listen": f"{self.host}:{ports[1]}",
             "metrics_listen": f"{self.host}:{ports[2]}",
             "peer_listen": f"{self.host}:{ports[3]}",
-            "seeds": f"127.0.0.2:{ports[3]}",
+            "seeds": f"{find_host(0)}:{ports[3]}",
             "store_address": f"127.0.0.1:{store_port}",
             "revoke_ms": "5000",
             "strict_revoke": "true",
@@ -575,9 +586,13 @@
     fleet = [
         Gateway(number, ports, store.port, folder) for number in range(count)
     ]
-    await asyncio.gather(*(each.start() for each in fleet))
-    # Peers find each other through the seed within some hundred milliseconds.
-    await asyncio.sleep(2.0)
+    try:
+        await asyncio.gather(*(each.start() for each in fleet))
+        # Peers find each other through the seed within some hundred ms.
+        await asyncio.sleep(2.0)
+    except BaseException:
+        await end_fleet(fleet)
+        raise
     return fleet
 
 
@@ -597,9 +612,18 @@
         run: Runs it, with a folder for logs; returns its exit status.
     """
     record = Record(pathlib.Path(case_file).parent / "record.txt")
+
+    async def run_until_signal(folder: pathlib.Path) -> int:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # Its processes are ended, too.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await run(record, folder)
+
     with tempfile.TemporaryDirectory() as folder:
         try:
-            return asyncio.run(run(record, pathlib.Path(folder)))
-        except Exception:  # Whatever it is, the case has not been run.
+            return asyncio.run(run_until_signal(pathlib.Path(folder)))
+        except (Exception, asyncio.CancelledError):
+            # Whatever it is, the case has not been run.
             record.note(traceback.format_exc())
             return NOT_RUN
