--- a/review/rig.py
+++ b/review/rig.py
@@ -601,6 +601,14 @@
     await asyncio.gather(*(each.end() for each in fleet))
 
 
+def report_unless_cancelled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    """Reports errors of callbacks; stand-ins are cancelled at the end."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 def run_case(
     case_file: str,
     run: Callable[[Record, pathlib.Path], Awaitable[int]],
@@ -618,6 +626,7 @@
         loop = asyncio.get_running_loop()
         # Its processes are ended, too.
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        loop.set_exception_handler(report_unless_cancelled)
         return await run(record, folder)
 
     with tempfile.TemporaryDirectory() as folder:
