--- a/review/4/case.py
+++ b/review/4/case.py
@@ -116,7 +116,7 @@
         await replica.start()
         store.put_replica(replica, "notices")
     store.put("op/config", make_document(1, [OLD_KEY]))
-    fleet = await rig.start_fleet(GATEWAYS, store, folder)
+    fleet = await rig.start_fleet(["hall-a"] * GATEWAYS, store, folder)
     case = Case(record)
     calls = asyncio.ensure_future(case.send_calls(fleet))
     try:
--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import json
@@ -579,12 +580,13 @@
 
 
 async def start_fleet(
-    count: int, store: Store, folder: pathlib.Path
+    halls: Sequence[str], store: Store, folder: pathlib.Path
 ) -> list[Gateway]:
-    """Returns gateways of one data hall that know of each other."""
+    """Returns gateways, one for each name of a hall, that know each other."""
     ports = find_ports(4)
     fleet = [
-        Gateway(number, ports, store.port, folder) for number in range(count)
+        Gateway(number, ports, store.port, folder, hall)
+        for number, hall in enumerate(halls)
     ]
     try:
         await asyncio.gather(*(each.start() for each in fleet))
