--- a/standins/restore_checks.py
+++ b/standins/restore_checks.py
@@ -14,6 +14,8 @@
 
 # A draining target gets no calls later than this after the store published it.
 DRAIN_GRACE_S = 2.0
+# Settings are in force this long after the store published them.
+_APPLY_S = 2.0
 # VMs that ran undisturbed for this time must act on the store's content.
 CONTACT_S = 3.0
 # After this time without a fault, all VMs know the current state.
@@ -60,6 +62,9 @@
         self._restore_times_s: list[float] = []
         self._key_removed_s = float("inf")
         self._revisions: dict[tuple[str, int], int] = {}
+        # When each revision of the settings was first seen in the store.
+        self._published_s: dict[int, float] = {}
+        self._late_settings: list[tuple[str, float, str]] = []
         self._broken: list[str] = []
         self._counts: collections.Counter[str] = collections.Counter()
 
@@ -100,6 +105,7 @@
     async def sample(self) -> None:
         """Samples the state of all VMs until cancelled."""
         while True:
+            self._published_s.setdefault(self._cluster.revision, self._now_s())
             for node in self._cluster.vms.values():
                 if not (node.process.is_dead or node.process.is_frozen):
                     self._sample_node(node)
@@ -112,18 +118,43 @@
         if view.catalog.revision < before:
             self._broken.append(f"{node.name}: settings revision went back")
         self._revisions[run] = max(before, view.catalog.revision)
+        if not node.stop.is_set():
+            self._sample_settings(node.name, view.catalog.revision)
         for each in view.listing.targets:
             drain = self._drains.get(each.incarnation)
             is_known = each.condition is condition.Condition.DRAINING
             if drain is not None and is_known:
                 drain.known_s.setdefault(run, self._now_s())
 
+    def _sample_settings(self, vm: str, revision: int) -> None:
+        """Notes if settings that were published some time ago are missing."""
+        now_s = self._now_s()
+        due = max(
+            each
+            for each, at_s in self._published_s.items()
+            if at_s <= now_s - _APPLY_S or each == 1
+        )
+        if revision < due:
+            late_ms = round((now_s - self._published_s[due]) * 1_000.0)
+            self._late_settings.append(
+                (
+                    vm,
+                    now_s,
+                    f"{vm} uses settings {revision} {late_ms} ms after {due}",
+                )
+            )
+
     def find_broken(
         self, results: Iterable[gateway_caller.CallResult]
     ) -> list[str]:
         """Returns a message for each invariant that was violated."""
         by_id = {each.call.request_id: each for each in results}
         broken = list(self._broken)
+        broken += [
+            message
+            for vm, at_s, message in self._late_settings
+            if self._must_follow_store(vm, at_s)
+        ]
         for drain in self._drains.values():
             for arrival in drain.replica.arrivals:
                 call = by_id[arrival.request_id]
--- a/standins/restore_schedules.py
+++ b/standins/restore_schedules.py
@@ -9,9 +9,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
 import dataclasses
 import random
 import sys
+from typing import TypeAlias
 
 import cyclopts
 
@@ -40,7 +43,7 @@
 # The key that is removed in some schedules; gateway_cluster.KEY stays.
 REMOVED_KEY = "removed-key"
 
-_Fault = Callable[["Schedule"], Awaitable[None]]
+Fault: TypeAlias = Callable[["Schedule"], Awaitable[None]]
 
 
 class Schedule:
@@ -107,12 +110,22 @@
         reuses_names=rng.random() < 0.5,
         epoch=rng.choice(("1", "41")),
     )
-    return virtual_process.run(lambda: _run(layout, rng))
+    kinds = (
+        *[inject_fault] * _FAULTS,
+        *[restore] * _RESTORES,
+        *[drain_target] * _DRAINS,
+        *[change_settings] * _SETTINGS,
+        *[cut_from_store] * _CUTS,
+    )
+    return virtual_process.run(lambda: run_kinds(layout, rng, kinds))
 
 
-async def _run(
-    layout: gateway_cluster.Layout, rng: random.Random
+async def run_kinds(
+    layout: gateway_cluster.Layout,
+    rng: random.Random,
+    kinds: Sequence[Fault],
 ) -> ScheduleResult:
+    """Runs calls beside events of the given kinds, at random times."""
     cluster = gateway_cluster.GatewayCluster(layout)
     cluster.keys["w2"] = [REMOVED_KEY]
     await cluster.start()
@@ -121,13 +134,6 @@
         asyncio.ensure_future(schedule.record.sample()),
         asyncio.ensure_future(_take_snapshots(schedule)),
     ]
-    kinds: tuple[_Fault, ...] = (
-        *[_inject_fault] * _FAULTS,
-        *[_restore] * _RESTORES,
-        *[_drain_target] * _DRAINS,
-        *[_change_settings] * _SETTINGS,
-        *[_cut_from_store] * _CUTS,
-    )
     faults = [
         asyncio.ensure_future(_inject_later(schedule, kind)) for kind in kinds
     ]
@@ -158,7 +164,7 @@
     await asyncio.sleep(restore_checks.SETTLE_S)
 
 
-async def _inject_later(schedule: Schedule, kind: _Fault) -> None:
+async def _inject_later(schedule: Schedule, kind: Fault) -> None:
     await asyncio.sleep(schedule.rng.uniform(0.0, _DURATION_S))
     await kind(schedule)
 
@@ -190,11 +196,12 @@
         await asyncio.sleep(_SNAPSHOT_INTERVAL_S)
 
 
-async def _inject_fault(schedule: Schedule) -> None:
+async def inject_fault(schedule: Schedule) -> None:
+    """Injects a fault of a VM, a hall, a target or the store."""
     await gateway_schedules.inject_fault(schedule.cluster, schedule.rng)
 
 
-async def _restore(schedule: Schedule) -> None:
+async def restore(schedule: Schedule) -> None:
     """Restores the store from a snapshot, at times after an outage of it."""
     rng, store = schedule.rng, schedule.cluster.store
     snapshot = rng.choice(schedule.snapshots)
@@ -220,10 +227,10 @@
     if rng.random() < 0.7:
         # Revisions stay below those from before the restore for some time.
         await asyncio.sleep(rng.uniform(0.0, 4.0))
-        await _drain_target(schedule)
+        await drain_target(schedule)
 
 
-async def _drain_target(schedule: Schedule) -> None:
+async def drain_target(schedule: Schedule) -> None:
     """Drains a target or removes its entry, then restarts the target."""
     node = schedule.choose_target()
     if node is None:
@@ -247,7 +254,8 @@
         cluster.start_target(node)
 
 
-async def _change_settings(schedule: Schedule) -> None:
+async def change_settings(schedule: Schedule) -> None:
+    """Publishes settings, at times without the removed key."""
     cluster = schedule.cluster
     if schedule.rng.random() < 0.4 and not schedule.is_key_removed:
         schedule.is_key_removed = True
@@ -256,7 +264,7 @@
     cluster.publish()
 
 
-async def _cut_from_store(schedule: Schedule) -> None:
+async def cut_from_store(schedule: Schedule) -> None:
     """Cuts some VMs off from the store for 0.5 to 6 s."""
     cluster, rng = schedule.cluster, schedule.rng
     names = sorted(cluster.vms)
@@ -265,15 +273,16 @@
         virtual_network.Cut(name, gateway_cluster.STORE_NAME) for name in chosen
     ]
     cluster.network.cuts.extend(cuts)
-    start_s = asyncio.get_running_loop().time()
-    await asyncio.sleep(rng.uniform(0.5, 6.0))
-    end_s = asyncio.get_running_loop().time()
+    with contextlib.ExitStack() as stack:
+        # Also if the run ends before the cut does.
+        for name in chosen:
+            stack.enter_context(
+                gateway_schedules.record_disturbance(cluster, name)
+            )
+        await asyncio.sleep(rng.uniform(0.5, 6.0))
     for cut in cuts:
         if cut in cluster.network.cuts:
             cluster.network.cuts.remove(cut)
-    cluster.disturbances.extend(
-        gateway_cluster.Disturbance(name, start_s, end_s) for name in chosen
-    )
 
 
 def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
