The bodies of all requests take a bounded part of a VM's memory

Cause: each body had a bound and connections had one; their product had none, as the bodies of responses do.

Change: body_memory counts the bodies of requests, too: the announced length before a body is read, chunked ones as they grow, until the request has ended. What does not fit is answered 503, not run, with a Retry-After from how long bodies are held; a body that has stalled or cannot arrive in time gives way. Which body is dropped is a function; responses keep the longest. Reading requests moves to http/request_reader.py. What still arrives after such a refusal is discarded for 1 s, so that the response is not lost to a reset; a length over the bound of one body is refused at once (413).

Why it holds: the sum is bounded before bytes are taken, and only bodies that were not passed on are dropped.

Left: a body is held until its request ends, also when no further attempt can need it.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -85,6 +85,7 @@
     leave_ms: Annotated[float, _private.number(10, 600_000)] = 2_000.0,
     link_mbps: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
     memory_mb: Annotated[float, _private.number(1, 1_000_000)] = 256.0,
+    request_bodies_mb: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
     store_timeout_ms: Annotated[float, _private.number(10, 60_000)] = 1_500.0,
     body_bytes_max: Annotated[int, _private.number(1, 64_000_000)] = 8_000_000,
     connections_max: Annotated[int, _private.number(1, 100_000)] = 3_000,
@@ -119,6 +120,8 @@
             relay digests.
         memory_mb: Memory of this VM (MB); a part of it bounds the bodies of
             responses that are being read.
+        request_bodies_mb: Bound on the bodies of all requests (MB); 0 for a
+            fifth of `memory_mb`.
         store_timeout_ms: Longest pause in a response of the store (ms).
         body_bytes_max: Maximum size of a request body (bytes).
         connections_max: Maximum number of open connections of callers.
@@ -142,6 +145,9 @@
     is_lenient = strict_revoke == "false"
     key_age_max_ms = revoke_ms - _KEY_MARGIN_MS
     ready_age_max_ms = math.inf if is_lenient else revoke_ms * _READY_FRACTION
+    bodies_mb = request_bodies_mb or (
+        memory_mb * body_memory.REQUEST_MEMORY_FRACTION
+    )
     gateway_config = gateways.GatewayConfig(
         ready_listen=environment.parse_address(ready_listen),
         metrics_listen=environment.parse_address(metrics_listen),
@@ -158,6 +164,7 @@
             _parse_seeds(seeds, environment.parse_address(peer_listen).port),
             round(link_mbps),
         ),
+        request_bodies_bytes=bodies_mb * _BYTES_PER_MB,
     )
     response_memory = body_memory.BodyMemory(
         round(memory_mb * _BYTES_PER_MB * body_memory.MEMORY_FRACTION)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -50,6 +50,7 @@
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
+from ruddergate.http import body_memory
 from ruddergate.http import message
 from ruddergate.http import server as http_server
 from ruddergate.messages import document_part
@@ -90,6 +91,7 @@
         polling: How often the store is polled.
         retry_ratio: Retries allowed per first attempt.
         retry_slack: Retries that the fleet may make in addition.
+        request_bodies_bytes: Memory for the bodies of all requests.
         peers: Addresses for communication with peers.
     """
 
@@ -104,6 +106,7 @@
     retry_ratio: float
     retry_slack: float
     peers: peer_gossip.PeerConfig
+    request_bodies_bytes: float = body_memory.DEFAULT_LIMIT_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +149,11 @@
         self._log = logs.make_logger("entry")
         self._stop = planned_stop.PlannedStop()
         self._connections = http_server.Connections()
+        self._request_memory = body_memory.make_request_memory(
+            gateway_config.request_bodies_bytes,
+            lambda: env.now_ms() / 1000.0,
+            self._on_body_dropped,
+        )
         self._open_requests = in_flight.InFlightCalls(
             platform.caller_protocol.write_failure
         )
@@ -513,9 +521,21 @@
             self._connections,
             lambda: self._stop.is_accepting,
             self._find_http_limits,
+            self._request_memory,
         )
         await handler(reader, writer)
 
+    def _on_body_dropped(self, body: body_memory.Body) -> None:
+        """Reports a request that is refused for the memory of its body."""
+        self._log.warning(
+            "Request refused: no_request_memory.",
+            body_bytes=body.held_bytes,
+            received_bytes=len(body),
+            age_ms=round(body.find_age_s() * 1000.0),
+            held_bytes=round(self._request_memory.used_bytes),
+            limit_bytes=round(self._request_memory.limit_bytes),
+        )
+
     def _find_http_limits(self) -> http_server.Limits:
         default = self._config.limits
         published_limits = self.context.view.catalog.limits
@@ -576,6 +596,8 @@
         metrics.quarantined.set({}, len(quarantined))
         metrics.loop_lag_ms.set({}, self.overload.lag_ms)
         metrics.shed_connections.set({}, self.overload.shed)
+        metrics.request_body_bytes.set({}, self._request_memory.used_bytes)
+        metrics.refused_bodies.set({}, self._request_memory.dropped)
         metrics.poison_trials.set({}, self.context.quarantine.trials)
         metrics.rejected_entries.set({}, self._sync.count_refused())
         self._rate_limiter.set_gauges()
--- /dev/null
+++ b/src/ruddergate/http/request_reader.py
@@ -0,0 +1,185 @@
+"""Reads requests of HTTP/1.1 connections."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from ruddergate.http import body_memory
+from ruddergate.http import message
+from ruddergate.http import parsing_rate
+
+_READ_BYTES = 1 << 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is refused before it is handled.
+
+    Attributes:
+        status: Status of the response.
+        detail: What is wrong.
+        reason: Machine-readable reason.
+        retry_after_s: When the caller may try again; None to say nothing.
+        is_partial: Whether bytes of the request may still arrive.
+    """
+
+    status: int
+    detail: str
+    reason: str = "bad_request"
+    retry_after_s: float | None = None
+    is_partial: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Collected:
+    """A request that was read whole.
+
+    Attributes:
+        incoming: The request.
+        body: Its body as counted; to be closed once it is no longer needed.
+    """
+
+    incoming: message.IncomingRequest
+    body: body_memory.Body
+
+
+async def read_request(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    body_bytes_max: int,
+    read_timeout_ms: float,
+    memory: body_memory.BodyMemory,
+) -> Collected | Refusal | None:
+    """Reads a request.
+
+    Args:
+        reader: Where to read from.
+        connection: Parses it; may hold the first bytes.
+        body_bytes_max: Maximum size of its body.
+        read_timeout_ms: Time in which it must arrive.
+        memory: Bounds the bodies of all requests.
+
+    Returns:
+        The request, why it is refused, or None if its caller has left.
+    """
+    read_s = read_timeout_ms / 1000.0
+    body: body_memory.Body | None = None
+    try:
+        async with asyncio.timeout(read_s) as scope:
+            head = await _read_head(reader, connection)
+            if not isinstance(head, h11.Request):
+                return head
+            length = _read_length(head)
+            if length is not None and length > body_bytes_max:
+                return _make_too_long()
+            # A time in the past ends the reading at once.
+            body = memory.open(
+                lambda: scope.reschedule(0.0),
+                length or 0,
+                memory.clock() + read_s,
+            )
+            found = await _gather(reader, connection, body, body_bytes_max)
+    except TimeoutError:
+        found = Refusal(408, "the request arrived too slowly")
+    except h11.RemoteProtocolError as error:
+        found = Refusal(error.error_status_hint, f"malformed HTTP: {error}")
+    finally:
+        if body is not None and not body.is_complete:
+            body.close()
+    if body is not None and body.is_dropped:
+        return _make_no_memory(memory, body)
+    if isinstance(found, bytes):
+        return Collected(_make_incoming(head, found), body)
+    return found
+
+
+def _make_no_memory(
+    memory: body_memory.BodyMemory, body: body_memory.Body
+) -> Refusal:
+    return Refusal(
+        503,
+        "the bodies of all requests take too much memory",
+        "no_request_memory",
+        memory.find_wait_s(body.held_bytes),
+        is_partial=True,
+    )
+
+
+def _make_too_long() -> Refusal:
+    return Refusal(413, "the body is too long", is_partial=True)
+
+
+def _read_length(head: h11.Request) -> int | None:
+    """Returns the length of a request's body; None if it is chunked."""
+    for name, value in head.headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+async def _next_event(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    rate: parsing_rate.ParsingRate,
+) -> object:
+    """Returns the next part of a request."""
+    while True:
+        await rate.wait()
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            rate.note_piece()
+            return event
+        connection.receive_data(await reader.read(_READ_BYTES))
+
+
+async def _read_head(
+    reader: asyncio.StreamReader, connection: h11.Connection
+) -> h11.Request | Refusal | None:
+    event = await _next_event(reader, connection, parsing_rate.ParsingRate())
+    if not isinstance(event, h11.Request):
+        return None
+    if event.method == b"CONNECT":
+        # A success would turn the connection into a tunnel.
+        return Refusal(405, "CONNECT is not supported")
+    return event
+
+
+async def _gather(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    body: body_memory.Body,
+    body_bytes_max: int,
+) -> bytes | Refusal | None:
+    """Returns the whole body, unless it is dropped or too long."""
+    rate = parsing_rate.ParsingRate()
+    while not body.is_dropped:
+        event = await _next_event(reader, connection, rate)
+        if isinstance(event, h11.Data):
+            body.append(event.data)
+            if len(body) > body_bytes_max:
+                return _make_too_long()
+        elif isinstance(event, h11.EndOfMessage):
+            return None if body.is_dropped else body.take()
+        else:
+            return None
+    return None
+
+
+def _make_incoming(head: h11.Request, body: bytes) -> message.IncomingRequest:
+    target = head.target.decode("latin-1")
+    path, _, query = target.partition("?")
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in head.headers
+    }
+    method = head.method.decode("latin-1")
+    fields = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+    return message.IncomingRequest(
+        method, path, query, headers, body, target, fields
+    )
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -10,14 +10,16 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 from typing import TypeAlias
 
 import h11
 import orjson
 
 from ruddergate import environment
+from ruddergate.http import body_memory
 from ruddergate.http import message
-from ruddergate.http import parsing_rate
+from ruddergate.http import request_reader
 
 Handler: TypeAlias = Callable[
     [message.IncomingRequest], Awaitable[message.Response]
@@ -28,6 +30,10 @@
 # Bytes of further requests that are read before a response is complete, while
 # watching whether the caller disconnects.
 _READ_AHEAD_BYTES = 1 << 16
+# After a response to a request that was not read whole, what arrives for this
+# time is discarded: a connection that is closed with unread bytes is reset, and
+# the caller may never see the response.
+_DISCARD_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,12 +55,6 @@
     connections_max: int = 4_096
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _InvalidInput:
-    status: int
-    detail: str
-
-
 class Connections:
     """Tracks the open connections of a server and which of them are idle."""
 
@@ -96,6 +96,7 @@
     connections: Connections | None = None,
     is_accepting: Callable[[], bool] = lambda: True,
     find_limits: Callable[[], Limits] | None = None,
+    memory: body_memory.BodyMemory | None = None,
 ) -> environment.StreamHandler:
     """Returns a stream handler that serves HTTP requests with `handle`.
 
@@ -110,7 +111,9 @@
         find_limits: Returns the limits for a request that arrives now; None if
             they don't change. The idle time of an open connection is only ever
             lengthened: its caller may still go by the earlier one.
+        memory: Bounds the bodies of all requests that are read or handled.
     """
+    request_memory = memory or body_memory.BodyMemory(math.inf)
     open_connections = connections if connections is not None else Connections()
 
     async def serve(
@@ -120,7 +123,7 @@
         try:
             if len(open_connections) > limits.connections_max:
                 await _reject(
-                    writer, _InvalidInput(503, "too many connections")
+                    writer, request_reader.Refusal(503, "too many connections")
                 )
                 return
             await _serve_connection(
@@ -132,6 +135,7 @@
                 open_connections,
                 is_accepting,
                 find_limits or (lambda: limits),
+                request_memory,
             )
         except (ConnectionError, OSError, TimeoutError):
             pass  # The peer has disconnected, so the error can't be reported.
@@ -151,6 +155,7 @@
     open_connections: Connections,
     is_accepting: Callable[[], bool],
     find_limits: Callable[[], Limits],
+    memory: body_memory.BodyMemory,
 ) -> None:
     connection = _make_connection(limits)
     while is_accepting():
@@ -168,15 +173,25 @@
         connection.receive_data(data)
         if is_ended:
             connection.receive_data(b"")
-        incoming = await _read_request(reader, connection, request_limits)
-        if incoming is None:
-            return
-        if isinstance(incoming, _InvalidInput):
-            await _reject(writer, incoming)
-            return
-        is_disconnected = await _handle_request(
-            reader, writer, connection, handle, incoming, is_closing
+        collected = await request_reader.read_request(
+            reader,
+            connection,
+            request_limits.body_bytes_max,
+            request_limits.read_timeout_ms,
+            memory,
         )
+        if not isinstance(collected, request_reader.Collected):
+            await _refuse(reader, writer, collected)
+            return
+        with contextlib.closing(collected.body):
+            is_disconnected = await _handle_request(
+                reader,
+                writer,
+                connection,
+                handle,
+                collected.incoming,
+                is_closing,
+            )
         if is_disconnected or connection.our_state is not h11.DONE:
             return
         if connection.their_state is not h11.DONE:
@@ -209,65 +224,6 @@
             idle_ms = lengthened_ms
 
 
-async def _read_request(
-    reader: asyncio.StreamReader, connection: h11.Connection, limits: Limits
-) -> message.IncomingRequest | _InvalidInput | None:
-    try:
-        async with asyncio.timeout(limits.read_timeout_ms / 1000.0):
-            return await _collect_request(reader, connection, limits)
-    except TimeoutError:
-        return _InvalidInput(408, "the request arrived too slowly")
-    except h11.RemoteProtocolError as error:
-        return _InvalidInput(
-            error.error_status_hint, f"malformed HTTP: {error}"
-        )
-
-
-async def _collect_request(
-    reader: asyncio.StreamReader, connection: h11.Connection, limits: Limits
-) -> message.IncomingRequest | _InvalidInput | None:
-    head: h11.Request | None = None
-    body = bytearray()
-    rate = parsing_rate.ParsingRate()
-    while True:
-        await rate.wait()
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(_READ_BYTES))
-            continue
-        rate.note_piece()
-        if isinstance(event, h11.Request):
-            if event.method == b"CONNECT":
-                # A success would turn the connection into a tunnel.
-                return _InvalidInput(405, "CONNECT is not supported")
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > limits.body_bytes_max:
-                return _InvalidInput(413, "the body is too long")
-        elif isinstance(event, h11.EndOfMessage):
-            return _make_incoming(head, bytes(body))
-        else:
-            return None
-
-
-def _make_incoming(head: h11.Request, body: bytes) -> message.IncomingRequest:
-    target = head.target.decode("latin-1")
-    path, _, query = target.partition("?")
-    headers = {
-        name.decode("latin-1"): value.decode("latin-1")
-        for name, value in head.headers
-    }
-    method = head.method.decode("latin-1")
-    fields = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers
-    )
-    return message.IncomingRequest(
-        method, path, query, headers, body, target, fields
-    )
-
-
 async def _handle_request(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -359,17 +315,39 @@
     await writer.drain()
 
 
-async def _reject(writer: asyncio.StreamWriter, fault: _InvalidInput) -> None:
+async def _refuse(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    refusal: request_reader.Refusal | None,
+) -> None:
+    """Answers a request that was not read whole, unless its caller has left."""
+    if refusal is None:
+        return
+    await _reject(writer, refusal)
+    if not refusal.is_partial:
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_DISCARD_S):
+            while await reader.read(_READ_BYTES):
+                pass
+
+
+async def _reject(
+    writer: asyncio.StreamWriter, refusal: request_reader.Refusal
+) -> None:
     connection = h11.Connection(h11.SERVER)
     body = orjson.dumps(
-        {"reason": "bad_request", "ran": "not_run", "detail": fault.detail}
+        {"reason": refusal.reason, "ran": "not_run", "detail": refusal.detail}
     )
     headers = [
         ("content-type", message.JSON_TYPE),
         ("content-length", str(len(body))),
         ("connection", "close"),
     ]
-    head = h11.Response(status_code=fault.status, headers=headers)
+    if refusal.retry_after_s is not None:
+        seconds = math.ceil(refusal.retry_after_s)
+        headers.append(("retry-after", str(seconds)))
+    head = h11.Response(status_code=refusal.status, headers=headers)
     sent = connection.send(head) + connection.send(h11.Data(data=body))
     writer.write(sent + connection.send(h11.EndOfMessage()))
     await writer.drain()
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -122,6 +122,14 @@
             "ruddergate_connections_shed",
             "New connections closed unread in overload, in total.",
         )
+        self.request_body_bytes = self._gauge(
+            "ruddergate_request_body_bytes",
+            "Bytes of request bodies that are read or held.",
+        )
+        self.refused_bodies = self._gauge(
+            "ruddergate_request_bodies_refused",
+            "Requests refused for the memory of their bodies, in total.",
+        )
         self.poison_trials = self._gauge(
             "ruddergate_poison_trials",
             "Requests with suspect parts sent as trials, in total.",
