A resumed stream keeps its place through what has no id

Cause: what came before the first event with an id was delivered with an empty one, which replaced the caller's place in the state that the attempts share. An empty id later in the stream did the same.

Change: only an event with an id moves the place; the splitter keeps the last id that is not empty.

Why it holds: the place starts as the caller's Last-Event-ID and is only ever set to an id that was handed on.

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -417,7 +417,9 @@
         self._record_first_event()
         if self._answered_ms - self._begun_ms >= poison_requests.LASTING_MS:
             self._record_lasting()
-        self._progress.last_event_id = event.last_event_id
+        if event.last_event_id:
+            # Comments and events without an id leave the caller where it was.
+            self._progress.last_event_id = event.last_event_id
 
     def _record_failure(self, failure: outcomes.NotServed) -> None:
         if self._has_rate_token and failure.reason in _CONNECT_FAILED_REASONS:
--- a/src/ruddergate/relay/event_splitter.py
+++ b/src/ruddergate/relay/event_splitter.py
@@ -27,7 +27,7 @@
             return None
         complete = bytes(self._buffer[: end + len(_END)])
         del self._buffer[: end + len(_END)]
-        ids = _ID.findall(complete)
+        ids = [each for each in _ID.findall(complete) if each.strip()]
         if ids:
             self._last_id = ids[-1].decode("latin-1").strip()
         return response_events.StreamEvents(complete, self._last_id)
--- a/src/ruddergate/relay/response_event.py
+++ b/src/ruddergate/relay/response_event.py
@@ -41,7 +41,8 @@
 
     Attributes:
         data: Their bytes as received.
-        last_event_id: Id of the last event.
+        last_event_id: Id of the last event that has one; empty if there was
+            none yet in this response.
     """
 
     data: bytes
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -141,6 +141,8 @@
         retry_after: Value of Retry-After in a refusal; empty for none.
         answer_header: Value of X-Note in all answers; empty for none.
         event_id_suffix: What follows the numbers in the ids of events.
+        stream_preamble: Sent at the beginning of a stream, before its prompt is
+            processed.
     """
 
     refuse: float = 0.0
@@ -158,6 +160,7 @@
     retry_after: str = ""
     answer_header: str = ""
     event_id_suffix: str = ""
+    stream_preamble: bytes = b""
 
 
 class PlatformReplica:
@@ -379,6 +382,12 @@
             if self._draw(self.faults.lose):
                 return message.Response(200, headers, _abort(()))
             helped = self._begin_helped_run(run, fields.get("helpers", ""))
+            if self.faults.stream_preamble:
+                return message.Response(
+                    200,
+                    headers,
+                    self._stream_early(run, prompt, output, helped),
+                )
             if not await self._prefill_while_reserved(prompt, helped):
                 return message.Response(200, headers, _abort(()))
             if run.body in self.poison_bodies or (
@@ -471,6 +480,16 @@
             *(each.prefill(part_tokens, prompt) for each in engines)
         )
 
+    async def _stream_early(
+        self, run: Run, prompt: int, output: int, helped: HelpedRun
+    ) -> AsyncIterator[bytes]:
+        """Begins the stream before the prompt is processed."""
+        yield self.faults.stream_preamble
+        if not await self._prefill_while_reserved(prompt, helped):
+            raise ConnectionResetError("memory has lapsed")
+        async for event in self._stream_answer(run, prompt, output, helped):
+            yield event
+
     async def _stream_answer(
         self, run: Run, prompt: int, output: int, helped: HelpedRun
     ) -> AsyncIterator[bytes]:
