Event streams may use any line ends

Seen by callers: a stream whose lines end with CR or CRLF would be held back to its end and then count as broken off; line ends after its last event were left out. Found by drawing streams for the fault before; no target of the platform is known to send such streams.

Cause: the splitter looked for two LF only.

Line ends after the last event are passed on.

Evidence: a drawn-stream test (comments, retry, empty ids, fields in any order, CR, LF, CRLF, cut at any bytes) failed before and holds.

--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -363,16 +363,11 @@
     splitter = event_splitter.EventSplitter()
     has_begun = False
     while True:
-        chunk = await _wait(
-            exchange.read_chunk, env, until_ms, upstream_request
-        )
+        chunk = await _wait_for_chunk(exchange, env, until_ms, upstream_request)
         if isinstance(chunk, response_events.TargetSilent):
             yield chunk
             until_ms = upstream_request.deadline_ms
             continue
-        if isinstance(chunk, client.Fault):
-            yield _make_target_lost(chunk)
-            return
         if isinstance(chunk, outcomes.NotServed):
             yield chunk
             return
@@ -380,7 +375,7 @@
             # The target may have crashed before the first event.
             yield _make_stream_lost("the stream ended without any event")
             return
-        events = splitter.feed(chunk) if chunk else None
+        events = splitter.feed(chunk) if chunk else splitter.take_blank_rest()
         if splitter.is_too_long():
             yield _make_size_error(
                 f"an event exceeds {event_splitter.MAX_EVENT_BYTES} bytes"
@@ -392,16 +387,30 @@
             has_begun = True
             fields = headers.select_for_caller(exchange.fields)
             yield response_events.StreamHead(exchange.status, fields)
-        if events is None:
+        if events is not None:
+            yield events
+        if not chunk:
             yield _end_stream(splitter)
             return
-        yield events
         until_ms = min(
             upstream_request.deadline_ms,
             env.now_ms() + upstream_request.timeouts.gap_ms,
         )
 
 
+async def _wait_for_chunk(
+    exchange: client.Exchange,
+    env: environment.Environment,
+    until_ms: float,
+    upstream_request: upstream_requests.UpstreamRequest,
+) -> bytes | response_events.TargetSilent | outcomes.NotServed:
+    """Returns the next bytes of a response; none at its end."""
+    chunk = await _wait(exchange.read_chunk, env, until_ms, upstream_request)
+    if isinstance(chunk, client.Fault):
+        return _make_target_lost(chunk)
+    return chunk
+
+
 def _end_stream(
     splitter: event_splitter.EventSplitter,
 ) -> response_events.StreamEnd | outcomes.NotServed:
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -13,6 +13,38 @@
 )
 
 
+_LINE_ENDS = (b"\n", b"\r", b"\r\n")
+_FIELDS = (
+    b": a comment",
+    b"retry: 100",
+    b"id",
+    b"id:",
+    b"id: ",
+    b"idle: 7",
+    b"event: id",
+    b"data: id: 3",
+    b"data",
+)
+
+
+@strategies.composite
+def _draw_stream(draw: strategies.DrawFn) -> tuple[bytes, list[str]]:
+    """Draws a stream, and the place of a caller after each empty line."""
+    line_end = draw(strategies.sampled_from(_LINE_ENDS))
+    stream, place, places = b"", "", []
+    for number in range(1, draw(strategies.integers(1, 5)) + 1):
+        fields = draw(strategies.lists(strategies.sampled_from(_FIELDS)))
+        if draw(strategies.booleans()):
+            blank = draw(strategies.sampled_from((b"", b" ")))
+            named = b"id:%b%d" % (blank, number)
+            fields.insert(draw(strategies.integers(0, len(fields))), named)
+            place = str(number)
+        fields.append(b"data: x")
+        stream += b"".join(each + line_end for each in fields) + line_end
+        places.append(place)
+    return stream, places
+
+
 class EventSplitterTest(unittest.TestCase):
     @hypothesis.given(
         strategies.lists(strategies.integers(0, len(_EVENTS)), max_size=12)
@@ -34,6 +66,30 @@
         self.assertEqual(whole, _EVENTS)
         self.assertTrue(splitter.is_between_events())
 
+    # Events with CR or CRLF were held back to the end of the stream, and then
+    # counted as broken off.
+    @hypothesis.given(_draw_stream(), strategies.data())
+    @hypothesis.settings(deadline=None)
+    def test_any_line_ends_and_fields_give_the_place_of_the_caller(
+        self, drawn: tuple[bytes, list[str]], data: strategies.DataObject
+    ) -> None:
+        stream, places = drawn
+        cuts = data.draw(
+            strategies.lists(strategies.integers(0, len(stream)), max_size=12)
+        )
+        splitter = event_splitter.EventSplitter()
+        offsets = [0, *sorted(cuts), len(stream)]
+        whole, place = b"", ""
+        for first, last in zip(offsets, offsets[1:], strict=False):
+            events = splitter.feed(stream[first:last])
+            if events is not None:
+                whole += events.data
+                place = events.last_event_id
+                self.assertEqual(place, places[whole.count(b"data: x") - 1])
+        self.assertEqual(place, places[-1])
+        rest = splitter.take_blank_rest()
+        self.assertEqual(whole + (rest.data if rest else b""), stream)
+
     def test_incomplete_event_is_held_back(self) -> None:
         splitter = event_splitter.EventSplitter()
         events = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
