A waiting request without a cost counts as one

Seen by callers: after a request without a prompt length had waited at a pool of engines, two others of its class waited on beside free engines until a third came.

Cause: the count of a class's waiting requests went up or down by the sign of the cost, and a cost of 0 was taken for a removal.

Change: adding and removing are two functions.

Evidence: test_job_without_a_cost_counts failed before (nothing was taken while two waited), and passes.

--- a/src/ruddergate/decisions/queueing.py
+++ b/src/ruddergate/decisions/queueing.py
@@ -79,8 +79,15 @@
     served_ms: float = 0.0
     served_at_ms: float = 0.0
 
-    def add_waiting_cost(self, job: Job, cost_ms: float) -> None:
-        self.count += 1 if cost_ms > 0.0 else -1
+    def note_added(self, job: Job) -> None:
+        self.count += 1
+        self._add_cost(job, job.cost_ms)
+
+    def note_removed(self, job: Job) -> None:
+        self.count -= 1
+        self._add_cost(job, -job.cost_ms)
+
+    def _add_cost(self, job: Job, cost_ms: float) -> None:
         band = job.lane.band
         known_ms = self.cost_by_band.get(band, 0.0)
         self.cost_by_band[band] = max(0.0, known_ms + cost_ms)
@@ -237,11 +244,11 @@
             waiting_jobs.appendleft(job)
         else:
             waiting_jobs.append(job)
-        class_.add_waiting_cost(job, job.cost_ms)
+        class_.note_added(job)
         self._count += 1
 
     def _note_removed(self, class_: _ClassQueue, job: Job) -> None:
-        class_.add_waiting_cost(job, -job.cost_ms)
+        class_.note_removed(job)
         self._count -= 1
         workspace = class_.workspaces[job.workspace]
         if not workspace.lanes[job.lane]:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -56,6 +56,14 @@
         first = take_all(self.queue)[:20]
         self.assertTrue(all(name.startswith("high") for name in first))
 
+    # Adding a job without a cost was taken for a removal, so later jobs of its
+    # class were not found.
+    def test_job_without_a_cost_counts(self) -> None:
+        self.offer(make_job("free", cost_ms=0.0))
+        self.assertEqual(take_all(self.queue), ["free"])
+        self.offer(make_job("a"), make_job("b"))
+        self.assertEqual(take_all(self.queue), ["a", "b"])
+
     def test_workspaces_share_by_weight_on_cost(self) -> None:
         self.offer(*(make_job(f"a{n}", workspace="a") for n in range(30)))
         self.offer(
