A malformed load of a target loses no response

Seen by callers: a target whose load is named in digits other than ASCII ("1²,0,8") had its whole responses answered as 502.

Cause: such text passes str.isdigit and raises in int.

Change: the header is matched as a whole, ASCII digits of bounded length; anything else is ignored. The other headers that are read as numbers were walked: epochs, rates, seconds and lengths are matched so already, time limits and token counts are read with their errors handled.

Evidence: test_malformed_load_is_ignored raised before, and passes.

--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import re
 from typing import TypeVar
 
 from ruddergate import environment
@@ -24,6 +25,8 @@
 _MISDIRECTED = 421
 _REDIRECTION = 300
 _OK = 200
+# Requests that run and requests that wait; then come the slots.
+_LOAD = re.compile(r"(\d{1,9}),(\d{1,9})(?:,|$)", re.ASCII)
 
 # Retry delay after a rejection; the same or another target soon has capacity.
 _RETRY_MS = 200.0
@@ -263,15 +266,15 @@
     upstream_request: upstream_requests.UpstreamRequest,
     exchange: client.Exchange,
 ) -> response_events.LoadReported | None:
-    parts = exchange.headers.get(headers.LOAD, "").split(",")
-    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
+    found = _LOAD.match(exchange.headers.get(headers.LOAD, ""))
+    if found is None:
         return None
     target_id = upstream_request.target.target_id
     return response_events.LoadReported(
         load_report.LoadReport(
             target_id=target_id,
             generation=target_id,
-            running=int(parts[0]) + int(parts[1]),
+            running=int(found[1]) + int(found[2]),
             waiting_tokens=0,
             held_tokens=0,
             draining=False,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -18,6 +18,7 @@
 from ruddergate.settings import route as routes
 from standins import virtual_network
 from standins import virtual_process
+from tests import upstream_fixture
 
 _ADDRESS = environment.Address("target", 1)
 _TARGET = targets.Target("t-1", "p", "h", _ADDRESS, condition.Condition.LIVE)
@@ -94,6 +95,37 @@
     return await vm_process.start(collect)
 
 
+class LoadHeaderTest(unittest.TestCase):
+    """The load that a target reports with a response."""
+
+    # A number in other digits ended the request, and its caller lost a whole
+    # response.
+    def test_malformed_load_is_ignored(self) -> None:
+        for text, loads in (
+            ("1,2,8", 1),
+            ("1\xb2,0,8", 0),
+            ("\xb2,0,8", 0),
+            ("9" * 5_000 + ",0,8", 0),
+            ("-1,0,8", 0),
+            ("1", 0),
+            ("", 0),
+        ):
+            data = (
+                "HTTP/1.1 200 OK\r\nx-replica-signature: s\r\n"
+                f"x-replica-load: {text}\r\ncontent-length: 2\r\n\r\nok"
+            ).encode("latin-1")
+            events = upstream_fixture.receive(data, False)
+            self.assertIsInstance(
+                events[-1], response_events.CompleteResponse, text[:9]
+            )
+            reported = [
+                each
+                for each in events
+                if isinstance(each, response_events.LoadReported)
+            ]
+            self.assertEqual(len(reported), loads, text[:9])
+
+
 class AdmissionCheckTest(unittest.TestCase):
     """The admission check right before the first byte of a request."""
 
