A refusal that may have run is no promise to the caller

Cause: answers below 500 were final and passed on, 503 was kept as the answer if retries failed.

Change: such an answer is a failure of which nobody knows whether it ran. It is retried where the route allows it, else answered 502 without the target's signature. The function that took Retry-After out of passed-on refusals has nothing left to do.

Evidence: tests.test_upstream.RefusedStatusTest, 408, 429 and 503 of streams and plain calls: failed before, holds; 400, 404 and 5xx pass as before.

--- a/src/ruddergate/platform/headers.py
+++ b/src/ruddergate/platform/headers.py
@@ -87,15 +87,6 @@
     )
 
 
-def drop_retry_after(fields: message.Fields) -> message.Fields:
-    """Returns the header lines of a rejection without Retry-After.
-
-    Its value is meant for this VM and one target; another target may be able to
-    serve the caller immediately.
-    """
-    return _select(fields, {RETRY_AFTER})
-
-
 def _select(fields: message.Fields, excluded: Iterable[str]) -> message.Fields:
     return tuple(
         (name, value) for name, value in fields if name.lower() not in excluded
--- a/src/ruddergate/platform/upstream.py
+++ b/src/ruddergate/platform/upstream.py
@@ -25,6 +25,8 @@
 _MISDIRECTED = 421
 _REDIRECTION = 300
 _OK = 200
+# Callers take these for a guarantee that the request has not run.
+_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # Requests that run and requests that wait; then come the slots.
 _LOAD = re.compile(r"(\d{1,9}),(\d{1,9})(?:,|$)", re.ASCII)
 
@@ -314,6 +316,12 @@
             f"the target rejected the request with {exchange.status}",
             _RETRY_MS,
         )
+    if exchange.status in _NOT_RUN_STATUSES:
+        return outcomes.NotServed(
+            outcomes.Reason.TARGET_REFUSED,
+            outcomes.Ran.UNKNOWN,
+            f"the target answered {exchange.status}, and may have run it",
+        )
     sent_id = _find_request_id(upstream_request)
     echoed_id = response_headers.get(headers.REQUEST_ID)
     if echoed_id is not None and echoed_id != sent_id:
@@ -352,8 +360,6 @@
     if isinstance(body, client.Fault):
         return _make_target_lost(body)
     fields = headers.select_for_caller(exchange.fields)
-    if exchange.status in hints.REFUSALS:
-        fields = headers.drop_retry_after(fields)
     return response_events.CompleteResponse(exchange.status, fields, body)
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,7 @@
 from ruddergate.fleet import target as targets
 from ruddergate.http import message
 from ruddergate.http import server
+from ruddergate.platform import callers
 from ruddergate.platform import upstream
 from ruddergate.relay import hints as hint_types
 from ruddergate.relay import response_event as response_events
@@ -95,6 +96,47 @@
     return await vm_process.start(collect)
 
 
+class RefusedStatusTest(unittest.TestCase):
+    """Statuses that tell callers that their request has not run.
+
+    Guards against a call that has run and is answered as if it had not: these
+    statuses were passed on from targets that did not say so.
+    """
+
+    def _receive(
+        self, status: int, header: str, is_stream: bool
+    ) -> response_events.Event:
+        data = (
+            f"HTTP/1.1 {status} S\r\nx-replica-signature: s\r\n{header}"
+            "retry-after: 1\r\ncontent-length: 2\r\n\r\nno"
+        ).encode()
+        return upstream_fixture.receive(data, is_stream)[-1]
+
+    def test_refusal_that_may_have_run_is_no_refusal(self) -> None:
+        for status in (408, 429, 503):
+            for is_stream in (False, True):
+                found = self._receive(status, "", is_stream)
+                self.assertIsInstance(found, outcomes.NotServed)
+                self.assertIs(found.ran, outcomes.Ran.UNKNOWN)
+                response = callers.make_caller_protocol().write_failure(found)
+                self.assertEqual(response.status, 502)
+
+    def test_refusal_that_has_not_run_stays_one(self) -> None:
+        for status in (400, 408, 429, 503):
+            for is_stream in (False, True):
+                found = self._receive(
+                    status, "x-not-executed: 1\r\n", is_stream
+                )
+                self.assertIs(found.ran, outcomes.Ran.NOT_RUN)
+
+    def test_other_errors_are_passed_on(self) -> None:
+        for status in (400, 404, 500, 501, 502, 504):
+            for is_stream in (False, True):
+                found = self._receive(status, "", is_stream)
+                self.assertIsInstance(found, response_events.CompleteResponse)
+                self.assertEqual((found.status, found.body), (status, b"no"))
+
+
 class LoadHeaderTest(unittest.TestCase):
     """The load that a target reports with a response."""
 
