Request targets in absolute form are understood

Seen by callers: GET http://host/path was answered 404 (RFC 9112, 3.2.2).

Cause: the whole target was taken for a path.

Change: host and path are taken from it; the host goes before the header, and the target of the request gets the path, as from callers that send that.

Evidence: the tests of tests.test_request_targets failed before (404), and pass.

--- a/src/ruddergate/http/request_reader.py
+++ b/src/ruddergate/http/request_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import re
 
 import h11
 
@@ -10,6 +11,7 @@
 from ruddergate.http import parsing_rate
 
 _READ_BYTES = 1 << 16
+_ABSOLUTE_FORM = re.compile(r"https?://([^/?]*)(.*)", re.IGNORECASE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,11 +177,14 @@
     head: h11.Request, body: bytes, reading_ms: float
 ) -> message.IncomingRequest:
     target = head.target.decode("latin-1")
+    host, target = _split_target(target)
     path, _, query = target.partition("?")
     headers = {
         name.decode("latin-1"): value.decode("latin-1")
         for name, value in head.headers
     }
+    if host is not None:
+        headers["host"] = host
     method = head.method.decode("latin-1")
     fields = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
@@ -188,3 +193,16 @@
     return message.IncomingRequest(
         method, path, query, headers, body, target, fields, reading_ms
     )
+
+
+def _split_target(target: str) -> tuple[str | None, str]:
+    """Returns the host and the path with the query of a request target.
+
+    The host of a target in absolute form goes before the header (RFC 9112,
+    section 3.2.2); it is None in other forms.
+    """
+    found = _ABSOLUTE_FORM.fullmatch(target)
+    if found is None:
+        return None, target
+    rest = found[2]
+    return found[1], rest if rest.startswith("/") else f"/{rest}"
