An empty line before a request is ignored

Seen by callers: an empty line before a request got 400 (RFC 9112, 2.2).

Cause: what is parsed began with it.

Change: one is skipped; the connection stays idle until a request comes.

Evidence: both tests of it failed before, and pass.

--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -26,6 +26,7 @@
 ]
 
 _HEAD = "HEAD"
+_EMPTY_LINE = b"\r\n"
 _READ_BYTES = 1 << 16
 # Bytes of further requests that are read before a response is complete, while
 # watching whether the caller disconnects.
@@ -163,6 +164,10 @@
         data, is_ended = connection.trailing_data
         if not (data or is_ended):
             data = await _read_first(reader, limits, find_limits)
+        if data.startswith(_EMPTY_LINE):
+            # One is ignored (RFC 9112, section 2.2).
+            data = data.removeprefix(_EMPTY_LINE)
+            data = data or await _read_first(reader, limits, find_limits)
         # Closed as idle, just as this request was arriving.
         if not data or writer.is_closing():
             return
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -70,3 +70,27 @@
             self.assertEqual(
                 self._send(_make_head(target)), [b"404"] * _TIMES, target
             )
+
+    # It was answered 400.
+    def test_empty_line_before_a_request_is_ignored(self) -> None:
+        request = b"\r\n" + _make_head("/open/x")
+        self.assertEqual(self._send(request), [b"200"] * _TIMES)
+
+    def test_empty_line_alone_is_no_request(self) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            process = virtual_process.VirtualProcess("caller-2", "")
+            env = fixture.cluster.network.make_environment(process, 1)
+
+            async def exchange() -> bytes:
+                reader, writer = await env.connect(
+                    environment.Address("vm-0", gateway_cluster.FRONT_PORT)
+                )
+                writer.write(b"\r\n")
+                await asyncio.sleep(1.0)
+                writer.write(_make_head("/open/x"))
+                return await reader.readline()
+
+            line = await process.start(exchange)
+            self.assertIn(b" 200 ", line)
+
+        gateway_fixture.run_scenario(scenario)
