--- a/standins/schedule_runner.py
+++ b/standins/schedule_runner.py
@@ -37,20 +37,24 @@
         jobs: Number of seeds that run in parallel.
     """
     counts: collections.Counter[str] = collections.Counter()
-    failed = 0
+    failed: list[str] = []
     seeds = range(first, first + count)
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         results = pool.map(
             functools.partial(_run_silently, run_schedule), seeds
         )
         for seed, result in zip(seeds, results, strict=True):
-            failed += bool(result.broken)
             counts.update(result.counts)
             for each in result.broken:
                 print(f"seed {seed}: {each}", flush=True)
+            if result.broken:
+                failed.append(f"seed {seed}: {result.broken[0]}")
     for name, number in sorted(counts.items()):
         print(f"{name}: {number}")
-    print(f"{count - failed} passed, {failed} failed")
+    # Once more at the end, as the beginning of a long output may be cut off.
+    for each in failed:
+        print(each)
+    print(f"{count - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
 
--- a/tests/test_flood_schedules.py
+++ b/tests/test_flood_schedules.py
@@ -10,11 +10,14 @@
 import loguru
 
 from ruddergate.http import body_memory
+from ruddergate.http import parsing_rate
 from standins import flood_schedules
 from standins import schedule_runner
 
 _SCHEDULES = 12
 _ABLATION_SEED = 63
+# One of its floods is of tiny chunks.
+_CHUNKS_SEED = 115
 
 
 class FloodSchedulesTest(unittest.TestCase):
@@ -32,3 +35,8 @@
         with mock.patch.object(body_memory.BodyMemory, "add"):
             result = flood_schedules.run_schedule(_ABLATION_SEED)
         self.assertTrue(any("memory" in each for each in result.broken))
+
+    def test_check_fails_if_pieces_take_turns_of_any_length(self) -> None:
+        with mock.patch.object(parsing_rate, "PIECES_PER_TURN", 40_000):
+            result = flood_schedules.run_schedule(_CHUNKS_SEED)
+        self.assertTrue(any("turn" in each for each in result.broken))
