--- a/standins/request_body_load.py
+++ b/standins/request_body_load.py
@@ -4,7 +4,8 @@
 load, one gateway process. Callers send archives to it whose bodies together
 have a multiple of its memory: with their length, chunked, or slowly. Short
 calls go on beside them. It prints the peak memory of the gateway, how many
-short calls were served, and what became of the archives.
+short calls were served, what became of the archives, and how late the tool
+itself was, which plays callers, store and replicas.
 """
 
 import asyncio
@@ -81,6 +82,7 @@
         archives: How often each status was received; 0 for none.
         lookups: The same for short calls.
         peak_bytes: Most memory that the gateway took.
+        lag_s: Most by which a timer of this process was late.
     """
 
     def __init__(self, port: int, process_id: int) -> None:
@@ -88,14 +90,17 @@
         self.archives: collections.Counter[int] = collections.Counter()
         self.lookups: collections.Counter[int] = collections.Counter()
         self.peak_bytes = 0
+        self.lag_s = 0.0
         self._process_id = process_id
 
-    async def sample_memory(self) -> None:
-        """Samples the gateway's memory until cancelled."""
+    async def sample(self) -> None:
+        """Samples the gateway's memory and the lag until cancelled."""
         while True:
             used_bytes = _read_memory_bytes(self._process_id)
             self.peak_bytes = max(self.peak_bytes, used_bytes)
+            due_s = time.monotonic() + _SAMPLE_S
             await asyncio.sleep(_SAMPLE_S)
+            self.lag_s = max(self.lag_s, time.monotonic() - due_s)
 
     async def send_lookups(self, seconds: float) -> None:
         """Sends short calls at a fixed rate."""
@@ -221,7 +226,10 @@
     server = await asyncio.start_server(handler, _HOST)
     store_port = server.sockets[0].getsockname()[1]
     replicas = await _start_replicas(store)
-    print("load | archives, answered 200, 503, other | run | peak MB | lookups")
+    print(
+        "load | archives, answered 200, 503, other | run | peak MB | lookups | "
+        "lag of the tool, ms"
+    )
     for load in loads:
         await _with_gateway(
             store_port, lambda run, load=load: _play(run, load, replicas)
@@ -285,7 +293,7 @@
 ) -> None:
     for replica in replicas:
         replica.runs.clear()
-    sampling = asyncio.ensure_future(run.sample_memory())
+    sampling = asyncio.ensure_future(run.sample())
     archives = asyncio.ensure_future(run.send_archives(load))
     await run.send_lookups(load.find_spread_s() + 4.0)
     await archives
@@ -302,7 +310,7 @@
     print(
         f"{load.name} | {load.count}, {served}, {refused}, {other} | "
         f"{len(begun)} | {run.peak_bytes / _BYTES_PER_MB:.0f} | "
-        f"{run.lookups[200]} of {lookups}",
+        f"{run.lookups[200]} of {lookups} | {run.lag_s * 1_000.0:.0f}",
         flush=True,
     )
 
