A failing test of a VM that starts right after a restore of the store

Cause: a VM that starts knows no earlier epoch of the store. It read the restored copy 50 ms after the restore, and that read confirmed the older settings. Its two peers used the later ones; it would have compared them with its next read, 0.97 s later.

Change: a test in which each call in the first 1.5 s of such a VM must not run. It fails with the first call. The product is as it was: a VM that waits for its peers starts later, and what that costs has not been measured.

--- a/tests/test_lost_settings.py
+++ b/tests/test_lost_settings.py
@@ -104,6 +104,18 @@
     ) -> None:
         self._check_removed_key(vms=6, halls=3)
 
+    def test_removed_key_is_refused_from_the_start(self) -> None:
+        # The first read of the store confirmed the older settings, and the next
+        # one came a second later.
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            await self._restart_on_older_settings(fixture, "vm-1")
+            for _ in range(30):
+                result = await fixture.call("unsafe", "vm-1")
+                self.assertEqual(fixture.find_runs(result), [])
+                await asyncio.sleep(0.05)
+
+        gateway_fixture.run_scenario(scenario, vms=3, halls=1)
+
     def test_unconfirmed_claim_refuses_no_requests_for_long(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             gateway = fixture.cluster.vms["vm-0"].gateway
