One runner and one result for all random schedules

Change: `schedule_runner` has the result, the runner and the command line. Nothing of what is drawn or checked changes: results name the statuses apart from other counts, and the tests read them there.

Conclusion: a new kind of schedule needs one function.

--- a/standins/backlog_schedules.py
+++ b/standins/backlog_schedules.py
@@ -8,9 +8,6 @@
 
 import asyncio
 import random
-import sys
-
-import cyclopts
 
 from standins import gateway_cluster
 from standins import gateway_schedules
@@ -24,7 +21,7 @@
 _SETTINGS = 2
 
 
-def run_schedule(seed: int) -> restore_schedules.ScheduleResult:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     rng = random.Random(f"backlogs {seed}")
     layout = gateway_cluster.Layout(
@@ -83,16 +80,5 @@
     await gateway_schedules.fail_store(schedule.cluster, schedule.rng, 2.0, 5.0)
 
 
-def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
-    """Runs many schedules.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel, each in a process.
-    """
-    return schedule_runner.run_all(run_schedule, first, count, jobs)
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/standins/fatal_schedules.py
+++ b/standins/fatal_schedules.py
@@ -12,15 +12,13 @@
 from collections.abc import Sequence
 import dataclasses
 import random
-import sys
-
-import cyclopts
 
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_guarantees
 from standins import gateway_schedules
 from standins import platform_replica
+from standins import schedule_runner
 from standins import virtual_process
 
 _POISON_BODIES = (b"fatal 0", b"fatal 1")
@@ -41,8 +39,8 @@
 MAX_LATE_RUNS = 3
 
 
-def run_schedule(seed: int) -> tuple[list[str], dict[int, int]]:
-    """Runs one schedule; returns violations and counts of HTTP statuses."""
+def run_schedule(seed: int) -> schedule_runner.Result:
+    """Runs one schedule."""
     rng = random.Random(f"fatal {seed}")
     layout = gateway_cluster.Layout(
         vms=rng.choice((2, 4, 6, 9, 20)),
@@ -56,7 +54,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random
-) -> tuple[list[str], dict[int, int]]:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     cluster.poison_bodies.update(_POISON_BODIES)
     await cluster.start()
@@ -84,7 +82,9 @@
         broken += find_late_runs(
             cluster, body.decode(), runs, _CRASHES, attempts
         )
-    return broken, gateway_schedules.count_statuses(results)
+    return schedule_runner.Result(
+        broken, {}, gateway_schedules.count_statuses(results)
+    )
 
 
 async def _call_later(
@@ -196,17 +196,5 @@
     return [f"{name} was sent {len(late_runs)} times too late"]
 
 
-def main(*, first: int = 1, count: int = 20) -> int:
-    """Runs many schedules.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-    """
-    return gateway_schedules.run_seeds(
-        run_schedule, range(first, first + count)
-    )
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/standins/flood_schedules.py
+++ b/standins/flood_schedules.py
@@ -9,16 +9,11 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping
-import dataclasses
 import gc
 import random
 import resource
-import sys
 import time
 
-import cyclopts
-
 from ruddergate import environment
 from ruddergate.entry import overload
 from standins import flooding_target
@@ -53,21 +48,6 @@
 _FLOODED_ROUTES = ("short", "unsafe", "safe")
 
 
-@dataclasses.dataclass(slots=True)
-class Result:
-    """Result of one schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: How often each kind of event occurred.
-        max_turn_ms: Most processor time of a turn of the event loop.
-    """
-
-    broken: list[str]
-    counts: Mapping[str, int]
-    max_turn_ms: float
-
-
 def draw_flood(rng: random.Random) -> tuple[str, flooding_target.Flood]:
     """Returns the name of a form of flood, and a flood of that form."""
     text = b"x" * rng.choice(_PIECE_BYTES)
@@ -116,8 +96,13 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._max_turn_ms = 0.0
 
-    async def run(self) -> Result:
-        """Runs it."""
+    async def run(self) -> tuple[schedule_runner.Result, float]:
+        """Runs it.
+
+        Returns:
+            The result, and the most processor time of a turn of the event loop,
+            in milliseconds.
+        """
         await self._cluster.start()
         await self._list_flooding_targets()
         self._measure_turns()
@@ -126,7 +111,7 @@
             self._send(_FLOODED_ROUTES, "flooded-", _FLOODED_REQUESTS),
         )
         broken = self._find_broken(sound, flooded)
-        return Result(broken, self._counts, self._max_turn_ms)
+        return schedule_runner.Result(broken, self._counts), self._max_turn_ms
 
     async def _list_flooding_targets(self) -> None:
         cluster = self._cluster
@@ -227,49 +212,37 @@
         return broken
 
 
-def run_schedule(seed: int) -> Result:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule.
 
     A schedule repeats exactly, so a flood that keeps the event loop busy does
     so in each run. A turn counts as too long if it is so in two runs: on a
     virtual machine the processor time of one run includes what others take.
     """
-    result = _run_once(seed)
-    if result.max_turn_ms > MAX_TURN_MS:
-        again = _run_once(seed)
-        result.max_turn_ms = min(result.max_turn_ms, again.max_turn_ms)
-    if result.max_turn_ms > MAX_TURN_MS:
-        result.broken.append(f"a turn took {result.max_turn_ms:.0f} ms")
+    result, turn_ms = _run_once(seed)
+    if turn_ms > MAX_TURN_MS:
+        turn_ms = min(turn_ms, _run_once(seed)[1])
+    if turn_ms > MAX_TURN_MS:
+        result.broken.append(f"a turn took {turn_ms:.0f} ms")
     return result
 
 
-def _run_once(seed: int) -> Result:
-    async def run() -> Result:
+def _run_once(seed: int) -> tuple[schedule_runner.Result, float]:
+    async def run() -> tuple[schedule_runner.Result, float]:
         return await Schedule(seed).run()
 
     # To collect what exists already is no work for a flood.
     gc.collect()
     gc.freeze()
     before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    result = virtual_process.run(run)
+    result, turn_ms = virtual_process.run(run)
     gc.unfreeze()
     after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     grown_mb = (after_kb - before_kb) / _KB_PER_MB
     if grown_mb > MAX_MEMORY_MB:
         result.broken.append(f"the memory grew by {grown_mb:.0f} MB")
-    return result
-
-
-def main(*, first: int = 1, count: int = 100, jobs: int = 4) -> None:
-    """Runs many seeds.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel.
-    """
-    sys.exit(schedule_runner.run_all(run_schedule, first, count, jobs))
+    return result, turn_ms
 
 
 if __name__ == "__main__":
-    cyclopts.run(main)
+    schedule_runner.run_command(run_schedule)
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -8,39 +8,34 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
 import random
 import sys
-from typing import TypeAlias
 
 import cyclopts
-import loguru
 
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_guarantees
 from standins import iteration_engine
+from standins import schedule_runner
 from standins import virtual_network
 from standins import virtual_process
 
-# Runs a seed; returns violations, and counts of callers' HTTP statuses.
-RunSeed: TypeAlias = Callable[[int], tuple[list[str], dict[int, int]]]
-
 _CALLS = 60
 _DURATION_S = 10.0
 _FAULTS = 6
 _ROUTES = ("short", "short", "short", "long", "once", "unsafe", "safe")
 
 
-def run_schedule(seed: int) -> tuple[list[str], dict[int, int]]:
-    """Runs one schedule; returns violations and counts of HTTP statuses."""
+def run_schedule(seed: int) -> schedule_runner.Result:
+    """Runs one schedule."""
     rng = random.Random(seed)
     layout = gateway_cluster.Layout(vms=rng.choice((2, 4)), seed=seed)
     return virtual_process.run(lambda: _run(layout, rng))
 
 
-def run_drawn_schedule(seed: int) -> tuple[list[str], dict[int, int]]:
+def run_drawn_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule on a deployment that is drawn from the seed too."""
     rng = random.Random(f"drawn {seed}")
     layout = draw_layout(seed, rng)
@@ -71,7 +66,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random
-) -> tuple[list[str], dict[int, int]]:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     caller = gateway_caller.Caller(cluster)
@@ -90,9 +85,8 @@
         fault.cancel()
     # Reservations for the last calls must expire by themselves.
     await asyncio.sleep(4.0)
-    return gateway_guarantees.find_broken(cluster, results), count_statuses(
-        results
-    )
+    broken = gateway_guarantees.find_broken(cluster, results)
+    return schedule_runner.Result(broken, {}, count_statuses(results))
 
 
 def count_statuses(
@@ -282,36 +276,19 @@
 )
 
 
-def run_seeds(run_seed: RunSeed, seeds: Sequence[int]) -> int:
-    """Runs seeds and prints violations; returns an exit status."""
-    loguru.logger.remove()
-    failed = 0
-    total: dict[int, int] = {}
-    for seed in seeds:
-        broken, counts = run_seed(seed)
-        failed += bool(broken)
-        for status, number in counts.items():
-            total[status] = total.get(status, 0) + number
-        for each in broken:
-            print(f"seed {seed}: {each}")
-    print(f"{len(seeds)} seeds, {sum(total.values())} calls")
-    print(f"statuses: {dict(sorted(total.items()))}")
-    print(f"{len(seeds) - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
-def main(*, first: int = 1, count: int = 20, drawn: bool = False) -> int:
+def main(
+    *, first: int = 1, count: int = 20, jobs: int = 1, drawn: bool = False
+) -> int:
     """Runs many schedules.
 
     Args:
         first: First seed.
         count: Number of seeds.
+        jobs: Number of seeds that run in parallel, each in a process.
         drawn: Whether deployments are drawn from the seeds, too.
     """
-    return run_seeds(
-        run_drawn_schedule if drawn else run_schedule,
-        range(first, first + count),
-    )
+    run = run_drawn_schedule if drawn else run_schedule
+    return schedule_runner.run_all(run, first, count, jobs)
 
 
 if __name__ == "__main__":
--- a/standins/link_schedules.py
+++ b/standins/link_schedules.py
@@ -51,19 +51,6 @@
 _CANCELLED_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """Result of a schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: How often each kind of event occurred.
-    """
-
-    broken: list[str]
-    counts: dict[str, int]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LinkLoss:
     """VMs that had no link to any target, from one time to another."""
@@ -88,7 +75,7 @@
 
 def run_schedule(
     seed: int, ablation: Ablation = "none", has_pauses: bool = False
-) -> Result:
+) -> schedule_runner.Result:
     """Runs one schedule.
 
     Args:
@@ -172,7 +159,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random, has_pauses: bool
-) -> Result:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     schedule = _Schedule(cluster, rng)
@@ -191,7 +178,7 @@
     broken += _find_left_work(cluster)
     schedule.count("calls", len(results))
     schedule.count("served", sum(map(_is_served, results)))
-    return Result(broken, schedule.counts)
+    return schedule_runner.Result(broken, schedule.counts)
 
 
 async def _start_later(
--- a/standins/pause_schedules.py
+++ b/standins/pause_schedules.py
@@ -19,9 +19,6 @@
 import dataclasses
 import math
 import random
-import sys
-
-import cyclopts
 
 from standins import gateway_caller
 from standins import gateway_cluster
@@ -53,19 +50,6 @@
 _ADDED_PREFIX = "added-"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """Result of one schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: How often each kind of event occurred.
-    """
-
-    broken: list[str]
-    counts: Mapping[str, int]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pause:
     """A time in which an engine did no work."""
@@ -137,7 +121,7 @@
         self._added = 0
         self._is_drained = False
 
-    async def run(self) -> Result:
+    async def run(self) -> schedule_runner.Result:
         """Runs the schedule."""
         self._caller = gateway_caller.Caller(self._cluster)
         self._reset_routes()
@@ -157,7 +141,7 @@
         # Until the last reservations must have been freed.
         await asyncio.sleep(FREE_S + 0.5)
         watching.cancel()
-        return Result(self._find_broken(), self._counts)
+        return schedule_runner.Result(self._find_broken(), self._counts)
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -685,21 +669,10 @@
 }
 
 
-def run_schedule(seed: int) -> Result:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     return virtual_process.run(lambda: Schedule(seed).run())
 
 
-def main(*, first: int = 1, count: int = 100, jobs: int = 2) -> None:
-    """Runs many seeds.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel.
-    """
-    sys.exit(schedule_runner.run_all(run_schedule, first, count, jobs))
-
-
 if __name__ == "__main__":
-    cyclopts.run(main)
+    schedule_runner.run_command(run_schedule)
--- a/standins/poison_part_schedules.py
+++ b/standins/poison_part_schedules.py
@@ -13,9 +13,6 @@
 from collections.abc import Sequence
 import dataclasses
 import random
-import sys
-
-import cyclopts
 
 from standins import fatal_schedules
 from standins import gateway_caller
@@ -23,6 +20,7 @@
 from standins import gateway_guarantees
 from standins import gateway_schedules
 from standins import platform_replica
+from standins import schedule_runner
 from standins import virtual_process
 
 _SOUND_CALLS = 260
@@ -60,8 +58,8 @@
     prompt_tokens: int
 
 
-def run_schedule(seed: int) -> tuple[list[str], dict[int, int]]:
-    """Runs one schedule; returns violations and counts of HTTP statuses."""
+def run_schedule(seed: int) -> schedule_runner.Result:
+    """Runs one schedule."""
     rng = random.Random(f"poison part {seed}")
     layout = gateway_cluster.Layout(
         vms=rng.choice((2, 4, 6, 9, 20)),
@@ -90,7 +88,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random
-) -> tuple[list[str], dict[int, int]]:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     cluster.poison_delay_s = rng.choice((None, None, 0.03, 0.1))
     await cluster.start()
@@ -129,7 +127,9 @@
             cluster, each.part, runs, _CRASHES, attempts
         )
         broken += _find_lost_share(cluster, runs, attempts, results)
-    return broken, gateway_schedules.count_statuses(results)
+    return schedule_runner.Result(
+        broken, {}, gateway_schedules.count_statuses(results)
+    )
 
 
 def _draw_delays_s(rng: random.Random, poison: Poison) -> list[float]:
@@ -254,17 +254,5 @@
     ]
 
 
-def main(*, first: int = 1, count: int = 20) -> int:
-    """Runs many schedules.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-    """
-    return gateway_schedules.run_seeds(
-        run_schedule, range(first, first + count)
-    )
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/standins/rate_limit_fleet.py
+++ b/standins/rate_limit_fleet.py
@@ -9,13 +9,12 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import concurrent.futures
 import dataclasses
+import functools
 import random
 import sys
 
 import cyclopts
-import loguru
 
 from ruddergate import environment
 from ruddergate.decisions import rate_limits
@@ -31,6 +30,7 @@
 from standins import gateway_cluster
 from standins import platform_replica
 from standins import rate_limit_check
+from standins import schedule_runner
 from standins import virtual_network
 from standins import virtual_process
 
@@ -91,19 +91,6 @@
     relayed_at_s: dict[str, float]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ScheduleResult:
-    """Result of a schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: Calls by outcome, calls under a limit, and probes.
-    """
-
-    broken: list[str]
-    counts: collections.Counter[str]
-
-
 class Fleet:
     """VMs and targets of one run.
 
@@ -323,7 +310,7 @@
 
 def run_schedule(
     size: int, seed: int, without: str = "", is_uneven: bool = False
-) -> ScheduleResult:
+) -> schedule_runner.Result:
     """Runs one schedule.
 
     Args:
@@ -364,7 +351,7 @@
 
 async def _run(
     size: int, seed: int, without: str, is_uneven: bool
-) -> ScheduleResult:
+) -> schedule_runner.Result:
     rng = random.Random(f"rate limit fleet {size} {seed}")
     halls = rng.choice((1, 3, 5))
     fleet = Fleet(size, halls, rng.choice((2, 6, 12)), seed)
@@ -402,7 +389,7 @@
     fleet.counts["tokens transferred"] = sum(
         vm.transfers.received for vm in fleet.vms.values()
     )
-    return ScheduleResult(fleet.find_excess(), fleet.counts)
+    return schedule_runner.Result(fleet.find_excess(), fleet.counts)
 
 
 async def _announce_limits(limited: _Target, rng: random.Random) -> None:
@@ -456,32 +443,15 @@
         without: Mechanism that is disabled: sharing, bound or lending.
         uneven: Whether most calls meet one VM.
     """
-    counts: collections.Counter[str] = collections.Counter()
-    failed = 0
-    seeds = range(first, first + count)
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
-        results = pool.map(
-            _run_silently,
-            [vms] * count,
-            seeds,
-            [without] * count,
-            [uneven] * count,
-        )
-        for seed, result in zip(seeds, results, strict=True):
-            failed += bool(result.broken)
-            counts += result.counts
-            for each in result.broken[:3]:
-                print(f"seed {seed}: {each}", flush=True)
-    for name, number in sorted(counts.items()):
-        print(f"{name}: {number}")
-    print(f"{vms} VMs: {count - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
-def _run_silently(
-    size: int, seed: int, without: str, is_uneven: bool
-) -> ScheduleResult:
-    loguru.logger.remove()
+    run = functools.partial(
+        _run_seed, size=vms, without=without, is_uneven=uneven
+    )
+    return schedule_runner.run_all(run, first, count, jobs)
+
+
+def _run_seed(
+    seed: int, size: int, without: str, is_uneven: bool
+) -> schedule_runner.Result:
     return run_schedule(size, seed, without, is_uneven)
 
 
--- a/standins/rate_limit_schedules.py
+++ b/standins/rate_limit_schedules.py
@@ -11,9 +11,6 @@
 from collections.abc import Iterable
 import dataclasses
 import random
-import sys
-
-import cyclopts
 
 from standins import gateway_caller
 from standins import gateway_cluster
@@ -47,20 +44,7 @@
 _ROUTES = ("short", "short", "short", "once", "open", "open", "safe")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ScheduleResult:
-    """Result of a schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: Calls by status, limits announced, and requests under a limit.
-    """
-
-    broken: list[str]
-    counts: collections.Counter[str]
-
-
-def run_schedule(seed: int) -> ScheduleResult:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     rng = random.Random(f"rate limits {seed}")
     layout = gateway_cluster.Layout(
@@ -77,7 +61,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random
-) -> ScheduleResult:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     caller = gateway_caller.Caller(cluster)
@@ -101,7 +85,7 @@
     await asyncio.sleep(4.0)
     broken = gateway_guarantees.find_broken(cluster, results)
     broken += rate_limit_check.find_excess(cluster, results)
-    return ScheduleResult(broken, _count(cluster, results))
+    return schedule_runner.Result(broken, _count(cluster, results))
 
 
 async def _inject_later(kind, cluster, rng) -> None:  # noqa: ANN001
@@ -194,16 +178,5 @@
     return counts
 
 
-def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
-    """Runs many schedules.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel, each in a process.
-    """
-    return schedule_runner.run_all(run_schedule, first, count, jobs)
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/standins/restore_schedules.py
+++ b/standins/restore_schedules.py
@@ -13,11 +13,8 @@
 import contextlib
 import dataclasses
 import random
-import sys
 from typing import TypeAlias
 
-import cyclopts
-
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import gateway_guarantees
@@ -83,22 +80,7 @@
         return self.rng.choice(candidates) if candidates else None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ScheduleResult:
-    """Result of a schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        statuses: How often callers received each HTTP status.
-        counts: How often each kind of event occurred.
-    """
-
-    broken: list[str]
-    statuses: dict[int, int]
-    counts: dict[str, int]
-
-
-def run_schedule(seed: int) -> ScheduleResult:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     rng = random.Random(f"restores {seed}")
     layout = gateway_cluster.Layout(
@@ -124,7 +106,7 @@
     layout: gateway_cluster.Layout,
     rng: random.Random,
     kinds: Sequence[Fault],
-) -> ScheduleResult:
+) -> schedule_runner.Result:
     """Runs calls beside events of the given kinds, at random times."""
     cluster = gateway_cluster.GatewayCluster(layout)
     cluster.keys["w2"] = [REMOVED_KEY]
@@ -147,10 +129,10 @@
     broken += schedule.record.find_broken(results)
     await _settle(cluster)
     broken += restore_checks.find_unlisted(cluster)
-    return ScheduleResult(
+    return schedule_runner.Result(
         broken,
-        gateway_schedules.count_statuses(results),
         schedule.record.count(),
+        gateway_schedules.count_statuses(results),
     )
 
 
@@ -285,16 +267,5 @@
             cluster.network.cuts.remove(cut)
 
 
-def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
-    """Runs many schedules.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel, each in a process.
-    """
-    return schedule_runner.run_all(run_schedule, first, count, jobs)
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/standins/schedule_runner.py
+++ b/standins/schedule_runner.py
@@ -4,29 +4,36 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import concurrent.futures
+import dataclasses
 import functools
-from typing import Protocol
+import sys
+from typing import TypeAlias
 
+import cyclopts
 import loguru
 
 
-class ScheduleResult(Protocol):
-    """Result of a seed.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Result of one schedule.
 
     Attributes:
         broken: A message for each violation.
         counts: How often each kind of event occurred.
+        statuses: How often callers received each HTTP status.
     """
 
     broken: list[str]
     counts: Mapping[str, int]
+    statuses: Mapping[int, int] = dataclasses.field(default_factory=dict)
+
+
+# Runs the schedule of a seed.
+RunSchedule: TypeAlias = Callable[[int], Result]
 
 
 def run_all(
-    run_schedule: Callable[[int], ScheduleResult],
-    first: int,
-    count: int,
-    jobs: int,
+    run_schedule: RunSchedule, first: int, count: int, jobs: int
 ) -> int:
     """Runs seeds, prints those that failed, and returns an exit status.
 
@@ -37,6 +44,7 @@
         jobs: Number of seeds that run in parallel.
     """
     counts: collections.Counter[str] = collections.Counter()
+    statuses: collections.Counter[int] = collections.Counter()
     failed: list[str] = []
     seeds = range(first, first + count)
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
@@ -45,12 +53,15 @@
         )
         for seed, result in zip(seeds, results, strict=True):
             counts.update(result.counts)
+            statuses.update(result.statuses)
             for each in result.broken:
                 print(f"seed {seed}: {each}", flush=True)
             if result.broken:
                 failed.append(f"seed {seed}: {result.broken[0]}")
     for name, number in sorted(counts.items()):
         print(f"{name}: {number}")
+    for status, number in sorted(statuses.items()):
+        print(f"status {status}: {number}")
     # Once more at the end, as the beginning of a long output may be cut off.
     for each in failed:
         print(each)
@@ -58,8 +69,26 @@
     return 1 if failed else 0
 
 
-def _run_silently(
-    run_schedule: Callable[[int], ScheduleResult], seed: int
-) -> ScheduleResult:
+def run_command(run_schedule: RunSchedule) -> None:
+    """Runs the seeds that the command line names, and exits.
+
+    Args:
+        run_schedule: Runs one seed; called in a process of the pool.
+    """
+
+    def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
+        """Runs many schedules.
+
+        Args:
+            first: First seed.
+            count: Number of seeds.
+            jobs: Number of seeds that run in parallel, each in a process.
+        """
+        return run_all(run_schedule, first, count, jobs)
+
+    sys.exit(cyclopts.run(main))
+
+
+def _run_silently(run_schedule: RunSchedule, seed: int) -> Result:
     loguru.logger.remove()
     return run_schedule(seed)
--- a/standins/stop_schedules.py
+++ b/standins/stop_schedules.py
@@ -15,9 +15,6 @@
 import contextlib
 import dataclasses
 import random
-import sys
-
-import cyclopts
 
 from ruddergate import environment
 from standins import gateway_caller
@@ -46,19 +43,6 @@
 _ROUTES = ("short", "short", "unsafe", "safe", "once")
 
 
-@dataclasses.dataclass(slots=True)
-class Result:
-    """Result of one schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        counts: How often each kind of event occurred.
-    """
-
-    broken: list[str]
-    counts: Mapping[str, int]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspension:
     """A suspension of the process.
@@ -119,7 +103,7 @@
         self._took_s = 0.0
         self._count = 0
 
-    async def run(self) -> Result:
+    async def run(self) -> schedule_runner.Result:
         """Runs the schedule."""
         await self._cluster.start()
         process = virtual_process.VirtualProcess("callers", "")
@@ -127,7 +111,7 @@
         stopping = asyncio.ensure_future(self._stop())
         await process.start(lambda: self._run_callers(env))
         await stopping
-        return Result(self._find_broken(), self._count_events())
+        return schedule_runner.Result(self._find_broken(), self._count_events())
 
     async def _stop(self) -> None:
         rng = self._rng
@@ -316,21 +300,10 @@
         return counts
 
 
-def run_schedule(seed: int) -> Result:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     return virtual_process.run(lambda: Schedule(seed).run())
 
 
-def main(*, first: int = 1, count: int = 100, jobs: int = 4) -> None:
-    """Runs many seeds.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel.
-    """
-    sys.exit(schedule_runner.run_all(run_schedule, first, count, jobs))
-
-
 if __name__ == "__main__":
-    cyclopts.run(main)
+    schedule_runner.run_command(run_schedule)
--- a/standins/withdrawal_schedules.py
+++ b/standins/withdrawal_schedules.py
@@ -13,9 +13,6 @@
 import dataclasses
 import functools
 import random
-import sys
-
-import cyclopts
 
 from ruddergate.fleet import incarnation as incarnations
 from standins import drain_coverage
@@ -46,22 +43,7 @@
 _RETRY_AFTER_VALUES = ("0.3", "1", "2.5", "6", "-1", "soon", "1e9")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ScheduleResult:
-    """Result of a schedule.
-
-    Attributes:
-        broken: A message for each violation.
-        statuses: How often callers received each HTTP status.
-        counts: How often each way to learn of draining occurred.
-    """
-
-    broken: list[str]
-    statuses: dict[int, int]
-    counts: collections.Counter[str]
-
-
-def run_schedule(seed: int) -> ScheduleResult:
+def run_schedule(seed: int) -> schedule_runner.Result:
     """Runs one schedule."""
     rng = random.Random(f"withdrawals {seed}")
     layout = gateway_cluster.Layout(
@@ -78,7 +60,7 @@
 
 async def _run(
     layout: gateway_cluster.Layout, rng: random.Random
-) -> ScheduleResult:
+) -> schedule_runner.Result:
     cluster = gateway_cluster.GatewayCluster(layout)
     await cluster.start()
     caller = gateway_caller.Caller(cluster)
@@ -105,8 +87,8 @@
     await _settle(cluster)
     broken += drain_coverage.find_wrongly_draining(cluster)
     counts += drain_coverage.count_coverage(cluster.all_gateways)
-    return ScheduleResult(
-        broken, gateway_schedules.count_statuses(results), counts
+    return schedule_runner.Result(
+        broken, counts, gateway_schedules.count_statuses(results)
     )
 
 
@@ -310,16 +292,5 @@
     return broken
 
 
-def main(*, first: int = 1, count: int = 20, jobs: int = 1) -> int:
-    """Runs many schedules, and counts how VMs learned of draining.
-
-    Args:
-        first: First seed.
-        count: Number of seeds.
-        jobs: Number of seeds that run in parallel, each in a process.
-    """
-    return schedule_runner.run_all(run_schedule, first, count, jobs)
-
-
 if __name__ == "__main__":
-    sys.exit(cyclopts.run(main))
+    schedule_runner.run_command(run_schedule)
--- a/tests/test_fatal_schedules.py
+++ b/tests/test_fatal_schedules.py
@@ -18,6 +18,6 @@
     def test_poison_requests_stop_once_reachable_vms_can_know(self) -> None:
         for seed in range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT):
             with self.subTest(seed=seed):
-                violations, counts = fatal_schedules.run_schedule(seed)
-                self.assertEqual(violations, [])
-                self.assertGreater(counts.get(200, 0), 10)
+                result = fatal_schedules.run_schedule(seed)
+                self.assertEqual(result.broken, [])
+                self.assertGreater(result.statuses.get(200, 0), 10)
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -18,15 +18,15 @@
             *range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT),
         ):
             with self.subTest(seed=seed):
-                violations, counts = gateway_schedules.run_schedule(seed)
-                self.assertEqual(violations, [])
-                self.assertGreater(counts.get(200, 0), 10)
+                result = gateway_schedules.run_schedule(seed)
+                self.assertEqual(result.broken, [])
+                self.assertGreater(result.statuses.get(200, 0), 10)
 
     def test_guarantees_hold_on_random_deployments(self) -> None:
         for seed in range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT):
             with self.subTest(seed=seed):
-                violations, _ = gateway_schedules.run_drawn_schedule(seed)
-                self.assertEqual(violations, [])
+                result = gateway_schedules.run_drawn_schedule(seed)
+                self.assertEqual(result.broken, [])
 
     def test_same_seed_gives_the_same_run(self) -> None:
         first = gateway_schedules.run_schedule(5)
--- a/tests/test_poison_part_schedules.py
+++ b/tests/test_poison_part_schedules.py
@@ -23,9 +23,9 @@
     def test_poison_parts_stop_once_reachable_vms_can_know(self) -> None:
         for seed in _SEEDS:
             with self.subTest(seed=seed):
-                violations, counts = poison_part_schedules.run_schedule(seed)
-                self.assertEqual(violations, [])
-                self.assertGreater(counts.get(200, 0), 50)
+                result = poison_part_schedules.run_schedule(seed)
+                self.assertEqual(result.broken, [])
+                self.assertGreater(result.statuses.get(200, 0), 50)
 
     def test_schedules_detect_evidence_on_whole_contents_only(self) -> None:
         with mock.patch.object(
@@ -33,8 +33,8 @@
             "find_fingerprints",
             lambda request: (quarantine.find_fingerprint(request),),
         ):
-            violations, _ = poison_part_schedules.run_schedule(_SEEDS[0])
-        self.assertIn("too late", " ".join(violations))
+            result = poison_part_schedules.run_schedule(_SEEDS[0])
+        self.assertIn("too late", " ".join(result.broken))
 
     def test_verdicts_without_proof_refuse_harmless_requests(self) -> None:
         with mock.patch.object(
@@ -42,7 +42,7 @@
             "note_lasting",
             lambda *args: False,
         ):
-            _, counts = poison_part_schedules.run_schedule(_ABLATED_SEED)
-        self.assertGreater(counts.get(503, 0), _MANY_REFUSALS)
-        _, counts = poison_part_schedules.run_schedule(_ABLATED_SEED)
-        self.assertLess(counts.get(503, 0), _MANY_REFUSALS)
+            result = poison_part_schedules.run_schedule(_ABLATED_SEED)
+        self.assertGreater(result.statuses.get(503, 0), _MANY_REFUSALS)
+        result = poison_part_schedules.run_schedule(_ABLATED_SEED)
+        self.assertLess(result.statuses.get(503, 0), _MANY_REFUSALS)
