Tests: slow files start early

Cause: files ran in the order of their names, so `test_soak`, among the slowest, began last and ran alone at the end.

Change: six slow files start right after the single tests.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,13 +23,22 @@
 _KNOWN_RED = _TOP / "KNOWN-RED.txt"
 # Three quarters of the processors: some files start processes themselves.
 _PARALLEL_JOBS = max(1, (os.cpu_count() or 2) * 3 // 4)
-# The slowest files: their tests start first, each in its own process.
+# Slow files: each test runs in its own process, before all others.
 _LONG = (
     "test_configuration",
     "test_guarantees",
     "test_lost_links",
     "test_schedules",
 )
+# Slow files that start next, so that none of them is left running at the end.
+_EARLY = (
+    "test_soak",
+    "test_planned_stop",
+    "test_poison_part_schedules",
+    "test_link_schedules",
+    "test_processes",
+    "test_refuted_ends",
+)
 _RAN_PATTERN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 
 
@@ -62,6 +71,7 @@
 def _find_jobs() -> list[str]:
     """Returns what runs in its own process: single tests, then files."""
     files = [path.stem for path in sorted(_HERE.glob("test_*.py"))]
+    files.sort(key=lambda name: name not in _EARLY)
     single = [
         test_id
         for name in _LONG
