--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -29,7 +29,7 @@
 # The second phase of the stop begins after 2.6 s.
 _SECOND_PHASE_S = 3.0
 _SUSPENDED_S = 1.5
-_SCHEDULES = 40
+_SCHEDULES = 200
 _ABLATION_SEEDS = range(1, 13)
 # A signal comes in a suspension. A stop that counts its time from the end of
 # the suspension cuts requests in some of them.
