Logs: what each request is doing as a planned stop begins and ends

A gateway that exits logged how many requests were still open, and a request that waits is not logged before its first attempt.

Each relayed request now has a stage (waiting, preparing, sent, streaming, retrying). The last line also tells open and carried connections, how late the process is and the lag of its event loop. Decisions don't change.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -25,6 +25,7 @@
 from ruddergate.entry import drain_check
 from ruddergate.entry import end_verifier
 from ruddergate.entry import in_flight
+from ruddergate.entry import open_requests
 from ruddergate.entry import overload
 from ruddergate.entry import peer_connector
 from ruddergate.entry import peer_gossip
@@ -154,9 +155,10 @@
             lambda: env.now_ms() / 1000.0,
             self._on_body_dropped,
         )
-        self._open_requests = in_flight.InFlightCalls(
+        self._in_flight = in_flight.InFlightCalls(
             platform.caller_protocol.write_failure
         )
+        self._open_requests = open_requests.OpenRequests(env)
         view = views.View()
         drain_state = draining.DrainState()
         metrics = metric_types.EntryMetrics()
@@ -304,6 +306,7 @@
                 gateway_config.settings_age_max_ms,
                 gateway_config.not_found_age_max_ms,
             ),
+            self._open_requests,
             self._stop.must_refuse,
         )
         self._peers = peer_gossip.PeerGossip(
@@ -517,7 +520,7 @@
             writer.close()
             return
         handler = http_server.make_stream_handler(
-            self._open_requests.track(self._handler.handle),
+            self._in_flight.track(self._handler.handle),
             self._find_http_limits(),
             self._should_close,
             self._connections,
@@ -594,6 +597,8 @@
         status.set_gauges(self.context)
         metrics = self.context.metrics
         metrics.reservations.set({}, len(self._keeper))
+        for stage, count in self._open_requests.count_by_stage().items():
+            metrics.open_requests.set({"stage": stage}, count)
         quarantined = self.context.quarantine.list_quarantined()
         metrics.quarantined.set({}, len(quarantined))
         metrics.loop_lag_ms.set({}, self.overload.lag_ms)
@@ -639,7 +644,8 @@
             signal_ms = now_ms
         self._log.info(
             "Planned stop begins.",
-            open=len(self._open_requests),
+            open=len(self._in_flight),
+            stages=self._open_requests.count_by_stage(),
             signal_age_max_ms=round(now_ms - signal_ms),
         )
         self._stop.begin(signal_ms, now_ms, config.stop_limit_ms)
@@ -654,11 +660,21 @@
         self._connections.close_idle()
         self._log.info(
             "Planned stop accepts no further requests.",
-            open=len(self._open_requests),
+            open=len(self._in_flight),
+            stages=self._open_requests.count_by_stage(),
             connections=len(self._connections),
             left_ms=round(self._stop.killed_ms - self._env.now_ms()),
         )
         while self._count_open() and self._env.now_ms() < self._stop.ends_ms:
             await asyncio.sleep(_POLL_MS / 1000.0)
             self._connections.close_idle()
-        self._log.info("Planned stop ends.", open=len(self._open_requests))
+        self._open_requests.log_cut()
+        self._log.info(
+            "Planned stop ends.",
+            open=len(self._in_flight),
+            stages=self._open_requests.count_by_stage(),
+            connections=len(self._connections),
+            carried=self._detours.carried,
+            late_ms=round(self._env.now_ms() - self._stop.ends_ms),
+            lag_ms=round(self.overload.lag_ms),
+        )
--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -150,6 +150,7 @@
 
         A silence of the target is yielded, too.
         """
+        self._note_stage(relay_progress.Stage.PREPARING)
         reservations = self._make_reservations()
         self._progress.faulted_helpers = ()
         attempt_log.log_start(
@@ -219,8 +220,15 @@
             )
             self._has_rate_token = False
         self._is_sent = refusal is None
+        if self._is_sent:
+            self._note_stage(relay_progress.Stage.SENT)
         return refusal
 
+    def _note_stage(self, stage: relay_progress.Stage) -> None:
+        """Records the stage, unless the request is at another target, too."""
+        if not self._is_second:
+            self._progress.current.stage = stage
+
     def _check_admission(self) -> outcomes.NotServed | None:
         """Returns a refusal if the target or a helper accepts no requests."""
         return self._context.check_admission(
@@ -466,6 +474,7 @@
         if self._has_first_event:
             return
         self._has_first_event = True
+        self._progress.current.stage = relay_progress.Stage.STREAMING
         self._begun_ms = self._context.env.now_ms()
         self._progress.has_begun = True
         request = self._request
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -8,7 +8,9 @@
 from ruddergate import outcomes
 from ruddergate import request as requests
 from ruddergate.entry import context as contexts
+from ruddergate.entry import open_requests
 from ruddergate.entry import relay_admit
+from ruddergate.entry import relay_progress
 from ruddergate.entry import relay_run
 from ruddergate.entry import reservation_keeper
 from ruddergate.http import message
@@ -43,6 +45,7 @@
         send: Sends a request to a target.
         keeper: Holds memory on targets for requests.
         age_limits: How old settings may be.
+        tracked: The requests that are not answered yet.
         must_refuse: Returns whether a planned stop leaves no time for a request
             with the given deadline.
     """
@@ -54,6 +57,7 @@
         send: upstream_requests.Send,
         keeper: reservation_keeper.ReservationKeeper,
         age_limits: relay_admit.SettingsAgeLimits,
+        tracked: open_requests.OpenRequests,
         must_refuse: Callable[[float], bool] = lambda deadline_ms: False,
     ) -> None:
         self._context = context
@@ -61,6 +65,7 @@
         self._send = send
         self._keeper = keeper
         self._age_limits = age_limits
+        self._tracked = tracked
         self._must_refuse = must_refuse
         self._log = logs.make_logger("entry")
 
@@ -86,16 +91,22 @@
             return self._refuse(request, caller_request.request_id)
         if self._must_refuse(request.deadline_ms):
             return self._refuse(_STOPPING, caller_request.request_id)
-        events = relay_run.run(request, self._send, self._keeper, self._context)
-        try:
-            first = await anext(events)
-        except BaseException:
-            await events.aclose()
-            self._log_caller_left(request, None)
-            raise
-        if isinstance(first, response_events.StreamHead):
-            body = self._stream_body(request, events)
-            return message.Response(first.status, {}, body, first.fields)
+        progress = relay_progress.Progress(request.payload.last_event_id)
+        events = relay_run.run(
+            request, progress, self._send, self._keeper, self._context
+        )
+        with contextlib.ExitStack() as stack:
+            opened = stack.enter_context(self._tracked.track(request, progress))
+            try:
+                first = await anext(events)
+            except BaseException:
+                await events.aclose()
+                self._log_caller_left(request, None)
+                raise
+            if isinstance(first, response_events.StreamHead):
+                opened.has_head = True
+                body = self._stream_body(request, events, stack.pop_all())
+                return message.Response(first.status, {}, body, first.fields)
         await events.aclose()
         if isinstance(first, response_events.CompleteResponse):
             self._log_end(request, "finished", outcomes.Ran.RAN, "")
@@ -120,6 +131,7 @@
         self,
         request: requests.Request,
         events: AsyncIterator[response_events.Event],
+        tracking: contextlib.ExitStack,
     ) -> AsyncIterator[bytes]:
         pauses = _EventPauses(request.arrived_ms)
         try:
@@ -142,6 +154,8 @@
         except (GeneratorExit, asyncio.CancelledError):
             self._log_caller_left(request, pauses)
             raise
+        finally:
+            tracking.close()
         self._log_end(request, "finished", outcomes.Ran.RAN, "", pauses)
 
     def _log_caller_left(
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -1,12 +1,33 @@
 """Progress of a relayed request over all its attempts."""
 
 import dataclasses
+import enum
 
 from ruddergate import outcomes
 from ruddergate.fleet import incarnation as incarnations
 from ruddergate.relay import response_event as response_events
 
 
+class Stage(enum.StrEnum):
+    """What becomes of a request at the moment; stable names for logs.
+
+    It is in the hands of a target while it is sent or streaming.
+    """
+
+    WAITING = "waiting"  # For its first attempt.
+    PREPARING = "preparing"  # An attempt has begun and is not sent.
+    SENT = "sent"  # No event of the response has come.
+    STREAMING = "streaming"
+    RETRYING = "retrying"  # Between two attempts.
+
+
+@dataclasses.dataclass(slots=True)
+class CurrentStage:
+    """The stage of one request."""
+
+    stage: Stage = Stage.WAITING
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """State of one request that its attempts share.
@@ -33,6 +54,7 @@
             order.
         helper_failures: How often the request was retried because of that.
         pinned_target_id: The target that the retry has to use, or empty.
+        current: The stage of the request, which copies of this share.
     """
 
     last_event_id: str
@@ -50,6 +72,7 @@
     faulted_helpers: tuple[str, ...] = ()
     helper_failures: int = 0
     pinned_target_id: str = ""
+    current: CurrentStage = dataclasses.field(default_factory=CurrentStage)
 
     def count_targets_used(
         self, sending_to: frozenset[str] = frozenset()
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -36,6 +36,7 @@
 
 async def run(
     request: requests.Request,
+    progress: relay_progress.Progress,
     send: upstream_requests.Send,
     keeper: reservation_keeper.ReservationKeeper,
     context: contexts.EntryContext,
@@ -43,8 +44,14 @@
     """Yields the response's events in order, and last the outcome.
 
     Each event is yielded once.
+
+    Args:
+        request: The request.
+        progress: Its progress, without any attempt yet.
+        send: Sends it to a target.
+        keeper: Holds memory on helpers.
+        context: Shared objects of the entry.
     """
-    progress = relay_progress.Progress(request.payload.last_event_id)
     refusal = context.quarantine.check_admission(request)
     way_wait_ms = relay_placement.find_on_time_wait_ms(
         request, progress, context
@@ -131,6 +138,7 @@
     failure = attempt_outcome.find_failure(outcome, progress)
     if failure is None:
         return outcome
+    progress.current.stage = relay_progress.Stage.RETRYING
     route = request.payload.route
     placement = grant.placements[0]
     attempt_log.log_failure(request, placement, failure, progress, context)
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -123,6 +123,10 @@
             "ruddergate_store_epoch",
             "Epoch of the platform's store, 0 if it reports none.",
         )
+        self.open_requests = self._gauge(
+            "ruddergate_open_requests",
+            "Relayed requests that are not answered yet, by what they do.",
+        )
         self.retries_left = self._gauge(
             "ruddergate_retries_left",
             "Retries that the retry budget allows now.",
