A planned stop answers every request that waits before the process ends

Cause: a planned stop waited until nothing was open or its time was up, and then the process ended, whatever was open. How long a request waits for a place follows from its route's objective (1.5 times, 6 s at 4 s), not from the stop.

Fix: the wait for the head of a response is one scope, whatever happens inside it, and the stop ends it 250 ms before the process does. The request then gets 503 (not_run, Retry-After 0) if no attempt was sent or all were rejected unexecuted, 502 (unknown) if a target has it or may have run it.

Why it holds: the scope encloses all that a request waits for, so that a new wait needs no case of its own; the stage is set in the step that sends, so that a request that might have been sent is never reported as not run.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -667,6 +667,7 @@
         )
         while self._count_open() and self._env.now_ms() < self._stop.ends_ms:
             await asyncio.sleep(_POLL_MS / 1000.0)
+            self._answer_waiting()
             self._connections.close_idle()
         self._open_requests.log_cut()
         self._log.info(
@@ -678,3 +679,10 @@
             late_ms=round(self._env.now_ms() - self._stop.ends_ms),
             lag_ms=round(self.overload.lag_ms),
         )
+
+    def _answer_waiting(self) -> None:
+        """Answers what the end of the planned stop would leave unanswered."""
+        now_ms = self._env.now_ms()
+        if now_ms >= self._stop.answer_waiting_ms:
+            has_all = now_ms >= self._stop.answer_all_ms
+            self._open_requests.end_waits(has_all)
--- a/src/ruddergate/entry/open_requests.py
+++ b/src/ruddergate/entry/open_requests.py
@@ -1,16 +1,21 @@
 """Relayed requests that are not answered yet, and what each one is doing."""
 
+import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
 import dataclasses
+from typing import TypeVar
 
 from ruddergate import environment
 from ruddergate import request as requests
 from ruddergate.entry import relay_progress
 from ruddergate.telemetry import logs
 
+T = TypeVar("T")
+
 # Requests that are logged one by one as a planned stop ends; others are only
 # counted.
 MAX_LOGGED = 200
@@ -23,18 +28,40 @@
     Attributes:
         request: The request.
         progress: Its progress.
-        has_head: Whether the caller has the head of the response.
+        has_answer: Whether there is a response, or its head.
     """
 
     request: requests.Request
     progress: relay_progress.Progress
-    has_head: bool = False
+    has_answer: bool = False
+    _waiting: asyncio.Timeout | None = None
 
     @property
     def stage(self) -> relay_progress.Stage:
         """What the request is doing."""
         return self.progress.current.stage
 
+    async def wait_for_answer(self, answer: Awaitable[T]) -> T | None:
+        """Returns the answer, or None if the wait is ended before."""
+        waiting = self._waiting = asyncio.timeout(None)
+        try:
+            async with waiting:
+                found = await answer
+                self.has_answer = True
+                return found
+        except TimeoutError:
+            if waiting.expired():
+                return None
+            raise
+        finally:
+            self._waiting = None
+
+    def end_wait(self) -> None:
+        """Ends the wait for the answer, if there is one."""
+        if self._waiting is not None and not self._waiting.expired():
+            # A time in the past ends it at once.
+            self._waiting.reschedule(0.0)
+
 
 class OpenRequests:
     """The requests that one process is answering, for a planned stop."""
@@ -66,6 +93,16 @@
             stage.value: counts[stage.value] for stage in relay_progress.Stage
         }
 
+    def end_waits(self, has_all: bool) -> None:
+        """Ends the waits of requests for the head of a response.
+
+        Args:
+            has_all: Whether to include those that a target has.
+        """
+        for each in list(self._open):
+            if has_all or not each.progress.current.is_sent:
+                each.end_wait()
+
     def log_cut(self) -> None:
         """Logs the requests that the end of the process leaves unanswered."""
         now_ms = self._env.now_ms()
@@ -76,7 +113,7 @@
                 request_id=request.request_id,
                 route=request.payload.route.name,
                 stage=each.stage.value,
-                has_head=each.has_head,
+                has_head=each.has_answer,
                 prompt_tokens=request.prompt_tokens,
                 sent=each.progress.counted_attempts,
                 unsent=each.progress.unsent_attempts,
--- a/src/ruddergate/entry/planned_stop.py
+++ b/src/ruddergate/entry/planned_stop.py
@@ -2,6 +2,10 @@
 
 import math
 
+# A request that is still open is answered this long before the process ends:
+# longer than an overloaded event loop lags.
+ANSWER_MARGIN_MS = 250.0
+
 
 class PlannedStop:
     """The planned stop of one process, which may not have begun.
@@ -12,14 +16,14 @@
 
     If the process was suspended when the signal came, the time of the signal is
     known only within bounds. What is accepted follows from the earliest one, so
-    that the process isn't killed before it has answered; what is open is cut
-    according to the latest one, as it may still finish.
+    that the process isn't killed before it has answered; what a target has is
+    ended according to the latest one, as it may still finish.
 
     Attributes:
         is_stopping: Whether the stop has begun.
         is_accepting: Whether further requests are read.
         killed_ms: Earliest monotonic time at which the process may be killed.
-        ends_ms: Monotonic time at which requests that are still open are cut.
+        ends_ms: Monotonic time at which responses under way are cut.
     """
 
     def __init__(self) -> None:
@@ -40,6 +44,16 @@
         self.killed_ms = earliest_ms + limit_ms
         self.ends_ms = now_ms + limit_ms
 
+    @property
+    def answer_waiting_ms(self) -> float:
+        """Time by which requests that no target has must be answered."""
+        return self.killed_ms - ANSWER_MARGIN_MS
+
+    @property
+    def answer_all_ms(self) -> float:
+        """Time by which all requests must be answered."""
+        return self.ends_ms - ANSWER_MARGIN_MS
+
     def stop_accepting(self) -> None:
         """Begins the second phase."""
         self.is_accepting = False
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -31,7 +31,7 @@
 _STOPPING = outcomes.refuse(
     outcomes.Reason.STOPPING,
     "this VM stops before the request could finish",
-    # The load balancer has chosen another VM by now.
+    # Other VMs serve it.
     0.0,
 )
 
@@ -98,13 +98,14 @@
         with contextlib.ExitStack() as stack:
             opened = stack.enter_context(self._tracked.track(request, progress))
             try:
-                first = await anext(events)
+                first = await opened.wait_for_answer(anext(events))
             except BaseException:
                 await events.aclose()
                 self._log_caller_left(request, None)
                 raise
+            if first is None:
+                first = relay_run.conclude_early(_STOPPING, progress)
             if isinstance(first, response_events.StreamHead):
-                opened.has_head = True
                 body = self._stream_body(request, events, stack.pop_all())
                 return message.Response(first.status, {}, body, first.fields)
         await events.aclose()
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -27,6 +27,11 @@
 
     stage: Stage = Stage.WAITING
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a target has the request, and may run it."""
+        return self.stage in (Stage.SENT, Stage.STREAMING)
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
--- a/src/ruddergate/entry/relay_run.py
+++ b/src/ruddergate/entry/relay_run.py
@@ -107,6 +107,20 @@
             return
 
 
+def conclude_early(
+    failure: outcomes.NotServed, progress: relay_progress.Progress
+) -> response_events.CompleteResponse | outcomes.NotServed:
+    """Returns the outcome of a request that was given up in any stage.
+
+    Args:
+        failure: Why, for a request that no target has.
+        progress: Progress of the request; the caller has no response head.
+    """
+    if progress.current.is_sent:
+        failure = dataclasses.replace(failure, ran=outcomes.Ran.UNKNOWN)
+    return _conclude(failure, progress)
+
+
 def _make_attempt_factory(
     request: requests.Request,
     send: upstream_requests.Send,
--- a/tests/test_waits_at_a_stop.py
+++ b/tests/test_waits_at_a_stop.py
@@ -39,12 +39,14 @@
     """A stop of vm-0 under load.
 
     Attributes:
+        stopped_s: When the signal came, on the loop's clock.
         pending: Callers that wait for their responses.
         results: What callers that sent requests after the signal received.
     """
 
     def __init__(self, fixture: gateway_fixture.Fixture) -> None:
         self.cluster = fixture.cluster
+        self.stopped_s = 0.0
         self.results: list[gateway_caller.CallResult] = []
         self._fixture = fixture
         self.pending: list[asyncio.Future] = []
@@ -57,7 +59,7 @@
         """Stops vm-0 as its platform does, with requests sent meanwhile."""
         node = self.cluster.vms["vm-0"]
         loop = asyncio.get_running_loop()
-        stopped_s = loop.time()
+        stopped_s = self.stopped_s = loop.time()
         node.stop.set()
         loop.call_later(stop_schedules.GRACE_S, self.cluster.kill, node)
         first = len(self.pending)
