A planned stop refuses at once what can't finish before it ends

Cause: while a stop ran, requests were placed as ever. Only what was read after the second phase began was checked, and by its deadline alone.

It is checked again with the engines that were chosen and what they still have to read. So a prompt that can still finish is served, and engines read fewer prompts in vain.

--- a/src/ruddergate/decisions/queueing.py
+++ b/src/ruddergate/decisions/queueing.py
@@ -200,13 +200,21 @@
         }
 
     def predict_wait_ms(
-        self, priority: effective.PriorityClass, band: int
+        self,
+        priority: effective.PriorityClass,
+        band: int,
+        own_cost_ms: float = 0.0,
     ) -> float:
-        """Returns how long a new job of this class and band would wait.
+        """Returns how long a job of this class and band would wait.
 
         Longer prompts are left out: their lanes block no shorter ones. The
         result is 0 if no target can be used at the moment: when one can is
         unknown, and is often soon.
+
+        Args:
+            priority: Class of the job.
+            band: Length band of the job.
+            own_cost_ms: Cost of the job if it is queued already; else 0.
         """
         rate = self._drain_rate()
         if rate <= 0.0:
@@ -219,6 +227,8 @@
         floor_rate = rate * max(0.0, priority.floor_percent) / 100.0
         class_ = self._classes.get(priority.name)
         class_ms = class_.cost_up_to(band) if class_ else 0.0
+        ahead_ms = max(0.0, ahead_ms - own_cost_ms)
+        class_ms = max(0.0, class_ms - own_cost_ms)
         wait_ms = ahead_ms / rate
         if floor_rate > 0:
             wait_ms = min(wait_ms, class_ms / floor_rate)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -190,6 +190,7 @@
                 self._on_end_refuted,
                 lambda: len(self._peers.loads),
             ),
+            stop=self._stop,
         )
         self.overload = overload.OverloadDetector(env)
         self._quarantine_gossip = quarantine_gossip.QuarantineGossip(
@@ -650,6 +651,7 @@
         )
         self._stop.begin(signal_ms, now_ms, config.stop_limit_ms)
         self._detours.is_stopping = True
+        self.context.scheduler.post(scheduler_messages.StopBegan())
         self._peers.note_change()
         # Callers still connect until the load balancer has noticed.
         # It notices a suspended VM, too, so that time counts.
--- a/src/ruddergate/entry/planned_stop.py
+++ b/src/ruddergate/entry/planned_stop.py
@@ -46,7 +46,10 @@
 
     @property
     def answer_waiting_ms(self) -> float:
-        """Time by which requests that no target has must be answered."""
+        """Time by which requests that no target has must be answered.
+
+        Infinite before the stop.
+        """
         return self.killed_ms - ANSWER_MARGIN_MS
 
     @property
--- a/src/ruddergate/entry/relay_placement.py
+++ b/src/ruddergate/entry/relay_placement.py
@@ -157,4 +157,5 @@
         excluded=progress.excluded,
         reply=asyncio.get_running_loop().create_future(),
         forbidden=forbidden,
+        cost=cost,
     )
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -21,7 +21,9 @@
 from ruddergate.entry import config as configs
 from ruddergate.entry import end_verifier
 from ruddergate.entry import placing as placings
+from ruddergate.entry import planned_stop
 from ruddergate.entry import scheduler_messages
+from ruddergate.entry import stop_admission
 from ruddergate.entry import target_losses
 from ruddergate.entry import target_table
 from ruddergate.entry import view as views
@@ -66,6 +68,7 @@
     | scheduler_messages.IncarnationEnded
     | scheduler_messages.EndVerified
     | scheduler_messages.NewEnds
+    | scheduler_messages.StopBegan
     | scheduler_messages.LoadReported
     | load_messages.Loads
     | ViewChanged
@@ -96,6 +99,7 @@
         drain_state: draining.DrainState | None = None,
         limits: rate_limits.RateLimits | None = None,
         losses: target_losses.TargetLosses | None = None,
+        stop: planned_stop.PlannedStop | None = None,
     ) -> None:
         """Creates an idle scheduler.
 
@@ -116,7 +120,9 @@
             drain_state: Which target incarnations accept no requests.
             limits: Rate limits that targets advertise.
             losses: Losses of targets and halls.
+            stop: The planned stop of the process.
         """
+        self._stop = stop or planned_stop.PlannedStop()
         self._drain_state = drain_state or draining.DrainState()
         if limits is None:
             limits = rate_limits.RateLimits(env.random, lambda *_: 0)
@@ -312,7 +318,9 @@
         if start_ms > request.job.deadline_ms:
             _reply(request, self._refuse_until(request.pool.name, start_ms))
             return
-        refusal = queue.offer(request.job, now_ms)
+        refusal = stop_admission.refuse_queueing(
+            request, queue, self._stop, now_ms
+        ) or queue.offer(request.job, now_ms)
         if refusal is not None:
             _reply(request, refusal)
             return
@@ -477,6 +485,7 @@
         for pool, queue in self._queues.items():
             if len(queue):
                 self._refuse_expired(queue, now_ms)
+                self._refuse_unfinishable(queue, now_ms)
                 self._dispatch_pool(pool, queue, now_ms)
 
     def _refuse_expired(self, queue: queueing.Queue, now_ms: float) -> None:
@@ -489,6 +498,35 @@
             )
             _reply(request, refusal)
 
+    def _refuse_unfinishable(
+        self, queue: queueing.Queue, now_ms: float
+    ) -> None:
+        """Refuses requests that can't finish before the planned stop ends.
+
+        The last ones come first, as those before them then wait for less.
+        """
+        if not self._stop.is_stopping:
+            return
+        for job in reversed(list(queue.jobs())):
+            refusal = stop_admission.refuse_queueing(
+                self._pending[job.job_id],
+                queue,
+                self._stop,
+                now_ms,
+                job.cost_ms,
+            )
+            if refusal is not None:
+                self._refuse_queued(queue, job, refusal)
+
+    def _refuse_queued(
+        self,
+        queue: queueing.Queue,
+        job: queueing.Job,
+        refusal: outcomes.NotServed,
+    ) -> None:
+        queue.remove(job)
+        _reply(self._pending.pop(job.job_id), refusal)
+
     def _dispatch_pool(
         self, pool: str, queue: queueing.Queue, now_ms: float
     ) -> None:
@@ -514,6 +552,10 @@
                 self._lane_paused_until_ms[job.lane] = now_ms + pause_ms
                 continue
             del self._pending[job.job_id]
+            refusal = self._refuse_placed(request, placements, now_ms)
+            if refusal is not None:
+                _reply(request, refusal)
+                continue
             first = placements[0]
             self._limits.note_placed(
                 first.target.target_id, first.attempt_id, now_ms
@@ -550,6 +592,24 @@
             )
             return None
 
+    def _refuse_placed(
+        self,
+        request: scheduler_messages.PlacementRequest,
+        placements: tuple[scheduler_messages.Placement, ...],
+        now_ms: float,
+    ) -> outcomes.NotServed | None:
+        """Returns a refusal, and ends the placements, if a stop cuts them."""
+        if not self._stop.is_stopping:
+            return None
+        found = (self._table.find(each.target) for each in placements)
+        chosen = [each for each in found if each is not None]
+        refusal = stop_admission.refuse_placed(
+            request, chosen, self._stop, now_ms
+        )
+        if refusal is not None:
+            self._release(scheduler_messages.PlacementGrant(placements))
+        return refusal
+
     def _has_restricted_intake(self, target: targets.Target) -> bool:
         """Returns whether a target may accept no further request after one."""
         return self._drain_state.is_half_open(
@@ -563,9 +623,8 @@
         start_ms = self._table.find_next_available_ms(pool, now_ms)
         unservable = [job for job in queue.jobs() if start_ms > job.deadline_ms]
         for job in unservable:
-            queue.remove(job)
-            request = self._pending.pop(job.job_id)
-            _reply(request, self._refuse_until(pool, start_ms))
+            refusal = self._refuse_until(pool, start_ms)
+            self._refuse_queued(queue, job, refusal)
 
     def _refuse_until(self, pool: str, start_ms: float) -> outcomes.NotServed:
         """Returns the refusal of a request that no target accepts in time.
--- a/src/ruddergate/entry/scheduler_messages.py
+++ b/src/ruddergate/entry/scheduler_messages.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from ruddergate import outcomes
+from ruddergate.decisions import cost as costs
 from ruddergate.decisions import gangs
 from ruddergate.decisions import queueing
 from ruddergate.decisions.routing import job as jobs
@@ -59,6 +60,8 @@
             only if there are no others.
         reply: Receives a PlacementGrant or a NotServed.
         forbidden: Ids of targets that must not be chosen.
+        cost: Predicted cost, by which a planned stop refuses requests that it
+            would cut; None for those that it waits for.
     """
 
     job: queueing.Job
@@ -68,6 +71,7 @@
     excluded: frozenset[str]
     reply: "asyncio.Future[PlacementGrant | outcomes.NotServed]"
     forbidden: frozenset[str] = frozenset()
+    cost: costs.Cost | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +140,15 @@
     verdict: end_verifier.Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopBegan:
+    """The planned stop has begun.
+
+    The scheduler refuses what can't finish at its next turn, which this brings
+    about.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewEnds:
     """Peers have reported ends of targets, or refuted some.
--- /dev/null
+++ b/src/ruddergate/entry/stop_admission.py
@@ -0,0 +1,84 @@
+"""Refuses requests that can't finish before a planned stop ends.
+
+Other VMs may serve them, and targets would work in vain on a response that is
+cut. While no stop has begun, nothing is refused.
+"""
+
+from collections.abc import Sequence
+
+from ruddergate import outcomes
+from ruddergate.decisions import estimate as estimates
+from ruddergate.decisions import prefill_plan
+from ruddergate.decisions import queueing
+from ruddergate.entry import planned_stop
+from ruddergate.entry import scheduler_messages
+
+_ENGINE_POOL = "engine"
+
+
+def refuse_queueing(
+    request: scheduler_messages.PlacementRequest,
+    queue: queueing.Queue,
+    stop: planned_stop.PlannedStop,
+    now_ms: float,
+    queued_ms: float = 0.0,
+) -> outcomes.NotServed | None:
+    """Returns a refusal if a request can't finish even on idle targets.
+
+    Args:
+        request: The request.
+        queue: The queue in which it waits, or would wait.
+        stop: The planned stop.
+        now_ms: Monotonic time.
+        queued_ms: Its own cost if it is in the queue; else 0.
+    """
+    if not stop.is_stopping or request.cost is None:
+        return None
+    job = request.job
+    wait_ms = queue.predict_wait_ms(job.priority, job.lane.band, queued_ms)
+    prefill_ms = request.cost.prefill_ms / max(1, request.pool.gang_engines_max)
+    return _refuse_if_cut(request, prefill_ms, stop, now_ms + wait_ms)
+
+
+def refuse_placed(
+    request: scheduler_messages.PlacementRequest,
+    chosen: Sequence[estimates.Estimate],
+    stop: planned_stop.PlannedStop,
+    now_ms: float,
+) -> outcomes.NotServed | None:
+    """Returns a refusal if a request can't finish on the chosen targets.
+
+    Args:
+        request: The request.
+        chosen: The estimates of the targets, which include the request.
+        stop: The planned stop.
+        now_ms: Monotonic time.
+    """
+    if not stop.is_stopping or request.cost is None:
+        return None
+    prefill_ms = max(
+        (each.remaining_prefill_ms(now_ms) for each in chosen), default=0.0
+    )
+    return _refuse_if_cut(request, prefill_ms, stop, now_ms)
+
+
+def _refuse_if_cut(
+    request: scheduler_messages.PlacementRequest,
+    prefill_ms: float,
+    stop: planned_stop.PlannedStop,
+    start_ms: float,
+) -> outcomes.NotServed | None:
+    run_ms = 0.0
+    if request.pool.pool_kind == _ENGINE_POOL:
+        decode_ms = request.cost.decode_ms
+        run_ms = prefill_ms + prefill_plan.FIRST_TOKEN_DELAY_MS + decode_ms
+    late_ms = start_ms + run_ms - stop.answer_waiting_ms
+    if late_ms <= 0.0:
+        return None
+    return outcomes.refuse(
+        outcomes.Reason.STOPPING,
+        f"the response would take about {run_ms:.0f} ms and end "
+        f"{late_ms:.0f} ms too late, as this VM stops",
+        # Other VMs serve it.
+        0.0,
+    )
