Server: a connection is open until its last bytes have left the process

Callers on slow links, or that read slowly, got truncated answers at the end of a planned stop: the last events of a stream, the tail of a plain answer, a refusal behind an answer that was still being sent.

Cause: drain() returns while up to 64 KiB are in the transport's buffer. The connection then counted as closed before its buffer was empty, so a stop that waits for all connections ended, and the process lost the rest.

An idle connection was whole before, too: its task ends only when the transport is closed.

Fix: the connection is closed first, and counts as open, but not as idle, until the transport has sent all or its caller is gone. A caller that takes nothing is reset after 15 s; one that still waits as the process ends is reset as well, since a regular end would make an answer without a length look complete. A cancelled connection doesn't wait, so the end of the process is not held up.

Connections that are flushed count for the limit on connections, as they hold a socket.

--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -35,6 +35,9 @@
 # time is discarded: a connection that is closed with unread bytes is reset, and
 # the caller may never see the response.
 _DISCARD_S = 1.0
+# How long a caller may take to receive the end of its last response. As long as
+# it may take to send a request.
+_FLUSH_TIMEOUT_S = 15.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +75,7 @@
         self._idle.add(writer)
 
     def note_busy(self, writer: asyncio.StreamWriter) -> None:
-        """Records that bytes of a request have arrived."""
+        """Records that bytes of a request have arrived, or are still sent."""
         self._idle.discard(writer)
 
     def note_idle(self, writer: asyncio.StreamWriter) -> None:
@@ -80,7 +83,7 @@
         self._idle.add(writer)
 
     def note_closed(self, writer: asyncio.StreamWriter) -> None:
-        """Records that a connection is closed."""
+        """Records that a connection is closed and nothing is left to send."""
         self._count -= 1
         self._idle.discard(writer)
 
@@ -117,29 +120,38 @@
     request_memory = memory or body_memory.BodyMemory(math.inf)
     open_connections = connections if connections is not None else Connections()
 
+    async def serve_requests(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(open_connections) > limits.connections_max:
+            await _reject(
+                writer, request_reader.Refusal(503, "too many connections")
+            )
+            return
+        await _serve_connection(
+            reader,
+            writer,
+            handle,
+            limits,
+            is_closing,
+            open_connections,
+            is_accepting,
+            find_limits or (lambda: limits),
+            request_memory,
+        )
+
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         open_connections.note_open(writer)
         try:
-            if len(open_connections) > limits.connections_max:
-                await _reject(
-                    writer, request_reader.Refusal(503, "too many connections")
-                )
-                return
-            await _serve_connection(
-                reader,
-                writer,
-                handle,
-                limits,
-                is_closing,
-                open_connections,
-                is_accepting,
-                find_limits or (lambda: limits),
-                request_memory,
-            )
-        except (ConnectionError, OSError, TimeoutError):
-            pass  # The peer has disconnected, so the error can't be reported.
+            with contextlib.suppress(ConnectionError, OSError, TimeoutError):
+                # The peer has disconnected, so the error can't be reported.
+                await serve_requests(reader, writer)
+            # What drain() left in the buffer is lost if the process ends.
+            open_connections.note_busy(writer)
+            with contextlib.suppress(ConnectionError, OSError, TimeoutError):
+                await _flush(writer)
         finally:
             open_connections.note_closed(writer)
             writer.close()
@@ -147,6 +159,23 @@
     return serve
 
 
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection; waits until what was written has left the process.
+
+    A caller that has not received it by the time limit or the end of the
+    process is reset. To a caller of HTTP/1.0 a regular end would make the
+    response look complete.
+    """
+    writer.close()
+    try:
+        async with asyncio.timeout(_FLUSH_TIMEOUT_S):
+            await writer.wait_closed()
+    except (TimeoutError, asyncio.CancelledError):
+        if writer.transport.get_write_buffer_size():
+            environment.reset_connection(writer)
+        raise
+
+
 async def _serve_connection(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
