Entry: a planned stop waits until callers have received their responses

Callers of ruddergate-entry that read slowly got truncated responses at the end of a planned stop.

Cause: the stop waited for requests in flight only. A request is no longer in flight once its response has been made or its stream's last part has been handed over, before any of that has left the process.

Fix: the stop also closes idle connections and waits for all others, which count as open until their last bytes have been sent.

--- a/src/ruddergate/entry/program.py
+++ b/src/ruddergate/entry/program.py
@@ -25,6 +25,9 @@
 from ruddergate.telemetry import traces
 
 _POLL_MS = 50.0
+# Once nothing is in flight, how long a planned stop waits for callers to
+# receive the end of their responses. As long as a request may take to arrive.
+_FLUSH_LIMIT_MS = 15_000.0
 
 
 class Entry:
@@ -40,6 +43,7 @@
         self._config = config
         self._log = logs.make_logger("entry")
         self._in_flight = in_flight.InFlightCalls(render.make_error_response)
+        self._connections = http_server.Connections()
         self._is_closing = False
         view = views.View()
         scheduler = schedulers.Scheduler(env, config, view)
@@ -91,6 +95,7 @@
             self._in_flight.track(handle),
             self._config.limits,
             lambda: self._is_closing,
+            self._connections,
             is_accepting=lambda: not self._is_closing,
         )
         return await self._env.serve(handler, self._config.listen)
@@ -110,10 +115,23 @@
         await asyncio.sleep(self._config.stop_lag_ms / 1000.0)
         self._is_closing = True
         callers.close()
-        while (
+        quiet_since_ms = self._env.now_ms()
+        while True:
+            self._connections.close_idle()
+            now_ms = self._env.now_ms()
+            if self._has_work():
+                quiet_since_ms = now_ms
+            elif not len(self._connections) or (
+                now_ms >= quiet_since_ms + _FLUSH_LIMIT_MS
+            ):
+                break
+            await asyncio.sleep(_POLL_MS / 1000.0)
+        self._log.info("Planned stop ends, nothing is in flight.")
+
+    def _has_work(self) -> bool:
+        """Returns whether anything is in flight."""
+        return bool(
             len(self._in_flight)
             or len(self._keyed)
             or len(self.context.canceller)
-        ):
-            await asyncio.sleep(_POLL_MS / 1000.0)
-        self._log.info("Planned stop ends, nothing is in flight.")
+        )
--- a/tests/test_unsent_answers.py
+++ b/tests/test_unsent_answers.py
@@ -9,14 +9,23 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 import socket
 import unittest
 
+import loguru
+
+from ruddergate import environment
+from ruddergate import stop_signal
+from ruddergate.entry import config as configs
+from ruddergate.entry import program
 from ruddergate.http import message
 from ruddergate.http import server
+from ruddergate.telemetry import traces
 from standins import virtual_process
 
 _HOST = "127.0.0.1"
+_PORT = 80
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 _CHUNK = b"x" * 1_000
 _LAST_EVENT = b"data: [DONE]\n\n"
@@ -31,6 +40,52 @@
 # Small, so that most of an answer stays in the process.
 _SOCKET_BYTES = 4_096
 _CHUNKS_OF_SMALL_SOCKETS = 60
+_STOP_LAG_MS = 100.0
+_PAGE_REQUEST = b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n"
+_PAGE_END = b"# TYPE ruddergate_waiting_cost_ms gauge\n"
+# About as many bytes as the answers above.
+_PAGES = 17
+
+
+class _Sockets:
+    """The connections that a process has accepted."""
+
+    def __init__(self) -> None:
+        self.tasks: list[asyncio.Task] = []
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def listen(
+        self,
+        handler: environment.StreamHandler,
+        sock: socket.socket | None = None,
+    ) -> asyncio.Server:
+        """Listens at a socket, or at a port in virtual time."""
+
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            self._writers.append(writer)
+            self.tasks.append(asyncio.ensure_future(handler(reader, writer)))
+
+        if sock is not None:
+            return await asyncio.start_server(accept, sock=sock)
+        return await asyncio.start_server(accept, _HOST, _PORT)
+
+    def count_unsent_bytes(self) -> int:
+        """Returns the bytes that have not left the process."""
+        return sum(
+            writer.transport.get_write_buffer_size() for writer in self._writers
+        )
+
+    async def end_process(self) -> None:
+        """Loses what has not left the process, as its end does."""
+        for task in self.tasks:
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=_ENDS_IN_S)
+        for writer in self._writers:
+            if writer.transport.get_write_buffer_size():
+                writer.transport.abort()
 
 
 class _Process:
@@ -39,9 +94,8 @@
     def __init__(self, answers: list[message.Response]) -> None:
         self.connections = server.Connections()
         self.is_accepting = True
-        self.tasks: list[asyncio.Task] = []
+        self.sockets = _Sockets()
         self._answers = answers
-        self._writers: list[asyncio.StreamWriter] = []
 
     async def listen(self, sock: socket.socket | None = None) -> asyncio.Server:
         """Listens at a socket, or at a port in virtual time."""
@@ -51,26 +105,16 @@
             connections=self.connections,
             is_accepting=lambda: self.is_accepting,
         )
-
-        async def accept(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            self._writers.append(writer)
-            self.tasks.append(asyncio.ensure_future(handler(reader, writer)))
-
-        if sock is not None:
-            return await asyncio.start_server(accept, sock=sock)
-        return await asyncio.start_server(accept, _HOST, 80)
+        return await self.sockets.listen(handler, sock)
 
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Returns a caller's connection that takes few bytes at a time."""
+        """Returns a connection to it of a caller that reads slowly."""
         listening = await self.listen()
-        reader, writer = await asyncio.open_connection(_HOST, 80, limit=1)
-        writer.transport.max_size = _SLOW_READ_BYTES
+        pair = await _connect_slow_caller()
         listening.close()
-        return reader, writer
+        return pair
 
     async def _handle(
         self, incoming: message.IncomingRequest
@@ -92,21 +136,14 @@
             self.connections.close_idle()
         return loop.time() - began_s
 
-    def count_unsent_bytes(self) -> int:
-        """Returns the bytes that have not left the process."""
-        return sum(
-            writer.transport.get_write_buffer_size() for writer in self._writers
-        )
 
-    async def end(self) -> None:
-        """Ends the process, which loses what has not left it."""
-        for task in self.tasks:
-            task.cancel()
-        if self.tasks:
-            await asyncio.wait(self.tasks, timeout=_ENDS_IN_S)
-        for writer in self._writers:
-            if writer.transport.get_write_buffer_size():
-                writer.transport.abort()
+async def _connect_slow_caller() -> tuple[
+    asyncio.StreamReader, asyncio.StreamWriter
+]:
+    """Returns a caller's connection that takes few bytes at a time."""
+    reader, writer = await asyncio.open_connection(_HOST, _PORT, limit=1)
+    writer.transport.max_size = _SLOW_READ_BYTES
+    return reader, writer
 
 
 def _make_plain(status: int = 200) -> message.Response:
@@ -158,7 +195,7 @@
             await asyncio.sleep(stops_after_s)
             process.begin_second_phase()
             await process.wait_until_closed()
-            await process.end()
+            await process.sockets.end_process()
             received.append(await reading)
             writer.close()
 
@@ -201,7 +238,7 @@
         await asyncio.sleep(0.5 * _ANSWER_S)
         process.begin_second_phase()
         await asyncio.sleep(_ANSWER_S)
-        self.assertGreater(process.count_unsent_bytes(), 0)
+        self.assertGreater(process.sockets.count_unsent_bytes(), 0)
         self.assertEqual(len(process.connections), 1)
         return process, writer
 
@@ -210,7 +247,7 @@
             process, writer = await self._start()
             async with asyncio.timeout(_LONG_S):
                 await process.wait_until_closed()
-            self.assertEqual(process.count_unsent_bytes(), 0)
+            self.assertEqual(process.sockets.count_unsent_bytes(), 0)
             writer.close()
 
         _run(scenario)
@@ -236,11 +273,11 @@
                 caller, listener.getsockname()
             )
             caller.send(b"GET / HTTP/1.0\r\n\r\n")
-            while not process.tasks:
+            while not process.sockets.tasks:
                 await asyncio.sleep(_POLL_S)
             await asyncio.sleep(2.0 * _ANSWER_S)
-            self.assertGreater(process.count_unsent_bytes(), 0)
-            await process.end()
+            self.assertGreater(process.sockets.count_unsent_bytes(), 0)
+            await process.sockets.end_process()
             reader, writer = await asyncio.open_connection(sock=caller)
             with self.assertRaises(ConnectionResetError):
                 await reader.read()
@@ -252,9 +289,84 @@
     def test_end_of_the_process_is_not_held_up(self) -> None:
         async def scenario() -> None:
             process, writer = await self._start()
-            await process.end()
-            self.assertTrue(all(task.done() for task in process.tasks))
+            await process.sockets.end_process()
+            self.assertTrue(all(task.done() for task in process.sockets.tasks))
             self.assertEqual(len(process.connections), 0)
             writer.close()
 
         _run(scenario)
+
+
+class _EntryProcess:
+    """A `ruddergate-entry` without an agent, which answers pages only."""
+
+    def __init__(self) -> None:
+        self.sockets = _Sockets()
+        self.stop = stop_signal.StopSignal()
+        loop = asyncio.get_running_loop()
+        env = environment.Environment(
+            now_ms=lambda: loop.time() * 1000.0,
+            wall_ms=lambda: loop.time() * 1000.0,
+            random=random.Random(1),
+            connect=self._connect,
+            serve=self._serve,
+            bind=None,
+        )
+        address = environment.Address(_HOST, _PORT)
+        peers = environment.Address(_HOST, _PORT + 1)
+        config = configs.EntryConfig(
+            "vm-1", "hall-1", address, peers, peers, stop_lag_ms=_STOP_LAG_MS
+        )
+        tracer = traces.make_tracer("off", "ruddergate-entry", "vm-1")
+        entry = program.Entry(env, config, tracer)
+        self.running = asyncio.ensure_future(entry.run(self.stop))
+
+    async def _connect(
+        self, address: environment.Address
+    ) -> environment.StreamPair:
+        raise ConnectionRefusedError(str(address))
+
+    async def _serve(
+        self, handler: environment.StreamHandler, address: environment.Address
+    ) -> asyncio.Server:
+        if address.port == _PORT:
+            return await self.sockets.listen(handler)
+        return await asyncio.start_server(handler, address.host, address.port)
+
+
+class EntryStopTest(unittest.TestCase):
+    """`ruddergate-entry` ended without looking at its connections."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        loguru.logger.remove()
+
+    def test_pages_are_whole_as_the_process_ends(self) -> None:
+        async def scenario() -> None:
+            process = _EntryProcess()
+            await asyncio.sleep(_POLL_S)
+            reader, writer = await _connect_slow_caller()
+            writer.write(_PAGE_REQUEST * _PAGES)
+            reading = asyncio.ensure_future(_read_slowly(reader))
+            process.stop.set()
+            await process.running
+            await process.sockets.end_process()
+            self.assertEqual((await reading).count(_PAGE_END), _PAGES)
+            writer.close()
+
+        _run(scenario)
+
+    def test_caller_that_never_reads_does_not_hold_up_the_stop(self) -> None:
+        async def scenario() -> None:
+            process = _EntryProcess()
+            await asyncio.sleep(_POLL_S)
+            _, writer = await _connect_slow_caller()
+            writer.write(_PAGE_REQUEST * (3 * _PAGES))
+            process.stop.set()
+            async with asyncio.timeout(_LONG_S):
+                await process.running
+            self.assertGreater(process.sockets.count_unsent_bytes(), 0)
+            await process.sockets.end_process()
+            writer.close()
+
+        _run(scenario)
