Tests: the ablation of a stop's second phase also sends what can't finish

test_check_fails_if_requests_are_read_to_the_end removed the second phase and expected the schedules to find requests that were cut.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -17,6 +17,7 @@
 from ruddergate import environment
 from ruddergate import stop_signal
 from ruddergate.entry import planned_stop
+from ruddergate.entry import stop_admission
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import kept_connection
@@ -240,7 +241,16 @@
         self.assertEqual(status, 0)
 
     def test_check_fails_if_requests_are_read_to_the_end(self) -> None:
-        with mock.patch.object(planned_stop.PlannedStop, "stop_accepting"):
+        """They are also sent to targets, however little time is left."""
+        with (
+            mock.patch.object(planned_stop.PlannedStop, "stop_accepting"),
+            mock.patch.object(
+                stop_admission, "refuse_placed", return_value=None
+            ),
+            mock.patch.object(
+                stop_admission, "refuse_queueing", return_value=None
+            ),
+        ):
             broken = _find_broken_seeds(_ABLATION_SEEDS)
         self.assertGreaterEqual(3 * len(broken), len(_ABLATION_SEEDS))
 
