A gateway that is late at the end of its stop still answers what waits

What callers saw: if the process stood still for 0.3 s as its stop ended, as on an overloaded or suspended VM, three of 49 requests got no answer.

Cause: the stop left its loop by the time alone. A process that woke up behind that time exited in the same turn, though it had not ended the waits.

Fix: it ends the waits first, whenever it comes to it, and takes another 100 ms to write the answers. The platform kills it 400 ms after the end at the earliest.

Evidence: test_all_are_answered_by_a_loop_that_lags_at_the_end (still from 7.32 to 7.62 s) and test_all_are_answered_after_a_suspension_over_the_end (7.0 to 7.7 s) failed before and pass.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from ruddergate import _private
 from ruddergate import environment
@@ -68,6 +69,9 @@
 from ruddergate.telemetry import traces
 
 _POLL_MS = 20.0
+# Time to write the last answers of a planned stop; several turns of the event
+# loop, and less than what is left until the process is killed.
+_LAST_WRITE_MS = 100.0
 # If another process holds the port for peers, it is tried again after this.
 _REBIND_MS = 2_000.0
 _OK = 200
@@ -667,10 +671,7 @@
             connections=len(self._connections),
             left_ms=round(self._stop.killed_ms - self._env.now_ms()),
         )
-        while self._count_open() and self._env.now_ms() < self._stop.ends_ms:
-            await asyncio.sleep(_POLL_MS / 1000.0)
-            self._answer_waiting()
-            self._connections.close_idle()
+        await self._answer_open()
         self._open_requests.log_cut()
         self._log.info(
             "Planned stop ends.",
@@ -682,9 +683,18 @@
             lag_ms=round(self.overload.lag_ms),
         )
 
-    def _answer_waiting(self) -> None:
-        """Answers what the end of the planned stop would leave unanswered."""
-        now_ms = self._env.now_ms()
-        if now_ms >= self._stop.answer_waiting_ms:
+    async def _answer_open(self) -> None:
+        """Waits until nothing is open; answers what waits as time is up."""
+        answered_ms = math.inf
+        while self._count_open():
+            now_ms = self._env.now_ms()
             has_all = now_ms >= self._stop.answer_all_ms
-            self._open_requests.end_waits(has_all)
+            if now_ms >= self._stop.answer_waiting_ms:
+                self._open_requests.end_waits(has_all)
+            if has_all:
+                answered_ms = min(answered_ms, now_ms)
+            # A process that is late still needs time to write the answers.
+            if now_ms >= max(self._stop.ends_ms, answered_ms + _LAST_WRITE_MS):
+                return
+            await asyncio.sleep(_POLL_MS / 1000.0)
+            self._connections.close_idle()
--- a/tests/test_waits_at_a_stop.py
+++ b/tests/test_waits_at_a_stop.py
@@ -5,11 +5,16 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+import dataclasses
 import unittest
+from unittest import mock
 
 import loguru
 
+from ruddergate import outcomes
+from ruddergate.entry import relay_attempt
+from ruddergate.entry import relay_progress
+from ruddergate.entry import relay_run
 from standins import gateway_caller
 from standins import iteration_engine
 from standins import stop_schedules
@@ -21,7 +26,9 @@
 _LONG_TOKENS = 260_000
 _GANG_TOKENS = 600_000
 # The second phase of a stop begins after 2.6 s.
-_SENT_S = (0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2.1, 2.3)
+_LATE_CALLS = 9
+_LATE_INTERVAL_S = 0.28
+_DELIVERY_S = 0.1
 _FULL_POOL_CALLS = 40
 
 
@@ -36,38 +43,54 @@
 
 
 class _Stop:
-    """A stop of vm-0 under load.
+    """A stop of vm-0, whose process ends as its task does.
 
     Attributes:
-        stopped_s: When the signal came, on the loop's clock.
-        pending: Callers that wait for their responses.
-        results: What callers that sent requests after the signal received.
+        cluster: The cluster.
+        process: The process of vm-0.
+        results: What the callers received.
     """
 
     def __init__(self, fixture: gateway_fixture.Fixture) -> None:
         self.cluster = fixture.cluster
-        self.stopped_s = 0.0
+        self._node = fixture.cluster.vms["vm-0"]
+        self.process = self._node.process
         self.results: list[gateway_caller.CallResult] = []
-        self._fixture = fixture
-        self.pending: list[asyncio.Future] = []
+        self._caller = fixture.caller
+        self._pending: list[asyncio.Future] = []
 
     def send(self, call: gateway_caller.Call) -> None:
-        sending = asyncio.ensure_future(self._fixture.caller.send(call))
-        self.pending.append(sending)
+        sending = asyncio.ensure_future(self._caller.send(call))
+        self._pending.append(sending)
 
-    async def run(self, sent_s: Sequence[float] = _SENT_S) -> None:
-        """Stops vm-0 as its platform does, with requests sent meanwhile."""
-        node = self.cluster.vms["vm-0"]
+    def fill(self, calls: int, **fields: object) -> None:
+        """Sends requests that take all places."""
+        for number in range(calls):
+            self.send(_make_call(f"full-{number}", **fields))
+
+    def begin(self) -> None:
+        """Sends the signal; the process is killed after the grace."""
+        loop = asyncio.get_running_loop()
+        self._node.stop.set()
+        self._node.task.add_done_callback(self._on_ended)
+        loop.call_later(stop_schedules.GRACE_S, self.cluster.kill, self._node)
+
+    def _on_ended(self, task: asyncio.Future) -> None:
+        self.process.kill()
         loop = asyncio.get_running_loop()
-        stopped_s = self.stopped_s = loop.time()
-        node.stop.set()
-        loop.call_later(stop_schedules.GRACE_S, self.cluster.kill, node)
-        first = len(self.pending)
-        for number, at_s in enumerate(sent_s):
-            await asyncio.sleep(stopped_s + at_s - loop.time())
+        # The system delivers what it has sent.
+        loop.call_later(_DELIVERY_S, self.cluster.kill, self._node)
+
+    async def run(self) -> None:
+        """Sends the signal, and requests after it."""
+        self.begin()
+        for number in range(_LATE_CALLS):
             self.send(_make_call(f"late-{number}"))
-        await asyncio.wait(self.pending)
-        self.results = [each.result() for each in self.pending[first:]]
+            await asyncio.sleep(_LATE_INTERVAL_S)
+
+    async def finish(self) -> None:
+        await asyncio.wait(self._pending)
+        self.results = [each.result() for each in self._pending]
 
 
 class WaitsAtStopTest(unittest.TestCase):
@@ -82,6 +105,7 @@
             stop = _Stop(fixture)
             stops.append(stop)
             await scenario(stop)
+            await stop.finish()
 
         sizes = {
             "vms": 2,
@@ -102,8 +126,7 @@
         async def scenario(stop: _Stop) -> None:
             for node in gateway_fixture.list_engines(stop.cluster):
                 node.replica.engine.pause()
-            for number in range(_FULL_POOL_CALLS):
-                stop.send(_make_call(f"full-{number}"))
+            stop.fill(_FULL_POOL_CALLS)
             await asyncio.sleep(1.0)
             await stop.run()
 
@@ -111,9 +134,7 @@
 
     def test_prompts_that_wait_for_several_engines_are_answered(self) -> None:
         async def scenario(stop: _Stop) -> None:
-            for number in range(6):
-                call = _make_call(f"full-{number}", prompt_tokens=_GANG_TOKENS)
-                stop.send(call)
+            stop.fill(6, prompt_tokens=_GANG_TOKENS)
             await asyncio.sleep(1.0)
             await stop.run()
 
@@ -125,8 +146,7 @@
                 for node in gateway_fixture.list_engines(stop.cluster)[:3]:
                     stop.cluster.crash_target(node)
 
-            for number in range(16):
-                stop.send(_make_call(f"full-{number}"))
+            stop.fill(16)
             await asyncio.sleep(1.0)
             asyncio.get_running_loop().call_later(5.0, crash)
             await stop.run()
@@ -140,8 +160,7 @@
                     node.replica.faults.mute = True
                     node.replica.engine.pause()
 
-            for number in range(12):
-                stop.send(_make_call(f"full-{number}"))
+            stop.fill(12)
             await asyncio.sleep(1.0)
             asyncio.get_running_loop().call_later(0.5, silence)
             await stop.run()
@@ -150,10 +169,8 @@
 
     def test_request_that_cannot_finish_is_refused_at_once(self) -> None:
         async def scenario(stop: _Stop) -> None:
-            node = stop.cluster.vms["vm-0"]
-            node.stop.set()
+            stop.begin()
             stop.send(_make_call("a1", output_tokens=9_000))
-            stop.results = [await each for each in stop.pending]
 
         stop = self._run(scenario)
         result = stop.results[0]
@@ -163,3 +180,69 @@
         self.assertEqual(
             [each.runs for each in stop.cluster.all_replicas if each.runs], []
         )
+
+    def _list_unanswered_after_pause(
+        self, from_s: float, pause_s: float
+    ) -> list[str]:
+        """Returns who gets no answer if the process stands still.
+
+        Args:
+            from_s: From when on, from the signal.
+            pause_s: For how long.
+        """
+
+        async def scenario(stop: _Stop) -> None:
+            for node in gateway_fixture.list_engines(stop.cluster):
+                node.replica.engine.pause()
+            stop.fill(_FULL_POOL_CALLS)
+            await asyncio.sleep(1.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(from_s, stop.process.freeze)
+            loop.call_later(from_s + pause_s, stop.process.resume)
+            await stop.run()
+
+        return self._list_unanswered(scenario)
+
+    def test_all_are_answered_by_a_loop_that_lags_at_the_end(self) -> None:
+        self.assertEqual(self._list_unanswered_after_pause(7.32, 0.3), [])
+
+    def test_all_are_answered_after_a_suspension_over_the_end(self) -> None:
+        self.assertEqual(self._list_unanswered_after_pause(7.0, 0.7), [])
+
+    def test_request_that_a_second_attempt_sent_is_not_told_as_not_run(
+        self,
+    ) -> None:
+        """The first attempt may still be waiting for its connection."""
+        progress = relay_progress.Progress("")
+        progress.current.stage = relay_progress.Stage.PREPARING
+        context = mock.MagicMock()
+        context.check_admission.return_value = None
+        context.take_rate_token.return_value = None
+        context.quarantine.admit.return_value = None
+        second = relay_attempt.RelayAttempt(
+            mock.MagicMock(),
+            mock.MagicMock(),
+            dataclasses.replace(progress),
+            mock.MagicMock(),
+            mock.MagicMock(),
+            context,
+            probe_timeout_ms=100.0,
+        )
+        self.assertIsNone(second._check_before_send())
+        refusal = outcomes.refuse(outcomes.Reason.STOPPING, "", 0.0)
+        answer = relay_run.conclude_early(refusal, progress)
+        self.assertIs(answer.ran, outcomes.Ran.UNKNOWN)
+
+    def test_stream_that_is_nearly_whole_is_resumed(self) -> None:
+        async def scenario(stop: _Stop) -> None:
+            call = _make_call("a1", prompt_tokens=5_000, output_tokens=5_000)
+            stop.send(call)
+            await asyncio.sleep(0.1)
+            stop.begin()
+            await asyncio.sleep(4.0)
+            for node in gateway_fixture.list_engines(stop.cluster):
+                if node.replica.runs:
+                    stop.cluster.crash_target(node)
+
+        result = self._run(scenario).results[0]
+        self.assertEqual((result.status, result.is_complete), (200, True))
