A request that only a second attempt sent counts as sent

What callers could see: 503 (not_run) for a request that a target runs.

Cause: second attempts did not record the stage at all.

Fix: a second attempt records that it was sent; only its preparation is not recorded, since the first one may be at a target by then. If it fails and the first was never sent, the request still counts as sent: 502 in place of 503.

Evidence: test_request_that_a_second_attempt_sent_is_not_told_as_not_run failed before and passes.

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -150,7 +150,8 @@
 
         A silence of the target is yielded, too.
         """
-        self._note_stage(relay_progress.Stage.PREPARING)
+        if not self._is_second:
+            self._progress.current.stage = relay_progress.Stage.PREPARING
         reservations = self._make_reservations()
         self._progress.faulted_helpers = ()
         attempt_log.log_start(
@@ -221,14 +222,10 @@
             self._has_rate_token = False
         self._is_sent = refusal is None
         if self._is_sent:
-            self._note_stage(relay_progress.Stage.SENT)
+            # Of a second attempt, too: the first may not be sent yet.
+            self._progress.current.stage = relay_progress.Stage.SENT
         return refusal
 
-    def _note_stage(self, stage: relay_progress.Stage) -> None:
-        """Records the stage, unless the request is at another target, too."""
-        if not self._is_second:
-            self._progress.current.stage = stage
-
     def _check_admission(self) -> outcomes.NotServed | None:
         """Returns a refusal if the target or a helper accepts no requests."""
         return self._context.check_admission(
