A stop weighs only the rest of a stream that is to be resumed

What callers saw: a stream that broke off 4 s into a stop, with a second left to stream, was not resumed elsewhere; it was cut.

Cause: whether a request can finish before the stop ends was predicted for its whole response.

Fix: what the caller has is deducted, by the time since the first event, as events don't tell how many tokens they hold.

Evidence: test_stream_that_is_nearly_whole_is_resumed failed before and passes.

--- a/src/ruddergate/entry/relay_attempt.py
+++ b/src/ruddergate/entry/relay_attempt.py
@@ -473,7 +473,7 @@
         self._has_first_event = True
         self._progress.current.stage = relay_progress.Stage.STREAMING
         self._begun_ms = self._context.env.now_ms()
-        self._progress.has_begun = True
+        self._progress.note_begun(self._begun_ms)
         request = self._request
         took_ms = self._context.env.now_ms() - request.arrived_ms
         self._context.metrics.record_first_token(request.prompt_tokens, took_ms)
--- a/src/ruddergate/entry/relay_placement.py
+++ b/src/ruddergate/entry/relay_placement.py
@@ -157,5 +157,18 @@
         excluded=progress.excluded,
         reply=asyncio.get_running_loop().create_future(),
         forbidden=forbidden,
-        cost=cost,
+        cost=_deduct_received(cost, progress, now_ms),
     )
+
+
+def _deduct_received(
+    cost: costs.Cost, progress: relay_progress.Progress, now_ms: float
+) -> costs.Cost:
+    """Returns the cost without the decoding of what the caller has.
+
+    The events of a stream don't tell how many tokens they hold, so the time
+    since the first one counts.
+    """
+    streamed_ms = max(0.0, now_ms - progress.begun_ms)
+    decode_ms = max(0.0, cost.decode_ms - streamed_ms)
+    return dataclasses.replace(cost, decode_ms=decode_ms)
--- a/src/ruddergate/entry/relay_progress.py
+++ b/src/ruddergate/entry/relay_progress.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from ruddergate import outcomes
 from ruddergate.fleet import incarnation as incarnations
@@ -44,6 +45,7 @@
             those that failed because of a helper.
         sent_targets: Targets that were sent the request in any attempt.
         has_begun: Whether any target has begun to respond.
+        begun_ms: Monotonic time at which the first one did.
         has_lasted: Whether a response went on for so long that the request
             does not crash targets.
         interrupted: Targets that were lost after that.
@@ -67,6 +69,7 @@
     counted_attempts: int = 0
     sent_targets: frozenset[str] = frozenset()
     has_begun: bool = False
+    begun_ms: float = math.inf
     has_lasted: bool = False
     interrupted: frozenset[incarnations.Incarnation] = frozenset()
     uncounted: frozenset[incarnations.Incarnation] = frozenset()
@@ -79,6 +82,11 @@
     pinned_target_id: str = ""
     current: CurrentStage = dataclasses.field(default_factory=CurrentStage)
 
+    def note_begun(self, now_ms: float) -> None:
+        """Records that a target has begun to respond."""
+        self.has_begun = True
+        self.begun_ms = min(self.begun_ms, now_ms)
+
     def count_targets_used(
         self, sending_to: frozenset[str] = frozenset()
     ) -> int:
