A stop looks for what can't finish at intervals, and counts running prefills

It is made each 40 ms now, with the drain rate and the shortest backlog of the targets found once.

Requests that a target has are ended 100 ms before the end in place of 250 ms.

--- a/src/ruddergate/decisions/queueing.py
+++ b/src/ruddergate/decisions/queueing.py
@@ -200,23 +200,38 @@
         }
 
     def predict_wait_ms(
-        self,
-        priority: effective.PriorityClass,
-        band: int,
-        own_cost_ms: float = 0.0,
+        self, priority: effective.PriorityClass, band: int
     ) -> float:
-        """Returns how long a job of this class and band would wait.
+        """Returns how long a new job of this class and band would wait.
 
         Longer prompts are left out: their lanes block no shorter ones. The
         result is 0 if no target can be used at the moment: when one can is
         unknown, and is often soon.
+        """
+        return self._predict_wait_ms(priority, band, 0.0, self._drain_rate())
 
-        Args:
-            priority: Class of the job.
-            band: Length band of the job.
-            own_cost_ms: Cost of the job if it is queued already; else 0.
+    def predict_waits(self) -> Iterator[tuple[Job, float]]:
+        """Yields the waiting jobs, and how long each of them would wait.
+
+        The later ones of a lane come first. Those that the caller removes no
+        longer count for the ones before them.
         """
         rate = self._drain_rate()
+        for job in reversed(list(self.jobs())):
+            yield (
+                job,
+                self._predict_wait_ms(
+                    job.priority, job.lane.band, job.cost_ms, rate
+                ),
+            )
+
+    def _predict_wait_ms(
+        self,
+        priority: effective.PriorityClass,
+        band: int,
+        own_cost_ms: float,
+        rate: float,
+    ) -> float:
         if rate <= 0.0:
             return 0.0
         ahead_ms = sum(
@@ -227,11 +242,10 @@
         floor_rate = rate * max(0.0, priority.floor_percent) / 100.0
         class_ = self._classes.get(priority.name)
         class_ms = class_.cost_up_to(band) if class_ else 0.0
-        ahead_ms = max(0.0, ahead_ms - own_cost_ms)
-        class_ms = max(0.0, class_ms - own_cost_ms)
-        wait_ms = ahead_ms / rate
+        wait_ms = max(0.0, ahead_ms - own_cost_ms) / rate
         if floor_rate > 0:
-            wait_ms = min(wait_ms, class_ms / floor_rate)
+            class_wait_ms = max(0.0, class_ms - own_cost_ms) / floor_rate
+            wait_ms = min(wait_ms, class_wait_ms)
         return wait_ms
 
     def _find_class(self, priority: effective.PriorityClass) -> _ClassQueue:
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -69,9 +69,6 @@
 from ruddergate.telemetry import traces
 
 _POLL_MS = 20.0
-# Time to write the last answers of a planned stop; several turns of the event
-# loop, and less than what is left until the process is killed.
-_LAST_WRITE_MS = 100.0
 # If another process holds the port for peers, it is tried again after this.
 _REBIND_MS = 2_000.0
 _OK = 200
@@ -685,16 +682,17 @@
 
     async def _answer_open(self) -> None:
         """Waits until nothing is open; answers what waits as time is up."""
-        answered_ms = math.inf
+        wrote_from_ms = math.inf
         while self._count_open():
             now_ms = self._env.now_ms()
-            has_all = now_ms >= self._stop.answer_all_ms
+            includes_sent = now_ms >= self._stop.answer_all_ms
             if now_ms >= self._stop.answer_waiting_ms:
-                self._open_requests.end_waits(has_all)
-            if has_all:
-                answered_ms = min(answered_ms, now_ms)
-            # A process that is late still needs time to write the answers.
-            if now_ms >= max(self._stop.ends_ms, answered_ms + _LAST_WRITE_MS):
+                self._open_requests.end_waits(includes_sent)
+            if includes_sent:
+                wrote_from_ms = min(wrote_from_ms, now_ms)
+            # Also a process that is late takes its time to write.
+            written_ms = wrote_from_ms + planned_stop.LAST_WRITE_MS
+            if now_ms >= max(self._stop.ends_ms, written_ms):
                 return
             await asyncio.sleep(_POLL_MS / 1000.0)
             self._connections.close_idle()
--- a/src/ruddergate/entry/open_requests.py
+++ b/src/ruddergate/entry/open_requests.py
@@ -93,14 +93,14 @@
             stage.value: counts[stage.value] for stage in relay_progress.Stage
         }
 
-    def end_waits(self, has_all: bool) -> None:
+    def end_waits(self, includes_sent: bool) -> None:
         """Ends the waits of requests for the head of a response.
 
         Args:
-            has_all: Whether to include those that a target has.
+            includes_sent: Whether to end those that a target has, too.
         """
         for each in list(self._open):
-            if has_all or not each.progress.current.is_sent:
+            if includes_sent or not each.progress.current.is_sent:
                 each.end_wait()
 
     def log_cut(self) -> None:
@@ -113,7 +113,7 @@
                 request_id=request.request_id,
                 route=request.payload.route.name,
                 stage=each.stage.value,
-                has_head=each.has_answer,
+                has_answer=each.has_answer,
                 prompt_tokens=request.prompt_tokens,
                 sent=each.progress.counted_attempts,
                 unsent=each.progress.unsent_attempts,
--- a/src/ruddergate/entry/planned_stop.py
+++ b/src/ruddergate/entry/planned_stop.py
@@ -2,9 +2,11 @@
 
 import math
 
-# A request that is still open is answered this long before the process ends:
-# longer than an overloaded event loop lags.
+# A request that no target has is answered this long before the process ends.
 ANSWER_MARGIN_MS = 250.0
+# Time to write the last answers: several turns of the event loop, and less than
+# what is left until the process is killed.
+LAST_WRITE_MS = 100.0
 
 
 class PlannedStop:
@@ -54,8 +56,11 @@
 
     @property
     def answer_all_ms(self) -> float:
-        """Time by which all requests must be answered."""
-        return self.ends_ms - ANSWER_MARGIN_MS
+        """Time by which all requests must be answered.
+
+        Infinite before the stop.
+        """
+        return self.ends_ms - LAST_WRITE_MS
 
     def stop_accepting(self) -> None:
         """Begins the second phase."""
--- a/src/ruddergate/entry/scheduler.py
+++ b/src/ruddergate/entry/scheduler.py
@@ -38,6 +38,8 @@
 # Interval of dispatch attempts while requests are queued.
 _QUEUED_TICK_MS = 20.0
 _IDLE_TICK_MS = 500.0
+# Interval at which a planned stop looks for queued requests that can't finish.
+_STOP_CHECK_INTERVAL_MS = 40.0
 # A lane that no target can take is paused for a random time from this range, so
 # that VMs waiting for the same targets don't all dispatch at once when one of
 # them becomes free.
@@ -123,6 +125,7 @@
             stop: The planned stop of the process.
         """
         self._stop = stop or planned_stop.PlannedStop()
+        self._stop_check_ms = 0.0
         self._drain_state = drain_state or draining.DrainState()
         if limits is None:
             limits = rate_limits.RateLimits(env.random, lambda *_: 0)
@@ -318,9 +321,8 @@
         if start_ms > request.job.deadline_ms:
             _reply(request, self._refuse_until(request.pool.name, start_ms))
             return
-        refusal = stop_admission.refuse_queueing(
-            request, queue, self._stop, now_ms
-        ) or queue.offer(request.job, now_ms)
+        refusal = self._refuse_by_stop(request, queue, now_ms)
+        refusal = refusal or queue.offer(request.job, now_ms)
         if refusal is not None:
             _reply(request, refusal)
             return
@@ -482,10 +484,14 @@
         now_ms = self._env.now_ms()
         if now_ms < self._hold_until_ms:
             return
+        must_check = self._stop.is_stopping and now_ms >= self._stop_check_ms
+        if must_check:
+            self._stop_check_ms = now_ms + _STOP_CHECK_INTERVAL_MS
         for pool, queue in self._queues.items():
             if len(queue):
                 self._refuse_expired(queue, now_ms)
-                self._refuse_unfinishable(queue, now_ms)
+                if must_check:
+                    self._refuse_unfinishable(pool, queue, now_ms)
                 self._dispatch_pool(pool, queue, now_ms)
 
     def _refuse_expired(self, queue: queueing.Queue, now_ms: float) -> None:
@@ -498,26 +504,44 @@
             )
             _reply(request, refusal)
 
+    def _refuse_by_stop(
+        self,
+        request: scheduler_messages.PlacementRequest,
+        queue: queueing.Queue,
+        now_ms: float,
+    ) -> outcomes.NotServed | None:
+        """Returns a refusal if a planned stop would cut a new request."""
+        if not self._stop.is_stopping:
+            return None
+        job = request.job
+        wait_ms = queue.predict_wait_ms(job.priority, job.lane.band)
+        wait_ms += self._find_shortest_backlog_ms(request.pool.name, now_ms)
+        return stop_admission.refuse_queued(
+            request, wait_ms, self._stop, now_ms
+        )
+
     def _refuse_unfinishable(
-        self, queue: queueing.Queue, now_ms: float
+        self, pool: str, queue: queueing.Queue, now_ms: float
     ) -> None:
-        """Refuses requests that can't finish before the planned stop ends.
-
-        The last ones come first, as those before them then wait for less.
-        """
-        if not self._stop.is_stopping:
-            return
-        for job in reversed(list(queue.jobs())):
-            refusal = stop_admission.refuse_queueing(
+        """Refuses queued requests that a planned stop would cut."""
+        backlog_ms = self._find_shortest_backlog_ms(pool, now_ms)
+        for job, wait_ms in queue.predict_waits():
+            refusal = stop_admission.refuse_queued(
                 self._pending[job.job_id],
-                queue,
+                wait_ms + backlog_ms,
                 self._stop,
                 now_ms,
-                job.cost_ms,
             )
             if refusal is not None:
                 self._refuse_queued(queue, job, refusal)
 
+    def _find_shortest_backlog_ms(self, pool: str, now_ms: float) -> float:
+        """Returns the shortest prefill backlog of the targets of a pool."""
+        usable = self._find_usable(pool, now_ms)
+        return min(
+            (each.remaining_prefill_ms(now_ms) for each in usable), default=0.0
+        )
+
     def _refuse_queued(
         self,
         queue: queueing.Queue,
--- a/src/ruddergate/entry/scheduler_messages.py
+++ b/src/ruddergate/entry/scheduler_messages.py
@@ -60,8 +60,8 @@
             only if there are no others.
         reply: Receives a PlacementGrant or a NotServed.
         forbidden: Ids of targets that must not be chosen.
-        cost: Predicted cost, by which a planned stop refuses requests that it
-            would cut; None for those that it waits for.
+        cost: Predicted cost, by which requests are refused that a planned stop
+            would cut; None if none of them is.
     """
 
     job: queueing.Job
--- a/src/ruddergate/entry/stop_admission.py
+++ b/src/ruddergate/entry/stop_admission.py
@@ -9,33 +9,28 @@
 from ruddergate import outcomes
 from ruddergate.decisions import estimate as estimates
 from ruddergate.decisions import prefill_plan
-from ruddergate.decisions import queueing
 from ruddergate.entry import planned_stop
 from ruddergate.entry import scheduler_messages
 
 _ENGINE_POOL = "engine"
 
 
-def refuse_queueing(
+def refuse_queued(
     request: scheduler_messages.PlacementRequest,
-    queue: queueing.Queue,
+    wait_ms: float,
     stop: planned_stop.PlannedStop,
     now_ms: float,
-    queued_ms: float = 0.0,
 ) -> outcomes.NotServed | None:
-    """Returns a refusal if a request can't finish even on idle targets.
+    """Returns a refusal if a request can't finish on any targets.
 
     Args:
         request: The request.
-        queue: The queue in which it waits, or would wait.
+        wait_ms: Predicted wait for others in its queue and at targets.
         stop: The planned stop.
         now_ms: Monotonic time.
-        queued_ms: Its own cost if it is in the queue; else 0.
     """
     if not stop.is_stopping or request.cost is None:
         return None
-    job = request.job
-    wait_ms = queue.predict_wait_ms(job.priority, job.lane.band, queued_ms)
     prefill_ms = request.cost.prefill_ms / max(1, request.pool.gang_engines_max)
     return _refuse_if_cut(request, prefill_ms, stop, now_ms + wait_ms)
 
@@ -68,6 +63,8 @@
     stop: planned_stop.PlannedStop,
     start_ms: float,
 ) -> outcomes.NotServed | None:
+    # Plain services respond within the margin of the stop, and publish no
+    # times.
     run_ms = 0.0
     if request.pool.pool_kind == _ENGINE_POOL:
         decode_ms = request.cost.decode_ms
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -248,7 +248,7 @@
                 stop_admission, "refuse_placed", return_value=None
             ),
             mock.patch.object(
-                stop_admission, "refuse_queueing", return_value=None
+                stop_admission, "refuse_queued", return_value=None
             ),
         ):
             broken = _find_broken_seeds(_ABLATION_SEEDS)
--- a/tests/test_waits_at_a_stop.py
+++ b/tests/test_waits_at_a_stop.py
@@ -48,6 +48,7 @@
     Attributes:
         cluster: The cluster.
         process: The process of vm-0.
+        begun_s: When the signal came, on the loop's clock.
         results: What the callers received.
     """
 
@@ -55,6 +56,7 @@
         self.cluster = fixture.cluster
         self._node = fixture.cluster.vms["vm-0"]
         self.process = self._node.process
+        self.begun_s = 0.0
         self.results: list[gateway_caller.CallResult] = []
         self._caller = fixture.caller
         self._pending: list[asyncio.Future] = []
@@ -71,6 +73,7 @@
     def begin(self) -> None:
         """Sends the signal; the process is killed after the grace."""
         loop = asyncio.get_running_loop()
+        self.begun_s = loop.time()
         self._node.stop.set()
         self._node.task.add_done_callback(self._on_ended)
         loop.call_later(stop_schedules.GRACE_S, self.cluster.kill, self._node)
