Schedules of stops with full pools, and a judge as wide as the rule

The judge of the stop schedules asked only for requests that ran, and its excuse only for times. The rule counts whatever ends without an answer 200 ms after its last byte, and excuses a cut only if a replica was still at work. The judge is a module of its own now, and the stand-in replica records what it does about each request, and when it ends.

New schedules fill the pools: few engines and places, objectives of 0.15 to 4 s, long prompts, engines that fail, bodies in halves and chunks.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -304,6 +304,7 @@
         replica = node.replica
         self.kill(node)
         loop = asyncio.get_running_loop()
+        replica.crashed_s = loop.time()
         context = self.network.neutral_context
 
         def expire() -> None:
--- a/standins/iteration_engine.py
+++ b/standins/iteration_engine.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 
@@ -44,11 +45,13 @@
     Attributes:
         tokens: Tokens that remain.
         pairs_m_per_token: Attention pairs of each token, in millions.
+        note_read: Called with the tokens that an iteration prefilled.
         done: Set when the part is prefilled.
     """
 
     tokens: float
     pairs_m_per_token: float
+    note_read: Callable[[float], None]
     done: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
@@ -94,9 +97,20 @@
         """Runs iterations again."""
         self._is_running.set()
 
-    async def prefill(self, tokens: float, whole_tokens: float) -> None:
-        """Prefills a piece of a prompt of that whole length."""
-        piece = PromptPiece(tokens, whole_tokens / 2.0 / 1e6)
+    async def prefill(
+        self,
+        tokens: float,
+        whole_tokens: float,
+        note_read: Callable[[float], None] = lambda _: None,
+    ) -> None:
+        """Prefills a piece of a prompt.
+
+        Args:
+            tokens: Tokens of the piece.
+            whole_tokens: Tokens of the whole prompt.
+            note_read: Called with the tokens that an iteration prefilled.
+        """
+        piece = PromptPiece(tokens, whole_tokens / 2.0 / 1e6, note_read)
         self._pieces.append(piece)
         self._work.set()
         try:
@@ -132,6 +146,7 @@
         await asyncio.sleep((steps * step_ms + prefill_ms) / 1000.0)
         for piece, tokens in read:
             piece.tokens -= tokens
+            piece.note_read(tokens)
             if piece.tokens <= 0.0:
                 self._pieces.remove(piece) if piece in self._pieces else None
                 piece.done.set()
--- a/standins/kept_connection.py
+++ b/standins/kept_connection.py
@@ -61,6 +61,34 @@
         data += self._connection.send(h11.Data(data=request.body))
         return data + self._connection.send(h11.EndOfMessage())
 
+    def encode_in_chunks(
+        self,
+        request: message.OutgoingRequest,
+        address: environment.Address,
+        chunks: int,
+    ) -> list[bytes]:
+        """Returns a request whose body has no announced length, in parts.
+
+        Args:
+            request: The request.
+            address: Address that it is sent to.
+            chunks: Number of chunks of its body; the head and the end of the
+                body are two further parts.
+        """
+        headers = [("host", request.host or str(address))]
+        headers.extend(request.headers.items())
+        headers.append(("transfer-encoding", "chunked"))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        parts = [self._connection.send(head)]
+        size = -(-len(request.body) // chunks)
+        for start in range(0, len(request.body), size):
+            data = h11.Data(data=request.body[start : start + size])
+            parts.append(self._connection.send(data))
+        parts.append(self._connection.send(h11.EndOfMessage()))
+        return parts
+
     async def read_answer(self) -> Answer:
         """Reads one answer, to its end or to that of the connection."""
         status = 0
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -69,6 +69,34 @@
     time_limit_ms: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Work:
+    """What a replica does about one request, from the request's arrival.
+
+    Attributes:
+        request_id: The caller's id of the request.
+        replica: The replica.
+        arrived_s: When the request arrived, on the loop's clock.
+        began_s: When its run began; infinity if it doesn't run.
+        ended_s: When the replica had answered it or had seen that its caller
+            left; infinity before, and if the replica's process ends first.
+        broke_off_s: When the replica reset the connection; infinity if not.
+        read_tokens: Prompt tokens that were read for it, also on helpers.
+    """
+
+    request_id: str
+    replica: "PlatformReplica"
+    arrived_s: float
+    began_s: float = float("inf")
+    ended_s: float = float("inf")
+    broke_off_s: float = float("inf")
+    read_tokens: float = 0.0
+
+    def note_read(self, tokens: float) -> None:
+        """Records that prompt tokens were read."""
+        self.read_tokens += tokens
+
+
 @dataclasses.dataclass(slots=True)
 class HelpedRun:
     """A run for which other replicas read a part of the prompt.
@@ -79,6 +107,7 @@
         helpers: The other replicas.
         reservations: Names of the memory that is used, with the helpers that
             hold it.
+        work: What the replica does about the request.
         has_begun: Whether its first event was made.
         ended_s: When the run ended, on the loop's clock; infinity before.
         lapsed: Helpers whose memory lapsed during the run.
@@ -88,6 +117,7 @@
     replica: str
     helpers: tuple["PlatformReplica", ...]
     reservations: tuple[tuple[str, "PlatformReplica"], ...]
+    work: Work
     has_begun: bool = False
     ended_s: float = float("inf")
     lapsed: tuple["PlatformReplica", ...] = ()
@@ -189,6 +219,10 @@
             header.
         has_announced_draining: Whether an answer ever said that it is draining.
         arrivals: Every request that arrived, also those that it refused.
+        works: What it does about every request that arrived, also those that it
+            refuses or ignores.
+        crashed_s: When its process was killed, on the loop's clock; infinity
+            before.
         helped: How often another replica used it as a helper.
         helped_runs: Every run that it began with helpers.
         rate_limit: Value of Server-Limit in all answers; empty for no such
@@ -219,6 +253,8 @@
         self.draining_hint = ""
         self.has_announced_draining = False
         self.arrivals: list[Arrival] = []
+        self.works: list[Work] = []
+        self.crashed_s = float("inf")
         self.helped = 0
         self.helped_runs: list[HelpedRun] = []
         self.limits: list[AnnouncedLimit] = []
@@ -286,6 +322,26 @@
         if incoming.path == _REPORT_PATH:
             report = {"stage": "both", **self.make_start_field()}
             return message.make_json_response(200, report)
+        work = Work(
+            incoming.headers.get("x-attempt-id", ""),
+            self,
+            asyncio.get_running_loop().time(),
+        )
+        self.works.append(work)
+        is_streamed = False
+        try:
+            answer = await self._answer_request(incoming, work)
+            is_streamed = not isinstance(answer.body, bytes)
+        finally:
+            if not is_streamed:
+                work.ended_s = asyncio.get_running_loop().time()
+        if not is_streamed:
+            return answer
+        return dataclasses.replace(answer, body=_follow(work, answer.body))
+
+    async def _answer_request(
+        self, incoming: message.IncomingRequest, work: Work
+    ) -> message.Response:
         if self.faults.mute or self._draw(self.faults.hang):
             await asyncio.sleep(3_600.0)
         expected = incoming.headers.get("x-expect-replica", self.name)
@@ -312,7 +368,7 @@
         if unfit_address is not None:
             fields = {"X-Not-Executed": "1", "At-Server": unfit_address}
             return message.Response(503, fields, b"")
-        return await self._run(incoming)
+        return await self._run(incoming, work)
 
     def _find_unfit_helper(self, helpers: str) -> str | None:
         """Returns the address of the first helper that is unfit, if any."""
@@ -367,7 +423,9 @@
             each[0] for each in self.reservations.values() if each[1] > now_ms
         )
 
-    async def _run(self, incoming: message.IncomingRequest) -> message.Response:
+    async def _run(
+        self, incoming: message.IncomingRequest, work: Work
+    ) -> message.Response:
         fields = incoming.headers
         after_text = fields.get("last-event-id", "") or "0"
         if "x-attempt-id" not in fields or not _EVENT_ID.fullmatch(after_text):
@@ -385,6 +443,7 @@
             fields.get("x-note", ""),
         )
         self.runs.append(run)
+        work.began_s = run.at_s
         self.active_runs += 1
         try:
             headers = self._make_headers(run)
@@ -399,7 +458,9 @@
             prompt, output = map(int, usage.split(","))
             if self._draw(self.faults.lose):
                 return message.Response(200, headers, _abort(()))
-            helped = self._begin_helped_run(run, fields.get("helpers", ""))
+            helped = self._begin_helped_run(
+                run, fields.get("helpers", ""), work
+            )
             if self.faults.stream_preamble:
                 return message.Response(
                     200,
@@ -451,7 +512,7 @@
             return message.Response(200, headers, _abort((body[:5],)))
         return message.Response(200, headers, body)
 
-    def _begin_helped_run(self, run: Run, text: str) -> HelpedRun:
+    def _begin_helped_run(self, run: Run, text: str, work: Work) -> HelpedRun:
         named = _parse_helpers(text)
         helpers = [self._peers[address] for address, _ in named]
         reservations = [
@@ -460,7 +521,11 @@
             if name
         ]
         helped = HelpedRun(
-            run.request_id, self.name, tuple(helpers), tuple(reservations)
+            run.request_id,
+            self.name,
+            tuple(helpers),
+            tuple(reservations),
+            work,
         )
         if helpers:
             self.helped_runs.append(helped)
@@ -495,7 +560,10 @@
         engines = [self.engine, *others]
         part_tokens = prompt / len(engines)
         await asyncio.gather(
-            *(each.prefill(part_tokens, prompt) for each in engines)
+            *(
+                each.prefill(part_tokens, prompt, helped.work.note_read)
+                for each in engines
+            )
         )
 
     async def _stream_early(
@@ -600,6 +668,22 @@
     return f"answer to {request_id}".encode()
 
 
+async def _follow(
+    work: Work, body: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    """Records how a streamed answer ends."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with contextlib.aclosing(body) as chunks:
+            async for chunk in chunks:
+                yield chunk
+    except ConnectionResetError:
+        work.broke_off_s = loop.time()
+        raise
+    finally:
+        work.ended_s = loop.time()
+
+
 async def _abort(parts: tuple[bytes, ...]) -> AsyncIterator[bytes]:
     for part in parts:
         yield part
--- a/standins/schedule_runner.py
+++ b/standins/schedule_runner.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import concurrent.futures
 import dataclasses
 import functools
@@ -21,11 +22,15 @@
         broken: A message for each violation.
         counts: How often each kind of event occurred.
         statuses: How often callers received each HTTP status.
+        samples_ms: Measured times by their name.
     """
 
     broken: list[str]
     counts: Mapping[str, int]
     statuses: Mapping[int, int] = dataclasses.field(default_factory=dict)
+    samples_ms: Mapping[str, Sequence[float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 # Runs the schedule of a seed.
@@ -45,6 +50,7 @@
     """
     counts: collections.Counter[str] = collections.Counter()
     statuses: collections.Counter[int] = collections.Counter()
+    samples_ms: dict[str, list[float]] = {}
     failed: list[str] = []
     seeds = range(first, first + count)
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
@@ -54,6 +60,8 @@
         for seed, result in zip(seeds, results, strict=True):
             counts.update(result.counts)
             statuses.update(result.statuses)
+            for name, values_ms in result.samples_ms.items():
+                samples_ms.setdefault(name, []).extend(values_ms)
             for each in result.broken:
                 print(f"seed {seed}: {each}", flush=True)
             if result.broken:
@@ -62,6 +70,8 @@
         print(f"{name}: {number}")
     for status, number in sorted(statuses.items()):
         print(f"status {status}: {number}")
+    for name, values_ms in sorted(samples_ms.items()):
+        print(f"{name}: {_describe_times(values_ms)}")
     # Once more at the end, as the beginning of a long output may be cut off.
     for each in failed:
         print(each)
@@ -89,6 +99,17 @@
     sys.exit(cyclopts.run(main))
 
 
+def _describe_times(values_ms: Sequence[float]) -> str:
+    if not values_ms:
+        return "none"
+    ordered_ms = sorted(values_ms)
+    shares = ", ".join(
+        f"p{percent} {ordered_ms[(len(ordered_ms) - 1) * percent // 100]:.0f}"
+        for percent in (50, 90, 99, 100)
+    )
+    return f"{len(ordered_ms)} times, {shares} ms"
+
+
 def _run_silently(run_schedule: RunSchedule, seed: int) -> Result:
     loguru.logger.remove()
     return run_schedule(seed)
--- a/standins/stop_schedules.py
+++ b/standins/stop_schedules.py
@@ -21,13 +21,10 @@
 from standins import gateway_cluster
 from standins import kept_connection
 from standins import schedule_runner
+from standins import stop_judge
 from standins import virtual_process
 
-GRACE_S = 8.0
-# What is still at work in the last sixth of the grace may be cut, if it was
-# sent no later than this after the signal.
-EXCUSED_SENT_S = 3.0
-EXCUSED_FROM_S = GRACE_S * 5.0 / 6.0
+GRACE_S = stop_judge.GRACE_S
 # A request counts if nothing but the stop disturbed its VM for so long before.
 CONTACT_S = 3.0
 _VM = "vm-0"
@@ -56,27 +53,6 @@
     ended_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Exchange:
-    """One request on a kept connection.
-
-    Attributes:
-        call: The request.
-        is_first: Whether it is the first one on its connection.
-        began_s: When its first byte was sent.
-        sent_s: When its last byte was sent.
-        ended_s: When its answer or its connection ended.
-        answer: What the caller received.
-    """
-
-    call: gateway_caller.Call
-    is_first: bool
-    began_s: float
-    sent_s: float
-    ended_s: float
-    answer: kept_connection.Answer
-
-
 class Schedule:
     """The state of one schedule.
 
@@ -95,7 +71,7 @@
                 seed=seed,
             )
         )
-        self._exchanges: list[Exchange] = []
+        self._exchanges: list[stop_judge.Exchange] = []
         # Of its own, so that a seed's other draws don't depend on it.
         self._suspension_rng = random.Random(f"suspension {seed}")
         self._suspension: Suspension | None = None
@@ -205,7 +181,9 @@
         sent_s = loop.time()
         answer = await connection.read_answer()
         self._exchanges.append(
-            Exchange(call, is_first, began_s, sent_s, loop.time(), answer)
+            stop_judge.Exchange(
+                call, is_first, began_s, sent_s, loop.time(), answer
+            )
         )
         return not answer.closes
 
@@ -231,21 +209,21 @@
         broken = []
         if self._took_s >= GRACE_S and not self._may_be_killed():
             broken.append(f"the stop took {self._took_s:.2f} s")
-        run_ids = {
-            run.request_id
-            for replica in self._cluster.all_replicas
-            for run in replica.runs
-        }
+        works = stop_judge.list_works(self._cluster)
+        timeouts_ms = stop_judge.find_timeouts_ms(self._cluster)
         for each in self._exchanges:
-            was_run = each.call.request_id in run_ids
-            if was_run and self._is_cut(each):
+            own = works.get(each.call.request_id, ())
+            loss = stop_judge.find_loss(
+                each, self._stop_s, own, timeouts_ms[each.call.route]
+            )
+            if loss.is_violation() and not self._was_suspended(each):
                 broken.append(
-                    f"{each.call.request_id} ({each.call.route}) was sent "
-                    f"{each.sent_s - self._stop_s:.2f} s after the signal and "
-                    f"cut at {each.ended_s - self._stop_s:.2f} s"
+                    stop_judge.describe_cut(each, self._stop_s, own, loss)
                 )
-            if was_run and each.answer.status == 503:
-                broken.append(f"{each.call.request_id} ran and got 503")
+        broken += stop_judge.find_refused_runs(
+            self._exchanges, works, frozenset(_ROUTES)
+        )
+        broken += stop_judge.find_mixed(self._exchanges)
         return broken
 
     def _may_be_killed(self) -> bool:
@@ -258,21 +236,7 @@
             or suspension.ended_s > self._stop_s + GRACE_S - _MARGIN_S
         )
 
-    def _is_cut(self, exchange: Exchange) -> bool:
-        """Returns whether a request that ran was cut without an excuse."""
-        if exchange.answer.is_complete:
-            return False
-        if self._was_suspended(exchange):
-            return False
-        sent_s = exchange.sent_s - self._stop_s
-        ended_s = exchange.ended_s - self._stop_s
-        took_ms = (exchange.ended_s - exchange.began_s) * 1_000.0
-        if took_ms >= exchange.call.time_limit_ms - 1.0:
-            return False
-        is_excused = sent_s <= EXCUSED_SENT_S and ended_s >= EXCUSED_FROM_S
-        return not is_excused
-
-    def _was_suspended(self, exchange: Exchange) -> bool:
+    def _was_suspended(self, exchange: stop_judge.Exchange) -> bool:
         """Returns whether a suspension disturbed the VM of a request."""
         suspension = self._suspension
         return (
