Loaded stop schedules: herds of long prompts, and classes of losses

The judge tells apart what was never passed on, what waited between two attempts and what a replica held without running it. Calls, troubles and costs have modules of their own.

--- a/standins/loaded_stops.py
+++ b/standins/loaded_stops.py
@@ -17,12 +17,14 @@
 import random
 
 from ruddergate import environment
+from standins import engine_troubles
 from standins import gateway_caller
 from standins import gateway_cluster
 from standins import iteration_engine
 from standins import kept_connection
-from standins import platform_replica
+from standins import loaded_calls
 from standins import schedule_runner
+from standins import stop_costs
 from standins import stop_judge
 from standins import virtual_process
 
@@ -37,18 +39,8 @@
 _CALLER_SLACK_S = 2.0
 # The latency targets of the routes become 150 ms to 4 s.
 _LATENCY_SLO_SCALES = (0.5, 1.0, 1.333, 1.333)
-_SHORT_PROMPTS = (500, 2_000, 10_000)
-_LONG_PROMPTS = (20_000, 100_000, 200_000, 260_000, 300_000)
-# As parts of one engine's memory.
-_GANG_PROMPT_FACTORS = (1.2, 1.6, 2.4)
-_TIME_LIMITS_MS = (500.0, 1_000.0, 3_000.0, 6_000.0, 10_000.0, 15_000.0)
-_SERVICE_TIME_LIMITS_MS = (500.0, 2_000.0)
 # Not judged: these may run twice, so a refusal may follow a run.
 _IDEMPOTENT_ROUTES = frozenset(("short", "long", "safe"))
-_BODY_BYTES = (20, 3_000, 31_000)
-_PARTS = 12
-_SILENCES = ("mute", "hang", "pause", "freeze", "stall")
-_FAULTS = (*_SILENCES, "crash", "refuse", "break_off")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,13 +83,14 @@
                 latency_slo_scale=rng.choice(_LATENCY_SLO_SCALES),
             )
         )
-        self._long_share = rng.choice((0.2, 0.5, 0.9))
+        self._calls = loaded_calls.CallDraws(
+            rng, engine_spec.memory_tokens, rng.choice((0.2, 0.5, 0.9))
+        )
         self._exchanges: list[stop_judge.Exchange] = []
         self._stops: dict[str, Stop] = {}
         # When the first signal of each VM comes.
         self._signals_s: dict[str, float] = {}
         self._end_s = 0.0
-        self._count = 0
         self._counts: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> schedule_runner.Result:
@@ -167,37 +160,10 @@
         return signal_s + self._rng.uniform(-1.5, _EXIT_S)
 
     async def _make_trouble(self) -> None:
-        """Lets some engines or all but one fail for a while."""
-        rng = self._rng
         await self._sleep_until(self._draw_moment())
-        nodes = [
-            node
-            for node in self._cluster.targets.values()
-            if node.replica.engine is not None and not node.process.is_dead
-        ]
-        rng.shuffle(nodes)
-        chosen = nodes[: rng.choice((1, len(nodes) - 1, len(nodes)))]
-        kind = rng.choice(_FAULTS)
+        kind = self._rng.choice(engine_troubles.KINDS)
         self._counts[f"trouble: {kind}"] += 1
-        duration_s = rng.choice((0.5, 2.0, 8.0)) * rng.uniform(0.2, 1.0)
-        replicas = [node.replica for node in chosen]
-        if kind == "crash":
-            for node in chosen:
-                await asyncio.sleep(rng.choice((0.0, 0.3)))
-                if not node.process.is_dead:
-                    self._cluster.crash_target(node)
-            return
-        probability = rng.choice((0.3, 1.0))
-        retry_after = rng.choice(("", "1", "5"))
-        for node in chosen:
-            _begin_fault(node, kind, probability, retry_after)
-        await asyncio.sleep(duration_s)
-        for node, replica in zip(chosen, replicas, strict=True):
-            # It may have crashed and been replaced meanwhile.
-            replica.faults = platform_replica.ReplicaFaults()
-            replica.engine.resume()
-            if node.replica is replica and node.process.is_frozen:
-                node.process.resume()
+        await engine_troubles.make_trouble(self._cluster, self._rng, kind)
 
     # Callers
 
@@ -209,11 +175,12 @@
         callers = [self._run_caller(env) for _ in range(count)]
         for vm, signal_s in self._signals_s.items():
             herd = rng.choice((0, 4, 16, 30))
+            is_long = rng.random() < 0.7
             from_s = signal_s + rng.uniform(-1.5, 1.0)
             length_s = rng.choice((0.0, 0.2, _NOTICED_S))
             for _ in range(herd):
                 at_s = from_s + rng.uniform(0.0, length_s)
-                callers.append(self._send_at(env, vm, at_s))
+                callers.append(self._send_at(env, vm, at_s, is_long))
         await asyncio.gather(*callers)
 
     async def _run_caller(self, env: environment.Environment) -> None:
@@ -229,14 +196,23 @@
             await asyncio.sleep(rng.choice((0.05, 0.5)))
 
     async def _send_at(
-        self, env: environment.Environment, vm: str, at_s: float
+        self,
+        env: environment.Environment,
+        vm: str,
+        at_s: float,
+        is_long: bool,
     ) -> None:
         await self._sleep_until(at_s)
-        await self._use_connection(env, vm, 1)
+        await self._use_connection(env, vm, 1, is_long)
 
     async def _use_connection(
-        self, env: environment.Environment, vm: str, requests_max: float
+        self,
+        env: environment.Environment,
+        vm: str,
+        requests_max: float,
+        is_long: bool = False,
     ) -> None:
+        """Sends requests on a new connection; long ones only, or any."""
         address = environment.Address(vm, gateway_cluster.FRONT_PORT)
         try:
             async with asyncio.timeout(_CONNECT_S):
@@ -247,7 +223,8 @@
         sent = 0
         while sent < requests_max and self._now_s() < self._end_s:
             sent += 1
-            if not await self._exchange(connection, address, sent == 1):
+            call = self._calls.draw(vm, is_long)
+            if not await self._exchange(connection, address, call, sent == 1):
                 break
             if self._rng.random() < 0.5:
                 await asyncio.sleep(self._rng.choice((0.0, 0.02, 0.5)))
@@ -257,10 +234,10 @@
         self,
         connection: kept_connection.KeptConnection,
         address: environment.Address,
+        call: gateway_caller.Call,
         is_first: bool,
     ) -> bool:
         """Sends one request; returns whether another may follow."""
-        call = self._draw_call(address.host)
         began_s = self._now_s()
         parts = self._draw_parts(connection, call, address)
         pauses_s = self._draw_pauses(call.vm, len(parts) - 1)
@@ -314,38 +291,6 @@
                 whole_s = until_s
         return [whole_s / count] * count
 
-    def _draw_call(self, vm: str) -> gateway_caller.Call:
-        rng = self._rng
-        self._count += 1
-        request_id = f"r{self._count}"
-        # All of their own, so that none is suspected after crashes.
-        body = request_id.encode().ljust(rng.choice(_BODY_BYTES), b".")
-        if rng.random() < 0.1:
-            return gateway_caller.Call(
-                request_id,
-                rng.choice(("safe", "unsafe")),
-                vm,
-                time_limit_ms=rng.choice(_SERVICE_TIME_LIMITS_MS),
-                body=body,
-            )
-        is_long = rng.random() < self._long_share
-        memory_tokens = self._cluster.layout.engine_spec.memory_tokens
-        prompt_tokens = rng.choice(_LONG_PROMPTS if is_long else _SHORT_PROMPTS)
-        if is_long and rng.random() < 0.2:
-            factor = rng.choice(_GANG_PROMPT_FACTORS)
-            prompt_tokens = round(memory_tokens * factor)
-        route = "long" if is_long else rng.choice(("short", "short", "once"))
-        return gateway_caller.Call(
-            request_id,
-            route,
-            vm,
-            prompt_tokens=prompt_tokens,
-            output_tokens=round(rng.choice((100, 1_000, 6_000))),
-            time_limit_ms=rng.choice(_TIME_LIMITS_MS),
-            body=body,
-            parts=(f"s{rng.randrange(_PARTS)}",),
-        )
-
     # Results
 
     def _judge(self) -> schedule_runner.Result:
@@ -366,7 +311,9 @@
                 broken.append(
                     stop_judge.describe_cut(each, signal_s, own, loss)
                 )
-            self._count_exchange(each, signal_s, own, loss)
+            self._counts.update(
+                stop_costs.count_exchange(each, signal_s, own, loss)
+            )
         strict = set(timeouts_ms) - _IDEMPOTENT_ROUTES
         broken += stop_judge.find_refused_runs(self._exchanges, works, strict)
         broken += stop_judge.find_mixed(self._exchanges)
@@ -375,83 +322,14 @@
         )
         self._counts["refused after a run, may be repeated"] = len(repeated)
         self._counts["stops"] = len(self._stops)
-        refusals_ms = {"from the signal to 503": self._list_refusals_ms()}
-        return schedule_runner.Result(
-            broken, self._counts, samples_ms=refusals_ms
-        )
-
-    def _count_exchange(
-        self,
-        exchange: stop_judge.Exchange,
-        signal_s: float,
-        works: Sequence[platform_replica.Work],
-        loss: stop_judge.Loss,
-    ) -> None:
-        counts = self._counts
-        counts["requests"] += 1
-        read_tokens = sum(work.read_tokens for work in works)
-        counts["prompt tokens read"] += round(read_tokens)
-        is_whole = stop_judge.is_whole(exchange)
-        if not is_whole:
-            counts["prompt tokens read for no whole answer"] += round(
-                read_tokens
-            )
-        counts["whole answers"] += is_whole
-        # Those that a stop may have affected.
-        if not signal_s <= exchange.ended_s <= signal_s + stop_judge.GRACE_S:
-            return
-        is_earlier = exchange.sent_s <= signal_s
-        had_arrived = any(work.arrived_s <= signal_s for work in works)
-        counts["around stops"] += 1
-        counts["around stops: whole answers"] += is_whole
-        counts[f"around stops: status {exchange.answer.status or 'none'}"] += 1
-        counts["around stops: waited at the signal"] += (
-            is_earlier and not had_arrived
+        refusals_ms = stop_costs.list_refusals_ms(
+            self._exchanges, self._signals_s
         )
-        counts["around stops: at replicas at the signal"] += (
-            is_earlier and had_arrived
+        return schedule_runner.Result(
+            broken,
+            self._counts,
+            samples_ms={"from the signal to 503": refusals_ms},
         )
-        counts["around stops: sent after it"] += not is_earlier
-        if not is_whole:
-            counts["around stops: prompt tokens read for no whole answer"] += (
-                round(read_tokens)
-            )
-        if loss is not stop_judge.Loss.NONE:
-            counts[f"cut: {loss.value}"] += 1
-
-    def _list_refusals_ms(self) -> Sequence[float]:
-        """Returns times from signals, or from later requests, to 503."""
-        times_ms = []
-        for each in self._exchanges:
-            signal_s = self._signals_s.get(each.call.vm, math.inf)
-            if each.answer.status == 503 and (
-                signal_s <= each.ended_s <= signal_s + stop_judge.GRACE_S
-            ):
-                from_s = max(signal_s, each.sent_s)
-                times_ms.append((each.ended_s - from_s) * 1_000.0)
-        return times_ms
-
-
-def _begin_fault(
-    node: gateway_cluster.Node, kind: str, probability: float, retry_after: str
-) -> None:
-    replica = node.replica
-    match kind:
-        case "mute":
-            replica.faults.mute = True
-        case "hang":
-            replica.faults.hang = probability
-        case "pause":
-            replica.engine.pause()
-        case "freeze":
-            node.process.freeze()
-        case "stall":
-            replica.faults.silent_s = 6.0
-        case "refuse":
-            replica.faults.refuse = probability
-            replica.faults.retry_after = retry_after
-        case "break_off":
-            replica.faults.break_off = probability
 
 
 def run_schedule(seed: int) -> schedule_runner.Result:
--- a/standins/stop_judge.py
+++ b/standins/stop_judge.py
@@ -37,19 +37,24 @@
     CROSSED = "crossed the close"
     LATE = "its time was over"
     BROKEN_OFF = "its replica broke off"
+    RESUMING = "its replica broke off, no other resumed it yet"
     AT_WORK = "its replica was at work in the last sixth"
     NOT_PASSED_ON = "never passed on"
-    NOT_RUN = "passed on, never run"
-    NOT_AT_WORK = "run, but not worked on in the last sixth"
-    SENT_LATE = "passed on, sent late in the stop"
+    BETWEEN_ATTEMPTS = "passed on, waited for another replica"
+    UNDELIVERED = "its replica had ended"
+    NOT_BEGUN = "a replica held it and didn't run it"
+    NOT_AT_WORK = "its replica was not at work in the last sixth"
+    SENT_LATE = "its replica was at work, it was sent late in the stop"
 
     def is_violation(self) -> bool:
-        """Returns whether a stop may not end a request so."""
-        return self in (
-            Loss.NOT_PASSED_ON,
-            Loss.NOT_RUN,
-            Loss.NOT_AT_WORK,
-            Loss.SENT_LATE,
+        """Returns whether nothing excuses the end of the request."""
+        return self not in (
+            Loss.NONE,
+            Loss.CROSSED,
+            Loss.LATE,
+            Loss.BROKEN_OFF,
+            Loss.RESUMING,
+            Loss.AT_WORK,
         )
 
 
@@ -138,20 +143,45 @@
     limit_ms = min(exchange.call.time_limit_ms, timeout_ms)
     if took_ms >= limit_ms - _ROUNDING_MS:
         return Loss.LATE
-    if any(_has_broken_off(work, exchange.ended_s) for work in works):
-        return Loss.BROKEN_OFF
-    excused_s = signal_s + EXCUSED_FROM_S
     if not works:
         return Loss.NOT_PASSED_ON
-    if exchange.sent_s - signal_s > EXCUSED_SENT_S:
-        return Loss.SENT_LATE
-    if exchange.ended_s >= excused_s and any(
-        was_at_work(work, excused_s) for work in works
+    is_sent_in_time = exchange.sent_s - signal_s <= EXCUSED_SENT_S
+    excused_s = signal_s + EXCUSED_FROM_S
+    if (
+        is_sent_in_time
+        and exchange.ended_s >= excused_s
+        and any(was_at_work(work, excused_s) for work in works)
     ):
         return Loss.AT_WORK
-    if any(has_run(work) for work in works):
-        return Loss.NOT_AT_WORK
-    return Loss.NOT_RUN
+    has_broken_off = any(
+        _has_broken_off(work, exchange.ended_s) for work in works
+    )
+    if _find_end_s(works) < exchange.ended_s - LOSS_SLACK_S:
+        return _find_loss_of_waiting(exchange, has_broken_off)
+    if has_broken_off:
+        return Loss.BROKEN_OFF
+    if not any(map(has_run, works)):
+        return Loss.NOT_BEGUN
+    return Loss.NOT_AT_WORK if is_sent_in_time else Loss.SENT_LATE
+
+
+def _find_loss_of_waiting(exchange: Exchange, has_broken_off: bool) -> Loss:
+    """Returns how a request ended that no replica had any more.
+
+    One that broke off is no reason to give no answer later. But nothing can be
+    said after the head of an answer.
+    """
+    if exchange.answer.status == 0:
+        return Loss.BETWEEN_ATTEMPTS
+    return Loss.RESUMING if has_broken_off else Loss.UNDELIVERED
+
+
+def _find_end_s(works: Sequence[platform_replica.Work]) -> float:
+    """Returns when the last replica was no longer concerned with a request."""
+    return max(
+        min(work.ended_s, work.broke_off_s, work.replica.crashed_s)
+        for work in works
+    )
 
 
 def has_run(work: platform_replica.Work) -> bool:
