--- a/standins/loaded_stops.py
+++ b/standins/loaded_stops.py
@@ -62,9 +62,11 @@
 
     Args:
         seed: Seed of the schedule.
+        killed_s: When processes that stop are killed, from their signal.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, killed_s: float = stop_judge.GRACE_S) -> None:
+        self._killed_s = killed_s
         self._rng = rng = random.Random(f"loaded stop {seed}")
         vms = rng.choice((2, 2, 2, 3, 3, 4, 4, 12))
         engine_spec = iteration_engine.EngineSpec(
@@ -140,7 +142,7 @@
         for _ in range(rng.choice((0, 0, 1, 3))):
             loop.call_later(rng.uniform(0.0, _EXIT_S), node.stop.set)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(stop_judge.GRACE_S):
+            async with asyncio.timeout(self._killed_s):
                 await asyncio.shield(node.task)
         self._stops[vm] = Stop(signal_s, self._now_s() - signal_s)
         if node.task.done():
@@ -332,9 +334,16 @@
         )
 
 
-def run_schedule(seed: int) -> schedule_runner.Result:
-    """Runs one schedule."""
-    return virtual_process.run(lambda: Schedule(seed).run())
+def run_schedule(
+    seed: int, killed_s: float = stop_judge.GRACE_S
+) -> schedule_runner.Result:
+    """Runs one schedule.
+
+    Args:
+        seed: Seed of the schedule.
+        killed_s: When processes that stop are killed, from their signal.
+    """
+    return virtual_process.run(lambda: Schedule(seed, killed_s).run())
 
 
 if __name__ == "__main__":
