A VM that starts accepts keys only after it has asked its peers

Cause: a VM that starts knows no earlier epoch, so its first read of the copy counted as proof of the copy's settings. What peers knew was compared with the next read only.

Change: after its first read a VM asks its seeds, and the peers known by then, for their settings' revision, by datagrams (entry/start_check.py). Later settings are fetched from the peer. Until then calls with keys wait; readiness, open routes, sites with lenient keys and VMs without seeds do not. A VM that starts as well replies that it knows nothing yet; where all seeds do, nobody is waited for. Without a reply the wait ends after 90 ms.

Why it holds: a reply counts only from a VM that lived before or has asked itself, and that is current. A peer's claim counts whenever it came, and settings that can't be fetched hold keys back until the next read.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -42,6 +42,7 @@
 from ruddergate.entry import retry_transfers
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import scheduler_messages
+from ruddergate.entry import start_check
 from ruddergate.entry import status
 from ruddergate.entry import store_peers
 from ruddergate.entry import store_sync
@@ -364,8 +365,16 @@
                 str(gateway_config.peers.listen),
                 self._peers.list_elsewhere,
                 self._peers.rpc.request_changes,
+                start_check.make_request(
+                    self._peers.rpc.request_changes, self.context.incarnation
+                ),
                 self._peers.rpc.request_settings,
                 self._peers.rpc.request_targets,
+                tuple(
+                    str(seed)
+                    for seed in gateway_config.peers.seeds
+                    if seed != gateway_config.peers.listen
+                ),
             ),
             drain_state,
             metrics,
--- a/src/ruddergate/entry/peer_reader.py
+++ b/src/ruddergate/entry/peer_reader.py
@@ -1,6 +1,7 @@
 """Reads from peers what the platform's store has published."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from ruddergate import environment
 from ruddergate.decisions import freshness
@@ -81,12 +82,33 @@
         count = min(len(names), MAX_PEERS_ASKED_ELSEWHERE)
         return self._env.random.sample(names, count)
 
+    def list_seeds(self) -> Sequence[str]:
+        """Returns where other VMs may be found right after the start."""
+        return self._peers.seeds
+
+    def list_at_start(self) -> list[str]:
+        """Returns the peers that a VM which has just started may ask."""
+        found = (
+            *self._peers.seeds,
+            *self._peers.rank_hall(),
+            *self._peers.list_elsewhere(),
+        )
+        return [
+            name for name in dict.fromkeys(found) if name != self._peers.own
+        ]
+
     async def request_changes(
         self, peer: str, position: store_position.StorePosition
     ) -> store_changes.StoreChangesReply | None:
         """Returns a peer's changes since a position; None without a reply."""
         return await self._peers.request_changes(peer, position)
 
+    async def request_at_start(
+        self, peer: str, position: store_position.StorePosition
+    ) -> store_changes.StoreChangesReply | None:
+        """Returns the same for a VM that has just started."""
+        return await self._peers.request_at_start(peer, position)
+
     async def complete(
         self,
         peer: str,
--- a/src/ruddergate/entry/peer_rpc.py
+++ b/src/ruddergate/entry/peer_rpc.py
@@ -88,12 +88,22 @@
         self._log = logs.make_logger("peers")
 
     async def request_changes(
-        self, peer: str, position: store_position.StorePosition
+        self,
+        peer: str,
+        position: store_position.StorePosition,
+        correlation_id: str = "",
     ) -> store_changes.StoreChangesReply | None:
-        """Returns a peer's changes of the store, or None without a reply."""
+        """Returns a peer's changes of the store, or None without a reply.
+
+        Args:
+            peer: The peer.
+            position: Where the changes start.
+            correlation_id: An id that no other request has, in any run; a
+                random one is made if it is empty.
+        """
         request = store_changes.StoreChangesRequest(
             self._own,
-            self._make_correlation_id(),
+            correlation_id or self._make_correlation_id(),
             position.revision,
             position.epoch,
         )
--- a/src/ruddergate/entry/relay_admit.py
+++ b/src/ruddergate/entry/relay_admit.py
@@ -42,6 +42,16 @@
     not_found_age_max_ms: float
 
 
+def needs_key(
+    incoming: message.IncomingRequest,
+    caller_request: caller_protocols.CallerRequest,
+    catalog: catalogs.Catalog,
+) -> bool:
+    """Returns whether a request is admitted only with a valid key."""
+    route = catalog.find_route(caller_request.host, incoming.path)
+    return route is not None and catalog.requires_keys and not route.is_open
+
+
 def admit(
     incoming: message.IncomingRequest,
     caller_request: caller_protocols.CallerRequest,
@@ -75,7 +85,8 @@
         )
     workspace = catalogs.Workspace("", 0)
     if catalog.requires_keys and not route.is_open:
-        if _settings_age_ms(context) > age_limits.key_age_max_ms:
+        key_age_ms = context.view.key_age_ms(context.env.now_ms())
+        if key_age_ms > age_limits.key_age_max_ms:
             return _refuse_stale("whether the key is still valid")
         found = catalog.workspaces.get(caller_request.key)
         if found is None:
--- a/src/ruddergate/entry/relay_handler.py
+++ b/src/ruddergate/entry/relay_handler.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import math
 
 from ruddergate import outcomes
 from ruddergate import request as requests
@@ -80,6 +81,7 @@
         # slow body arrives, and during the wait for the first settings.
         arrived_ms = self._context.env.now_ms() - incoming.reading_ms
         await self._wait_for_catalog()
+        await self._wait_for_keys(incoming, caller_request)
         request = relay_admit.admit(
             incoming,
             caller_request,
@@ -128,6 +130,26 @@
             async with asyncio.timeout(wait_ms / 1000.0):
                 await context.view.catalog_loaded.wait()
 
+    async def _wait_for_keys(
+        self,
+        incoming: message.IncomingRequest,
+        caller_request: caller_protocols.CallerRequest,
+    ) -> None:
+        """Waits while peers are asked for later settings than the store's.
+
+        Not where a removed key may be used until this VM learns of it.
+        """
+        view = self._context.view
+        if (
+            view.keys_released.is_set()
+            or math.isinf(self._age_limits.key_age_max_ms)
+            or not relay_admit.needs_key(incoming, caller_request, view.catalog)
+        ):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_SETTINGS_WAIT_MS / 1000.0):
+                await view.keys_released.wait()
+
     async def _stream_body(
         self,
         request: requests.Request,
--- a/src/ruddergate/entry/store_peers.py
+++ b/src/ruddergate/entry/store_peers.py
@@ -19,8 +19,11 @@
             which they become readers.
         own: Name of this VM among them.
         list_elsewhere: Returns the VMs of other halls.
+        seeds: Addresses at which some VMs may be found right after the start,
+            this one not included.
         request_changes: Requests a peer's changes since a position; returns
             None without a reply.
+        request_at_start: The same for a VM that has just started.
         request_settings: Requests a part of a revision of the settings.
         request_targets: Requests a part of a peer's targets at a position.
     """
@@ -32,5 +35,10 @@
         [str, store_position.StorePosition],
         Awaitable[store_changes.StoreChangesReply | None],
     ]
+    request_at_start: Callable[
+        [str, store_position.StorePosition],
+        Awaitable[store_changes.StoreChangesReply | None],
+    ]
     request_settings: document_exchange.RequestPart[int]
     request_targets: document_exchange.RequestPart[store_position.StorePosition]
+    seeds: Sequence[str]
--- a/src/ruddergate/entry/store_sync.py
+++ b/src/ruddergate/entry/store_sync.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
 from ruddergate import environment
 from ruddergate.decisions import change_log
@@ -25,6 +26,7 @@
 from ruddergate.entry import poll_config
 from ruddergate.entry import scheduler as schedulers
 from ruddergate.entry import staleness
+from ruddergate.entry import start_check
 from ruddergate.entry import store_catch_up
 from ruddergate.entry import store_peers
 from ruddergate.entry import store_reader
@@ -56,6 +58,7 @@
     NO_REPLY = "no_reply"
     OLDER_EPOCH = "older_epoch"
     INVALID = "invalid"
+    STARTING = "starting"
     # Only the store itself can tell what holds.
     CONTRADICTS = "contradicts"
     INCOMPLETE = "incomplete"
@@ -143,6 +146,8 @@
         self._poll_began_ms = env.now_ms()
         self._is_polling = False
         self._log = logs.make_logger("store")
+        if self._peers.list_seeds():
+            view.keys_released.clear()
 
     async def run(self) -> None:
         """Polls the store or peers until cancelled."""
@@ -151,6 +156,7 @@
             self._poll_began_ms = began_ms
             self._is_polling = True
             pause_ms = await self._poll()
+            await self._ask_at_start()
             await self._fetch_claimed_settings()
             self._is_polling = False
             pause_ms -= self._env.now_ms() - began_ms
@@ -193,11 +199,15 @@
         self, request: store_changes.StoreChangesRequest
     ) -> store_changes.StoreChangesReply | None:
         """Returns the changes that this VM knows, for a peer that follows."""
-        position = self._position
-        if position is None or self._is_unreadable:
+        if self._is_unreadable:
             # Without a reply the peer reads the store, and finds out as well
             # that the latest settings can't be parsed.
             return None
+        position = self._position
+        if position is None or not self._view.keys_released.is_set():
+            # This VM can't tell whether the store lacks settings. A peer that
+            # has just started, too, would take them for confirmed.
+            return _make_reply_at_start(request)
         if request.epoch > position.epoch:
             self._is_history_lost = True
         step = None
@@ -310,6 +320,8 @@
         reply = await self._peers.request_changes(peer, position)
         if reply is None:
             return _PeerResult.NO_REPLY
+        if reply.age_ms == store_changes.AGE_UNKNOWN:
+            return _PeerResult.STARTING
         if reply.epoch < position.epoch:
             # The peer is in an older epoch: the store was restored since, and
             # may have lost what the peer knows.
@@ -346,11 +358,40 @@
             self._find_age_ms(), self._polling.interval_ms
         )
 
+    async def _ask_at_start(self) -> None:
+        """Asks peers for later settings than those first read."""
+        position = self._position
+        if position is None or self._view.keys_released.is_set():
+            return
+        await start_check.ask(
+            self._peers.list_seeds(),
+            self._peers.list_at_start,
+            lambda peer: self._peers.request_at_start(peer, position),
+            self._note_reply_at_start,
+        )
+
+    def _note_reply_at_start(
+        self, peer: str, reply: store_changes.StoreChangesReply
+    ) -> bool:
+        """Notes a peer's settings; returns whether others need not be asked."""
+        if reply.settings_revision > self._view.catalog.revision:
+            self.note_newer_settings(peer, reply.settings_revision)
+            return True
+        # Another peer may know settings that one behind the store lacks.
+        return 0.0 <= reply.age_ms <= self._polling.full_read_age_ms
+
     async def _fetch_claimed_settings(self) -> None:
         """Fetches settings that a peer uses and the store has lost."""
+        if self._position is None:
+            return
         own = self._view.catalog.revision
-        claim = self._claims.find_unconfirmed(own, self._as_of.current_ms)
+        is_start = not self._view.keys_released.is_set()
+        # At the start a claim counts whenever it came: the first read can't
+        # show whether the store has lost what the peer knows.
+        read_ms = math.inf if is_start else self._as_of.current_ms
+        claim = self._claims.find_unconfirmed(own, read_ms)
         if claim is None:
+            self._view.keys_released.set()
             return
         fetched = await self._peers.fetch_settings(claim.peer, claim.revision)
         if fetched is None or fetched[0].revision < claim.revision:
@@ -364,6 +405,7 @@
         self._log.info("Using settings of a peer, as the store has lost them.")
         self._adopt_catalog(*fetched, claim.peer)
         self._confirm_settings(self._as_of.current_ms)
+        self._view.keys_released.set()
         self._scheduler.post(schedulers.ViewChanged())
 
     def _apply(
@@ -542,6 +584,18 @@
         self._scheduler.post(schedulers.ViewChanged())
 
 
+def _make_reply_at_start(
+    request: store_changes.StoreChangesRequest,
+) -> store_changes.StoreChangesReply:
+    """Returns the reply of a VM that does not know what is current."""
+    return store_changes.StoreChangesReply(
+        request.correlation_id,
+        0,
+        store_changes.AGE_UNKNOWN,
+        is_complete=False,
+    )
+
+
 def _is_behind(
     reply: store_changes.StoreChangesReply,
     position: store_position.StorePosition,
--- a/src/ruddergate/entry/view.py
+++ b/src/ruddergate/entry/view.py
@@ -30,6 +30,8 @@
         listing: Published list of VMs and targets.
         store_position: Position in the platform's store that was read last.
         catalog_loaded: Set once there is a catalog.
+        keys_released: Set unless keys are accepted only after peers were asked
+            for later settings.
     """
 
     def __init__(self) -> None:
@@ -41,6 +43,8 @@
             store_position.EPOCH_UNKNOWN, 0
         )
         self.catalog_loaded = asyncio.Event()
+        self.keys_released = asyncio.Event()
+        self.keys_released.set()
         self._confirmed_ms = _NEVER
         self._unchanged_since_ms = float("inf")
         self._shares: Mapping[str, share_messages.Share] = {}
@@ -105,6 +109,12 @@
         """Returns the time since the settings were known to be current."""
         return now_ms - self._settings_confirmed_ms
 
+    def key_age_ms(self, now_ms: float) -> float:
+        """Returns the age of the settings for accepting a key."""
+        if not self.keys_released.is_set():
+            return float("inf")
+        return self.settings_age_ms(now_ms)
+
     def apply_shares(
         self, shares: share_messages.Shares, now_ms: float
     ) -> None:
--- a/src/ruddergate/messages/store_changes.py
+++ b/src/ruddergate/messages/store_changes.py
@@ -5,7 +5,8 @@
 from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 
-# Age in a reply of a peer that does not state it.
+# Age in a reply of a peer that does not state it, or that has just started and
+# knows of none.
 AGE_UNKNOWN = -1.0
 
 
--- a/tests/test_lost_settings.py
+++ b/tests/test_lost_settings.py
@@ -1,6 +1,7 @@
 """Settings that a store has lost in a restore."""
 
 import asyncio
+import dataclasses
 import unittest
 
 import loguru
@@ -116,6 +117,43 @@
 
         gateway_fixture.run_scenario(scenario, vms=3, halls=1)
 
+    def test_vms_that_start_together_ask_one_that_was_there(self) -> None:
+        # One of the two seeds starts as well, and knows nothing either.
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            names = ("vm-1", "vm-2", "vm-3", "vm-4")
+            await self._restart_on_older_settings(fixture, *names)
+            for _ in range(30):
+                for name in names:
+                    result = await fixture.call("unsafe", name)
+                    self.assertEqual(fixture.find_runs(result), [], name)
+                await asyncio.sleep(0.02)
+            for name in names:
+                result = await fixture.call("unsafe", name, key="another")
+                self.assertEqual(result.status, 200, name)
+
+        for epoch in ("1", ""):
+            gateway_fixture.run_scenario(scenario, vms=5, halls=2, epoch=epoch)
+
+    def test_unavailable_settings_of_a_peer_delay_keys_until_a_read(
+        self,
+    ) -> None:
+        async def scenario(fixture: gateway_fixture.Fixture) -> None:
+            cluster = fixture.cluster
+            sync = cluster.vms["vm-0"].gateway._sync
+            answer = sync.answer_changes_request
+            sync.answer_changes_request = lambda request: dataclasses.replace(
+                answer(request), settings_revision=10**6
+            )
+            cluster.kill(cluster.vms["vm-1"])
+            cluster.start_vm(cluster.vms["vm-1"])
+            await asyncio.sleep(1.5)
+            for _ in range(10):
+                result = await fixture.call("unsafe", "vm-1")
+                self.assertEqual(result.status, 200)
+                await asyncio.sleep(0.2)
+
+        gateway_fixture.run_scenario(scenario, vms=3, halls=1)
+
     def test_unconfirmed_claim_refuses_no_requests_for_long(self) -> None:
         async def scenario(fixture: gateway_fixture.Fixture) -> None:
             gateway = fixture.cluster.vms["vm-0"].gateway
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -26,6 +26,7 @@
 from ruddergate.entry import gateway as gateways
 from ruddergate.entry import overload
 from ruddergate.entry import peer_gossip
+from ruddergate.entry import peer_reader
 from ruddergate.entry import quarantine_gossip
 from ruddergate.entry import rate_limiter
 from ruddergate.entry import relay_handler
@@ -93,6 +94,7 @@
         1,
         _Ends.TASK,
     ),
+    "entry.start_check.ask": (1, _Ends.TASK),
     "entry.target_liveness.TargetLiveness.check": (1, _Ends.TASK),
     "entry.target_connector.TargetConnector.run": (1, _Ends.TASK),
 }
@@ -363,6 +365,15 @@
             end_verifier.EndVerifier, "_find_verdict", _crash_engine
         )
 
+    def test_question_to_a_peer_at_the_start(self) -> None:
+        async def trigger(fixture: gateway_fixture.Fixture) -> None:
+            node = fixture.cluster.vms["vm-1"]
+            fixture.cluster.kill(node)
+            fixture.cluster.start_vm(node)
+            await asyncio.sleep(0.5)
+
+        self.check_survives(peer_reader.PeerReader, "request_at_start", trigger)
+
     def test_renewal_of_reserved_memory(self) -> None:
         self.check_survives(
             reservation_keeper.ReservationKeeper,
