Judge: requests that a gateway leaves without an answer

The judge that the schedules share asked nothing of a request without an answer; LOST counts it, passed on or not. It counts now whatever was written whole and ends without a complete answer in time, unless its VM, or a replica that it reached, was harmed. Replicas record what they broke off and when their work ended, clusters when nodes were killed and told to stop. A planned stop in gateway_schedules ends with its process; what it leaves is reset 0.1 s later.

--- a/standins/gateway_caller.py
+++ b/standins/gateway_caller.py
@@ -63,6 +63,8 @@
         sent_s: When the call was sent, on the loop's clock.
         first_ms: Time to the first byte of the body; None without any.
         took_ms: Time to the end.
+        written_ms: Time until the whole request was written to a connection;
+            None if it never was.
     """
 
     call: Call
@@ -73,6 +75,7 @@
     sent_s: float
     first_ms: float | None
     took_ms: float
+    written_ms: float | None = None
 
 
 class Caller:
@@ -101,13 +104,13 @@
         start_ms = self._env.now_ms()
         limit_ms = call.disconnects_after_ms or call.time_limit_ms + 1_000.0
         parts: list[bytes] = []
-        state = [0, {}, False, None]
+        state = [0, {}, False, None, None]
         try:
             async with asyncio.timeout(limit_ms / 1000.0):
                 await self._read(call, parts, state, start_ms)
         except TimeoutError:
             pass
-        status, headers, is_complete, first_ms = state
+        status, headers, is_complete, first_ms, written_ms = state
         took_ms = self._env.now_ms() - start_ms
         return CallResult(
             call,
@@ -118,6 +121,7 @@
             sent_s,
             first_ms,
             took_ms,
+            written_ms,
         )
 
     async def _read(
@@ -129,6 +133,7 @@
         )
         if isinstance(exchange, client.Fault):
             return
+        state[4] = self._env.now_ms() - start_ms
         try:
             fault = await exchange.read_head()
             if fault is not None:
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -36,6 +36,9 @@
 KEY = "key-of-w1"
 REVOKE_MS = 5_000.0
 HEARTBEAT_S = 1.2
+# Time for a planned stop of a VM.
+GRACE_S = 8.0
+_DELIVERY_S = 0.1
 # Times after a crash at which a replica's entry expires and it restarts.
 CRASH_EXPIRY_S = 2.5
 CRASH_RESTART_S = 4.0
@@ -119,10 +122,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A time in which a VM, a hall or the store could not answer.
+    """A time in which a VM, a hall, the store or a link could not answer.
 
     Attributes:
-        name: The VM or hall, or STORE_NAME.
+        name: The VM or hall, STORE_NAME, or a link by `name_link`.
         from_s: When it began, on the loop's clock.
         to_s: When it ended.
     """
@@ -144,12 +147,16 @@
         all_replicas: Every incarnation of a replica that ever ran.
         revision: Revision of the configuration last published.
         keys: API keys by workspace, as the next revision publishes them.
-        disturbances: Times in which VMs, halls or the store could not answer.
+        disturbances: Times in which VMs, halls, the store or links were cut off
+            or could not answer.
         poison_bodies: Bodies of requests that crash the replicas that run them.
         poison_parts: Names of parts of prompts that crash replicas likewise.
         poison_delay_s: How long after the first event they do so; None for
             before any answer.
         vm_starts: When each VM was started, on the loop's clock.
+        kills: When each node was killed, on the loop's clock, but for VMs that
+            had time for a planned stop.
+        stops: When each VM was told to stop, on the loop's clock.
         all_gateways: Every incarnation of a gateway that ever ran.
     """
 
@@ -170,6 +177,8 @@
         self.poison_parts: set[str] = set()
         self.poison_delay_s: float | None = None
         self.vm_starts: dict[str, list[float]] = {}
+        self.kills: dict[str, list[float]] = {}
+        self.stops: dict[str, list[float]] = {}
         self.all_gateways: list[gateways.Gateway] = []
         self._engines: dict[str, platform_replica.PlatformReplica] = {}
 
@@ -253,8 +262,25 @@
             ),
         )
 
+    async def stop_vm(self, node: Node) -> None:
+        """Stops a VM as planned, with the time that it has for that."""
+        loop = asyncio.get_running_loop()
+        self.stops.setdefault(node.name, []).append(loop.time())
+        process, task = node.process, node.task
+        node.stop.set()
+        await asyncio.wait([task], timeout=GRACE_S)
+        if task.done():
+            # The system still delivers what a process that has ended had sent.
+            await asyncio.sleep(_DELIVERY_S)
+        # It may have been killed, and started again, meanwhile.
+        if node.process is process and not process.is_dead:
+            process.kill()
+            self.network.reset_node(process)
+
     def kill(self, node: Node) -> None:
         """Kills a node's process and resets its connections."""
+        kills = self.kills.setdefault(node.name, [])
+        kills.append(asyncio.get_running_loop().time())
         node.process.kill()
         self.network.reset_node(node.process)
 
@@ -476,6 +502,11 @@
     }
 
 
+def name_link(vm: str, target: str) -> str:
+    """Returns the name of the link between a VM and a target."""
+    return f"{vm} to {target}"
+
+
 def name_second_service(name: str) -> str:
     """Returns the name of the second service of a kind."""
     return f"{name}-2"
--- a/standins/gateway_guarantees.py
+++ b/standins/gateway_guarantees.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 
 from standins import gateway_caller
 from standins import gateway_cluster
@@ -14,6 +16,21 @@
 _REPEATABLE = (*_RESUMABLE, "safe")
 # Tolerance for an answer that comes after its deadline.
 _LATE_MS = 500.0
+# A request that crosses the close of its connection and is not passed on ends
+# within this time after its last byte.
+_CROSSED_MS = 200.0
+# Nothing disturbed a VM if nothing did for so long before a request, either.
+CONTACT_S = 3.0
+# What a replica is still at work on in the last sixth of a VM's time to stop
+# may be cut, if it was sent no later than this after the signal.
+EXCUSED_SENT_S = 3.0
+_EXCUSED_FROM_S = gateway_cluster.GRACE_S * 5.0 / 6.0
+# Tolerance for a deadline that passes on two clocks.
+_ROUNDING_MS = 20.0
+_TIMEOUTS_MS: Mapping[str, float] = {
+    route["name"]: route["timeout-ms"]
+    for route in gateway_cluster.make_configuration({}, 1)["routes"]
+}
 
 
 def find_broken(
@@ -21,11 +38,127 @@
     results: Iterable[gateway_caller.CallResult],
 ) -> list[str]:
     """Returns a message for each guarantee that a cluster violated."""
-    return find_broken_by(
+    results = list(results)
+    broken = find_broken_by(
         cluster.all_replicas,
         results,
         lambda result: _was_disturbed(result, cluster),
     )
+    return broken + _find_lost(cluster, results)
+
+
+def _find_lost(
+    cluster: gateway_cluster.GatewayCluster,
+    results: Iterable[gateway_caller.CallResult],
+) -> list[str]:
+    """Returns requests that a VM left without a complete answer."""
+    broken = []
+    for each in results:
+        if not is_unanswered(each) or not _is_in_touch(each, cluster):
+            continue
+        request_id = each.call.request_id
+        replicas = [
+            replica
+            for replica in cluster.all_replicas
+            if any(request_id == one.request_id for one in replica.arrivals)
+        ]
+        if any(
+            _has_failed(replica, each, cluster)
+            or _was_at_work_to_the_end(replica, each, cluster)
+            for replica in replicas
+        ):
+            continue
+        if replicas or not is_crossing(each):
+            broken.append(
+                f"{request_id} ({each.call.route}) at {each.call.vm} was left "
+                f"without a complete answer after {each.took_ms:.0f} ms, sent "
+                f"to {len(replicas)} replicas"
+            )
+    return broken
+
+
+def is_unanswered(result: gateway_caller.CallResult) -> bool:
+    """Returns whether a VM ended a request in time, but did not answer it."""
+    has_left = result.call.disconnects_after_ms is not None
+    if result.is_complete or has_left or result.written_ms is None:
+        return False
+    return result.took_ms < _find_limit_ms(result.call) - _ROUNDING_MS
+
+
+def is_crossing(result: gateway_caller.CallResult) -> bool:
+    """Returns whether an unanswered request may have met its VM's close."""
+    return result.took_ms - result.written_ms <= _CROSSED_MS
+
+
+def _find_limit_ms(call: gateway_caller.Call) -> float:
+    """Returns the time that a call has by its caller and its route."""
+    return min(call.time_limit_ms, _TIMEOUTS_MS.get(call.route, 15_000.0))
+
+
+def _is_in_touch(
+    result: gateway_caller.CallResult, cluster: gateway_cluster.GatewayCluster
+) -> bool:
+    """Returns whether nothing but planned work disturbed a call's VM."""
+    vm = result.call.vm
+    return not _was_harmed(
+        cluster,
+        (vm, cluster.vms[vm].hall),
+        result.sent_s - CONTACT_S,
+        _find_end_s(result),
+    )
+
+
+def _has_failed(
+    replica: platform_replica.PlatformReplica,
+    result: gateway_caller.CallResult,
+    cluster: gateway_cluster.GatewayCluster,
+) -> bool:
+    """Returns whether a replica broke off a request or could not answer it."""
+    if result.call.request_id in replica.broken_off:
+        return True
+    name = replica.name.partition(".")[0]
+    names = (name, cluster.targets[name].hall)
+    link = gateway_cluster.name_link(result.call.vm, name)
+    to_s = _find_end_s(result)
+    # A peer may still carry the call right after the link is back.
+    return _was_harmed(cluster, names, result.sent_s, to_s) or _was_harmed(
+        cluster, (link,), result.sent_s - CONTACT_S, to_s
+    )
+
+
+def _was_at_work_to_the_end(
+    replica: platform_replica.PlatformReplica,
+    result: gateway_caller.CallResult,
+    cluster: gateway_cluster.GatewayCluster,
+) -> bool:
+    """Returns whether a VM's stop had no more time for a replica's work."""
+    work_ended_s = replica.ended_s.get(result.call.request_id, math.inf)
+    return any(
+        result.sent_s <= stop_s + EXCUSED_SENT_S
+        and _find_end_s(result) >= stop_s + _EXCUSED_FROM_S
+        and work_ended_s >= stop_s + _EXCUSED_FROM_S
+        for stop_s in cluster.stops.get(result.call.vm, ())
+    )
+
+
+def _was_harmed(
+    cluster: gateway_cluster.GatewayCluster,
+    names: Sequence[str],
+    from_s: float,
+    to_s: float,
+) -> bool:
+    """Returns whether a node was killed, frozen or cut off in an interval."""
+    return any(
+        from_s < at_s <= to_s + _ROUNDING_MS / 1000.0
+        for at_s in cluster.kills.get(names[0], ())
+    ) or any(
+        each.name in names and each.from_s <= to_s and from_s < each.to_s
+        for each in cluster.disturbances
+    )
+
+
+def _find_end_s(result: gateway_caller.CallResult) -> float:
+    return result.sent_s + result.took_ms / 1000.0
 
 
 def find_broken_by(
--- a/standins/gateway_schedules.py
+++ b/standins/gateway_schedules.py
@@ -198,9 +198,11 @@
     node = cluster.vms[rng.choice(sorted(cluster.vms))]
     if node.process.is_dead:
         return
-    node.stop.set()
-    await asyncio.sleep(8.0)
-    cluster.kill(node)
+    restart_s = asyncio.get_running_loop().time() + gateway_cluster.GRACE_S
+    await cluster.stop_vm(node)
+    await asyncio.sleep(restart_s - asyncio.get_running_loop().time())
+    if not node.process.is_dead:
+        cluster.kill(node)
     cluster.start_vm(node)
 
 
--- a/standins/link_schedules.py
+++ b/standins/link_schedules.py
@@ -231,13 +231,17 @@
         for target in targets
     ]
     schedule.count(f"cut {name}, {mode.value}")
-    for each in cuts:
-        schedule.cluster.network.cut(each)
-    try:
-        yield
-    finally:
+    with contextlib.ExitStack() as stack:
+        for vm in vms:
+            for target in targets:
+                link = gateway_cluster.name_link(vm, target)
+                stack.enter_context(
+                    gateway_schedules.record_disturbance(schedule.cluster, link)
+                )
         for each in cuts:
-            schedule.cluster.network.cuts.remove(each)
+            schedule.cluster.network.cut(each)
+            stack.callback(schedule.cluster.network.cuts.remove, each)
+        yield
 
 
 async def _lose_links(schedule: _Schedule) -> None:
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import re
@@ -231,6 +232,8 @@
         limit_answer_times_s: When answers announced a limit, by request.
         order_times_s: When orders arrived, on the loop's clock.
         probe_times_s: When health probes arrived, on the loop's clock.
+        broken_off: Requests whose connections it reset before the end.
+        ended_s: When its last work on each request ended, on the loop's clock.
     """
 
     def __init__(
@@ -261,6 +264,8 @@
         self.limit_answer_times_s: dict[str, float] = {}
         self.order_times_s: list[float] = []
         self.probe_times_s: list[float] = []
+        self.broken_off: set[str] = set()
+        self.ended_s: dict[str, float] = {}
         self.rate_limit = ""
         self._env = env
         self._peers = peers
@@ -357,6 +362,8 @@
                 _parse_seconds(incoming.headers.get("x-deadline-ms", "")),
             )
         )
+        if self.faults.answer_bytes_max is not None:
+            self.broken_off.add(incoming.headers.get("x-attempt-id", ""))
         if is_refused:
             fields = {"X-Not-Executed": "1"}
             if retry_after:
@@ -446,38 +453,47 @@
         work.began_s = run.at_s
         self.active_runs += 1
         try:
-            headers = self._make_headers(run)
+            return await self._answer_run(run, fields, work)
+        except asyncio.CancelledError:
+            self.ended_s[run.request_id] = asyncio.get_running_loop().time()
+            raise
+        finally:
+            self.active_runs -= 1
             if self.engine is None:
-                return await self._answer_plain(run, headers)
-            if after and self.faults.resumed_status:
-                status = self.faults.resumed_status
-                return message.Response(status, headers, b"whole")
-            usage = fields.get("x-token-usage", "")
-            if not _USAGE.fullmatch(usage):
-                return message.Response(400, {"X-Not-Executed": "1"}, b"")
-            prompt, output = map(int, usage.split(","))
-            if self._draw(self.faults.lose):
-                return message.Response(200, headers, _abort(()))
-            helped = self._begin_helped_run(
-                run, fields.get("helpers", ""), work
-            )
-            if self.faults.stream_preamble:
-                return message.Response(
-                    200,
-                    headers,
-                    self._stream_early(run, prompt, output, helped),
-                )
-            if not await self._prefill_while_reserved(prompt, helped):
-                return message.Response(200, headers, _abort(()))
-            if run.body in self.poison_bodies or (
-                self.poison_delay_s is None and self._has_poison_part(run)
-            ):
-                self.crash()
+                now_s = asyncio.get_running_loop().time()
+                self.ended_s[run.request_id] = now_s
+
+    async def _answer_run(
+        self, run: Run, fields: Mapping[str, str], work: Work
+    ) -> message.Response:
+        headers = self._make_headers(run)
+        if self.engine is None:
+            return await self._answer_plain(run, headers)
+        if run.resumed_after and self.faults.resumed_status:
+            status = self.faults.resumed_status
+            return message.Response(status, headers, b"whole")
+        usage = fields.get("x-token-usage", "")
+        if not _USAGE.fullmatch(usage):
+            return message.Response(400, {"X-Not-Executed": "1"}, b"")
+        prompt, output = map(int, usage.split(","))
+        if self._draw(self.faults.lose):
+            return message.Response(200, headers, self._abort(run))
+        helped = self._begin_helped_run(run, fields.get("helpers", ""), work)
+        if self.faults.stream_preamble:
             return message.Response(
-                200, headers, self._stream_answer(run, prompt, output, helped)
+                200,
+                headers,
+                self._stream_early(run, prompt, output, helped),
             )
-        finally:
-            self.active_runs -= 1
+        if not await self._prefill_while_reserved(prompt, helped):
+            return message.Response(200, headers, self._abort(run))
+        if run.body in self.poison_bodies or (
+            self.poison_delay_s is None and self._has_poison_part(run)
+        ):
+            self.crash()
+        return message.Response(
+            200, headers, self._stream_answer(run, prompt, output, helped)
+        )
 
     async def _crash_after_event(self, run: Run) -> None:
         """Crashes some time after the first event if a part does that."""
@@ -504,12 +520,12 @@
     ) -> message.Response:
         await asyncio.sleep(0.09 + self.faults.answer_delay_s)
         if self._draw(self.faults.lose):
-            return message.Response(200, headers, _abort(()))
+            return message.Response(200, headers, self._abort(run))
         if self._draw(self.faults.fail):
             return message.Response(500, headers, b"failed")
         body = make_plain_body(run.request_id)
         if self._draw(self.faults.break_off):
-            return message.Response(200, headers, _abort((body[:5],)))
+            return message.Response(200, headers, self._abort(run, body[:5]))
         return message.Response(200, headers, body)
 
     def _begin_helped_run(self, run: Run, text: str, work: Work) -> HelpedRun:
@@ -572,6 +588,7 @@
         """Begins the stream before the prompt is processed."""
         yield self.faults.stream_preamble
         if not await self._prefill_while_reserved(prompt, helped):
+            self.broken_off.add(run.request_id)
             raise ConnectionResetError("memory has lapsed")
         async for event in self._stream_answer(run, prompt, output, helped):
             yield event
@@ -588,8 +605,12 @@
                         raise ConnectionResetError("memory has lapsed")
                     helped.has_begun = True
                     yield event
+        except ConnectionResetError:
+            self.broken_off.add(run.request_id)
+            raise
         finally:
             helped.ended_s = asyncio.get_running_loop().time()
+            self.ended_s[run.request_id] = helped.ended_s
 
     async def _make_events(
         self, run: Run, prompt: int, output: int
@@ -623,6 +644,12 @@
                     if number == first:
                         await self._crash_after_event(run)
 
+    async def _abort(self, run: Run, part: bytes = b"") -> AsyncIterator[bytes]:
+        self.broken_off.add(run.request_id)
+        if part:
+            yield part
+        raise ConnectionResetError("the replica resets the connection")
+
     def _draw(self, probability: float) -> bool:
         return probability > 0.0 and self._env.random.random() < probability
 
@@ -682,9 +709,3 @@
         raise
     finally:
         work.ended_s = loop.time()
-
-
-async def _abort(parts: tuple[bytes, ...]) -> AsyncIterator[bytes]:
-    for part in parts:
-        yield part
-    raise ConnectionResetError("the replica resets the connection")
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -39,6 +39,9 @@
         """Resets the connections of the targets that have run a request."""
         for node in self.cluster.targets.values():
             if node.replica.runs:
+                node.replica.broken_off.update(
+                    run.request_id for run in node.replica.runs
+                )
                 self.cluster.network.reset_node(node.process)
 
     def find_runs(
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import unittest
 
 import loguru
@@ -30,11 +31,16 @@
     targets: str = "",
 ) -> None:
     """Cuts the first VMs from all targets whose names start with a prefix."""
+    now_s = asyncio.get_running_loop().time()
     for name in sorted(cluster.vms)[:vms]:
         for target in cluster.targets:
             if target.startswith(targets):
                 cut = virtual_network.Cut(name, target, mode)
                 cluster.network.cut(cut)
+                link = gateway_cluster.name_link(name, target)
+                cluster.disturbances.append(
+                    gateway_cluster.Disturbance(link, now_s, math.inf)
+                )
 
 
 async def call_all_vms(
