Soak: calls that a gateway leaves without an answer

The soak never asked for them, so it didn't see a request that waits, is never passed on, and is cut as its gateway ends after SIGTERM. So `--stops` stops one gateway at the end, after 5 s without faults, while long prompts wait at it.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -32,6 +32,7 @@
 from standins import soak_fleet
 from standins import soak_gateways
 from standins import soak_links
+from standins import soak_losses
 from standins import soak_proxy
 from standins import soak_rate_limits
 from standins import soak_store
@@ -43,6 +44,10 @@
 # Longer, because drains are enforced only after some seconds without faults,
 # and removed keys after five seconds.
 _FLEET_RUN_S = 12.0
+# Long prompts that meet a gateway that stops; an engine has memory for few.
+_WAITING_PER_ENGINE = 6
+# Time over which they are sent, before the signal and after it.
+_WAITING_S = 1.0
 # Gateways that the others use as seeds; one further seed is unreachable.
 _SEED_GATEWAYS = 2
 _UNREACHABLE_SEED = "127.0.1.250"
@@ -70,6 +75,9 @@
     fleet: bool = False
     # Whether gateways lose their links to targets; needs `fleet`.
     links: bool = False
+    # Whether a gateway is told to stop while calls wait at it, after a time
+    # without faults.
+    stops: bool = False
     # Mechanism that the gateways run without, see soak_ablations; empty for
     # none.
     without: str = ""
@@ -115,7 +123,11 @@
         self._gateways = soak_gateways.SoakGateways(
             self._rng, folder, options.without
         )
-        self._caller_ports: list[int] = []
+        # The proxy before each gateway, and before each replica.
+        self._caller_proxies: list[soak_proxy.Proxy] = []
+        self._replica_proxies: list[
+            tuple[platform_replica.PlatformReplica, soak_proxy.Proxy]
+        ] = []
         self._responses: list[tuple[int, gateway_caller.CallResult]] = []
         self._drain_periods: list[soak_draining.DrainPeriod] = []
         self._folder = folder
@@ -142,6 +154,14 @@
             self._responses,
             self.counts,
         )
+        violations += soak_losses.find_violations(
+            self._gateways,
+            self._caller_proxies,
+            self._replica_proxies,
+            self._link_losses,
+            self._responses,
+            self.counts,
+        )
         violations += soak_rate_limits.find_violations(
             self._replicas, self._gateways.interruptions, self._responses
         )
@@ -173,6 +193,8 @@
         await asyncio.gather(*calls, *faults)
         for proxy in self._proxies:
             proxy.mode = soak_proxy.Mode.FORWARD
+        if self._options.stops:
+            await self._stop_under_load()
         await asyncio.sleep(_SETTLE_S)
 
     def _was_disturbed(self, response: gateway_caller.CallResult) -> bool:
@@ -193,9 +215,7 @@
         for number in range(self._options.gateways):
             host = f"127.0.1.{number + 1}" if self._options.fleet else _LOOPBACK
             ports = [_private.find_free_port() for _ in range(4)]
-            self._caller_ports.append(
-                (await self._add_proxy(ports[0], host)).port
-            )
+            self._caller_proxies.append(await self._add_proxy(ports[0], host))
             seeds = ""
             if self._options.fleet:
                 store = await self._add_proxy(store_port)
@@ -265,14 +285,42 @@
         self._replicas.append(replica)
         port = await self._serve(replica.make_handler())
         proxy = await self._add_proxy(port)
+        self._replica_proxies.append((replica, proxy))
         engines[f"127.0.0.1:{proxy.port}"] = replica
         if replica.engine is not None:
             asyncio.ensure_future(replica.engine.run())
         self._soak_store.add_replica(replica, f"127.0.0.1:{proxy.port}")
 
+    async def _stop_under_load(self) -> None:
+        """Stops a gateway that nothing disturbed, while calls wait at it."""
+        await asyncio.sleep(gateway_guarantees.CONTACT_S + _STARTUP_S)
+        number = self._rng.randrange(self._options.gateways)
+        calls = [
+            asyncio.ensure_future(self._send_waiting(number, call))
+            for call in range(_WAITING_PER_ENGINE * self._options.engines)
+        ]
+        await asyncio.sleep(self._rng.uniform(0.2, _WAITING_S))
+        await self._gateways.stop(number)
+        await asyncio.gather(*calls)
+
+    async def _send_waiting(self, gateway: int, number: int) -> None:
+        """Sends a long prompt that has time to wait for a place."""
+        call = gateway_caller.Call(
+            f"w{number}",
+            "long",
+            "",
+            prompt_tokens=self._rng.choice((120_000, 200_000)),
+            output_tokens=self._rng.randrange(200, 1_000),
+            time_limit_ms=14_000.0,
+        )
+        await asyncio.sleep(self._rng.uniform(0.0, 2.0 * _WAITING_S))
+        client = soak_caller.KeepAliveCaller(self._caller_proxies[gateway].port)
+        self._responses.append((gateway, await client.send(call)))
+        client.close()
+
     async def _run_caller(self, caller: int, until_s: float) -> None:
-        gateway = caller % len(self._caller_ports)
-        client = soak_caller.KeepAliveCaller(self._caller_ports[gateway])
+        gateway = caller % len(self._caller_proxies)
+        client = soak_caller.KeepAliveCaller(self._caller_proxies[gateway].port)
         number = 0
         while time.monotonic() < until_s:
             number += 1
@@ -305,7 +353,7 @@
             self._inject_replica_errors,
             self._gateways.pause,
             self._gateways.kill,
-            self._gateways.stop,
+            self._gateways.stop_any,
             self._change_settings,
         )
         if self._options.withdraws:
@@ -325,9 +373,8 @@
         if self._rng.random() < 0.4:
             proxy.reset_connections()
             return
-        proxy.mode = self._rng.choice(list(soak_proxy.Mode))
-        await asyncio.sleep(self._rng.uniform(0.2, 1.5))
-        proxy.mode = soak_proxy.Mode.FORWARD
+        mode = self._rng.choice(list(soak_proxy.Mode))
+        await proxy.disrupt(mode, self._rng.uniform(0.2, 1.5))
 
     async def _inject_replica_errors(self) -> None:
         replica_faults = self._rng.choice(self._replicas).faults
@@ -466,6 +513,7 @@
         *(["--limits"] if options.limits else []),
         *(["--fleet"] if options.fleet else []),
         *(["--links"] if options.links else []),
+        *(["--stops"] if options.stops else []),
         *([f"--without {options.without}"] if options.without else []),
     ]
     return " ".join(arguments)
@@ -482,6 +530,7 @@
     limits: bool = False,
     fleet: bool = False,
     links: bool = False,
+    stops: bool = False,
     without: str = "",
     logs: pathlib.Path = _LOG_FOLDER,
 ) -> int:
@@ -497,6 +546,7 @@
         limits: Whether replicas announce rate limits.
         fleet: Whether gateways are peers and the store is restored.
         links: Whether gateways lose their links to targets; needs `fleet`.
+        stops: Whether a gateway is stopped while calls wait at it, at the end.
         without: Mechanism that gateways run without, see soak_ablations.
         logs: Folder for the logs of failed seeds, one subfolder each.
     """
@@ -509,6 +559,7 @@
         limits=limits,
         fleet=fleet,
         links=links,
+        stops=stops,
         without=without,
     )
     failed = 0
--- a/standins/soak_caller.py
+++ b/standins/soak_caller.py
@@ -26,8 +26,9 @@
         """Sends a call and reads its response to the end."""
         sent_s = time.monotonic()
         chunks: list[bytes] = []
-        # Status, headers, and whether the response is complete.
-        head: list = [0, {}, False]
+        # Status, headers, whether the response is complete, and when the whole
+        # request was written.
+        head: list = [0, {}, False, None]
         limit_s = (
             call.disconnects_after_ms or call.time_limit_ms + 1_000.0
         ) / 1000
@@ -40,8 +41,17 @@
             self.close()
         took_ms = (time.monotonic() - sent_s) * 1000.0
         body = b"".join(chunks)
+        written_ms = None if head[3] is None else (head[3] - sent_s) * 1000.0
         return gateway_caller.CallResult(
-            call, head[0], head[1], body, head[2], sent_s, None, took_ms
+            call,
+            head[0],
+            head[1],
+            body,
+            head[2],
+            sent_s,
+            None,
+            took_ms,
+            written_ms,
         )
 
     def close(self) -> None:
@@ -64,6 +74,7 @@
         data = self._protocol.send(event)
         data += self._protocol.send(h11.Data(data=request.body))
         writer.write(data + self._protocol.send(h11.EndOfMessage()))
+        head[3] = time.monotonic()
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
--- a/standins/soak_draining.py
+++ b/standins/soak_draining.py
@@ -32,10 +32,16 @@
 
     Gateways are stopped, paused, killed, started again, or partitioned from the
     store.
+
+    Attributes:
+        gateway: The gateway.
+        at_s: When, on the monotonic clock.
+        is_planned: Whether a planned stop began or was over.
     """
 
     gateway: int
     at_s: float
+    is_planned: bool = False
 
 
 def find_violations(
--- a/standins/soak_gateways.py
+++ b/standins/soak_gateways.py
@@ -50,12 +50,14 @@
 
     Attributes:
         interruptions: Interruptions of gateways so far.
+        stops: When gateways were told to stop.
     """
 
     def __init__(
         self, rng: random.Random, folder: pathlib.Path, without: str
     ) -> None:
         self.interruptions: list[soak_draining.Interruption] = []
+        self.stops: list[soak_draining.Interruption] = []
         self._rng = rng
         self._folder = folder
         self._without = without
@@ -86,15 +88,23 @@
         """Kills a random gateway and starts it again."""
         await self._restart(self._choose_gateway(), signal.SIGKILL)
 
-    async def stop(self) -> None:
+    async def stop_any(self) -> None:
         """Stops a random gateway gracefully and starts it again."""
         number = self._choose_gateway()
         _signal(self._processes[number], signal.SIGHUP)
+        await self.stop(number)
+
+    async def stop(self, number: int) -> None:
+        """Stops a gateway gracefully and starts it again."""
         await self._restart(number, signal.SIGTERM)
 
-    def record_interruption(self, number: int) -> None:
+    def record_interruption(
+        self, number: int, *, is_planned: bool = False
+    ) -> None:
         """Records an interruption of a gateway that happens now."""
-        interruption = soak_draining.Interruption(number, time.monotonic())
+        interruption = soak_draining.Interruption(
+            number, time.monotonic(), is_planned
+        )
         self.interruptions.append(interruption)
 
     def list_process_ids(self) -> list[int]:
@@ -115,11 +125,16 @@
         if number in self._restarting:
             # It is already being restarted: send the signal, but don't start
             # it twice.
+            if signum == signal.SIGKILL:
+                self.record_interruption(number)
             _signal(self._processes[number], signum)
             return
         self._restarting.add(number)
         process = self._processes[number]
-        self.record_interruption(number)
+        is_planned = signum == signal.SIGTERM
+        self.record_interruption(number, is_planned=is_planned)
+        if is_planned:
+            self.stops.append(self.interruptions[-1])
         _signal(process, signum)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S)
@@ -127,7 +142,7 @@
             _signal(process, signal.SIGKILL)
             await process.wait()
         self._processes[number] = await self._start_process(number)
-        self.record_interruption(number)
+        self.record_interruption(number, is_planned=is_planned)
         self._restarting.discard(number)
 
     async def _start_process(self, number: int) -> asyncio.subprocess.Process:
--- a/standins/soak_proxy.py
+++ b/standins/soak_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import time
 
 
 class Mode(enum.Enum):
@@ -34,11 +35,14 @@
     Attributes:
         mode: What it does with the bytes of connections.
         port: Port at which it listens.
+        disruptions: When it held bytes back or reset connections, from one time
+            to another on the monotonic clock.
     """
 
     def __init__(self, upstream_port: int, host: str = "127.0.0.1") -> None:
         self.mode = Mode.FORWARD
         self.port = 0
+        self.disruptions: list[tuple[float, float]] = []
         self._upstream_port = upstream_port
         self._host = host
         self._writers: set[asyncio.StreamWriter] = set()
@@ -53,8 +57,19 @@
         """Sets the port to which new connections go."""
         self._upstream_port = port
 
+    async def disrupt(self, mode: Mode, duration_s: float) -> None:
+        """Disrupts its connections for a time."""
+        from_s = time.monotonic()
+        self.mode = mode
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            self.mode = Mode.FORWARD
+            self.disruptions.append((from_s, time.monotonic()))
+
     def reset_connections(self) -> None:
         """Resets every open connection."""
+        self.disruptions.append((time.monotonic(), time.monotonic()))
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 #      after their gateway had passed on its drain hint.
 _HINT_REGRESSIONS = (7101,)
 _FLEET_SEEDS = (1,)
+_STOP_SEED = 87000
 
 
 class SoakTest(unittest.TestCase):
@@ -39,6 +40,10 @@
                     soak.run_seed(seed, soak.SoakOptions(6, fleet=True))
                 )
 
+    def test_stop_answers_calls_that_wait(self) -> None:
+        loguru.logger.remove()
+        self._check(soak.run_seed(_STOP_SEED, soak.SoakOptions(stops=True)))
+
     def _check(self, result: soak.SoakResult) -> None:
         self.assertEqual(result.violations, [])
         self.assertGreater(result.statuses.get(200, 0), 10)
