Judge: signatures, broken streams, workspaces, bodies, calls without an end

MIXED: a success needs the signature of a run and a replica's success, a signed failure a status that a replica gave. ORDER: also a stream that is broken off must be a beginning of the whole. UNASKED: the workspace must be the key's, the body the caller's.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -34,6 +34,8 @@
 _STORE_LIMITS = client.Timeouts(500.0, 1_500.0, 15_000.0)
 HOST = "app.example"
 KEY = "key-of-w1"
+# The key of w2, which some runs remove; KEY stays.
+REMOVED_KEY = "removed-key"
 REVOKE_MS = 5_000.0
 HEARTBEAT_S = 1.2
 # Time for a planned stop of a VM.
--- a/standins/gateway_guarantees.py
+++ b/standins/gateway_guarantees.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 import math
 
 from standins import gateway_caller
@@ -27,6 +28,11 @@
 _EXCUSED_FROM_S = gateway_cluster.GRACE_S * 5.0 / 6.0
 # Tolerance for a deadline that passes on two clocks.
 _ROUNDING_MS = 20.0
+_KEYLESS_ROUTE = "open"
+_WORKSPACES: Mapping[str, str] = {
+    gateway_cluster.KEY: "w1",
+    gateway_cluster.REMOVED_KEY: "w2",
+}
 _TIMEOUTS_MS: Mapping[str, float] = {
     route["name"]: route["timeout-ms"]
     for route in gateway_cluster.make_configuration({}, 1)["routes"]
@@ -179,10 +185,20 @@
             runs.setdefault(run.request_id, []).append(run)
     broken = []
     for result in results:
-        call_runs = runs.get(result.call.request_id, [])
+        request_id = result.call.request_id
+        call_runs = runs.get(request_id, [])
+        given = {
+            status
+            for replica in replicas
+            for status in replica.statuses.get(request_id, ())
+        }
         broken += [
-            f"{result.call.request_id} ({result.call.route}): {each}"
-            for each in _check(result, call_runs, was_disturbed)
+            f"{request_id} ({result.call.route}): {each}"
+            for each in (
+                *_check(result, call_runs, was_disturbed),
+                *_check_origin(result, call_runs, given),
+                *_check_changes(result.call, call_runs),
+            )
         ]
     for replica in replicas:
         if replica.held_tokens():
@@ -200,14 +216,50 @@
     is_guaranteed_not_run = result.status in _NOT_RUN
     if is_guaranteed_not_run and runs and result.call.route not in _REPEATABLE:
         yield f"was answered {result.status}, but ran"
-    if any(run.workspace == "somebody-else" for run in runs):
-        yield "ran for another workspace"
-    if result.status == 200 and result.is_complete:
+    if result.status == 200:
         yield from _check_body(result)
-    limit_ms = min(result.call.time_limit_ms, 15_000.0)
-    is_late = result.status and result.took_ms > limit_ms + _LATE_MS
+    # Also without any answer.
+    is_late = result.took_ms > _find_limit_ms(result.call) + _LATE_MS
     if is_late and not was_disturbed(result):
-        yield f"ended after {result.took_ms:.0f} ms"
+        yield f"ended after {result.took_ms:.0f} ms with {result.status}"
+
+
+def _check_origin(
+    result: gateway_caller.CallResult,
+    runs: Iterable[platform_replica.Run],
+    given: Set[int],
+) -> Iterable[str]:
+    """Checks that an answer is what its signature says.
+
+    Args:
+        result: What the caller received.
+        runs: The runs of the call.
+        given: Statuses that replicas answered to the call.
+    """
+    signature = result.headers.get("x-replica-signature")
+    is_success = result.status // 100 == 2
+    request_id = result.call.request_id
+    if is_success and signature not in {
+        f"{run.replica}.{request_id}" for run in runs
+    }:
+        yield f"{result.status} has the signature {signature}"
+    if (is_success or signature) and result.status not in given:
+        yield f"{result.status} is no answer of a replica, {sorted(given)} are"
+
+
+def _check_changes(
+    call: gateway_caller.Call, runs: Iterable[platform_replica.Run]
+) -> Iterable[str]:
+    """Checks that replicas ran what the caller sent, for its workspace."""
+    workspace = _WORKSPACES.get(call.key)
+    for run in runs:
+        if run.workspace == "somebody-else" or (
+            call.route != _KEYLESS_ROUTE
+            and workspace not in (None, run.workspace)
+        ):
+            yield f"ran for the workspace {run.workspace!r}"
+        if run.body != call.body:
+            yield f"ran with the body {run.body!r:.60}"
 
 
 def _was_disturbed(
@@ -227,7 +279,8 @@
 def _check_body(result: gateway_caller.CallResult) -> Iterable[str]:
     request_id = result.call.request_id
     if not result.call.prompt_tokens:
-        if result.body != platform_replica.make_plain_body(request_id):
+        whole = platform_replica.make_plain_body(request_id)
+        if not _is_part(result, whole):
             yield f"wrong answer: {result.body!r:.60}"
         return
     events = platform_replica.count_events(result.call.output_tokens)
@@ -235,5 +288,12 @@
         platform_replica.make_event(request_id, number)
         for number in range(1, events + 1)
     )
-    if result.body != whole:
+    if not _is_part(result, whole):
         yield f"wrong stream: {result.body!r:.60}"
+
+
+def _is_part(result: gateway_caller.CallResult, whole: bytes) -> bool:
+    """Returns whether a body is the whole answer, or how one begins."""
+    if result.is_complete:
+        return result.body == whole
+    return whole.startswith(result.body)
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -234,6 +234,7 @@
         probe_times_s: When health probes arrived, on the loop's clock.
         broken_off: Requests whose connections it reset before the end.
         ended_s: When its last work on each request ended, on the loop's clock.
+        statuses: Statuses that it answered to each request.
     """
 
     def __init__(
@@ -266,6 +267,7 @@
         self.probe_times_s: list[float] = []
         self.broken_off: set[str] = set()
         self.ended_s: dict[str, float] = {}
+        self.statuses: dict[str, set[int]] = {}
         self.rate_limit = ""
         self._env = env
         self._peers = peers
@@ -304,6 +306,8 @@
         if incoming.path == _REPORT_PATH:
             self.probe_times_s.append(now_s)
         answer = await self._answer(incoming)
+        request_id = incoming.headers.get("x-attempt-id", "")
+        self.statuses.setdefault(request_id, set()).add(answer.status)
         hints: tuple[tuple[str, str], ...] = ()
         if self.faults.answer_header:
             hints += (("X-Note", self.faults.answer_header),)
@@ -314,7 +318,6 @@
             hints += (("Server-Leaving", self.draining_hint),)
         if self.rate_limit:
             hints += (("Server-Limit", self.rate_limit),)
-            request_id = incoming.headers.get("x-attempt-id", "")
             now_s = asyncio.get_running_loop().time()
             self.limit_answer_times_s.setdefault(request_id, now_s)
         return dataclasses.replace(answer, fields=answer.fields + hints)
--- a/standins/restore_schedules.py
+++ b/standins/restore_schedules.py
@@ -38,7 +38,7 @@
 # Lost changes are written again within this time after a restore.
 _REWRITE_MAX_S = 0.8
 # The key that is removed in some schedules; gateway_cluster.KEY stays.
-REMOVED_KEY = "removed-key"
+REMOVED_KEY = gateway_cluster.REMOVED_KEY
 
 Fault: TypeAlias = Callable[["Schedule"], Awaitable[None]]
 
--- a/standins/soak_store.py
+++ b/standins/soak_store.py
@@ -17,7 +17,7 @@
 _REWRITE_S = 0.5
 _SNAPSHOT_INTERVAL_S = 0.5
 _MAX_SNAPSHOTS = 10
-REMOVED_KEY = "removed-key"
+REMOVED_KEY = gateway_cluster.REMOVED_KEY
 
 
 class SoakStore:
