Judge: a leaving target counts what reaches it, whenever it was sent

DRAIN counts arrivals; withdrawal_schedules and the soak counted calls by when their callers had sent them, so what had waited at a VM and then went to a leaving target was not seen.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -449,9 +449,12 @@
         self, replica: platform_replica.PlatformReplica, from_s: float
     ) -> None:
         """Replaces a drained replica by one under a new name."""
+        proxy = next(
+            proxy for each, proxy in self._replica_proxies if each is replica
+        )
         self._drain_periods.append(
             soak_draining.DrainPeriod(
-                replica, replica.name, from_s, time.monotonic()
+                replica, replica.name, from_s, time.monotonic(), proxy
             )
         )
         self._soak_store.delist_replica(replica)
--- a/standins/soak_draining.py
+++ b/standins/soak_draining.py
@@ -5,7 +5,9 @@
 import dataclasses
 
 from standins import gateway_caller
+from standins import gateway_guarantees
 from standins import platform_replica
+from standins import soak_proxy
 from standins import withdrawal_schedules
 
 
@@ -18,12 +20,21 @@
         name: Name of the replica at that time.
         from_s: Begin, on the monotonic clock.
         to_s: End, on the monotonic clock.
+        proxy: The proxy before the replica.
     """
 
     replica: platform_replica.PlatformReplica
     name: str
     from_s: float
     to_s: float
+    proxy: soak_proxy.Proxy
+
+    def was_held_up(self, at_s: float) -> bool:
+        """Returns whether the way to the replica may have made a call late."""
+        return any(
+            begin_s < at_s < end_s + gateway_guarantees.CONTACT_S
+            for begin_s, end_s in self.proxy.disruptions
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,16 +79,17 @@
                 continue
             if arrival.request_id not in by_id:
                 continue
-            gateway, response = by_id[arrival.request_id]
+            gateway, _ = by_id[arrival.request_id]
             relayed_s = _find_first_relayed_s(period, gateway, all_responses)
             was_interrupted = any(
                 each.gateway == gateway and relayed_s < each.at_s < arrival.at_s
                 for each in interruptions
             )
-            late_s = response.sent_s - relayed_s
+            late_s = arrival.at_s - relayed_s
             if (
                 late_s > withdrawal_schedules.DRAIN_GRACE_S
                 and not was_interrupted
+                and not period.was_held_up(arrival.at_s)
             ):
                 violations.append(
                     f"{arrival.request_id} reached {period.name} "
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -54,12 +54,17 @@
             is_its_own = period.from_s < arrival.at_s < period.to_s
             if not is_its_own or arrival.request_id not in by_id:
                 continue
-            gateway, response = by_id[arrival.request_id]
+            gateway, _ = by_id[arrival.request_id]
             was_undisturbed = _was_undisturbed(
-                store, interruptions, gateway, response.sent_s
+                store, interruptions, gateway, arrival.at_s
             )
-            if response.sent_s > due_s and was_undisturbed:
-                late_s = response.sent_s - due_s + _DRAIN_DEADLINE_S
+            is_late = arrival.at_s > due_s
+            if (
+                is_late
+                and was_undisturbed
+                and not period.was_held_up(arrival.at_s)
+            ):
+                late_s = arrival.at_s - due_s + _DRAIN_DEADLINE_S
                 violations.append(
                     f"{arrival.request_id} reached {period.name} "
                     f"{late_s:.2f} s after its drain was published, by gateway "
--- a/standins/withdrawal_schedules.py
+++ b/standins/withdrawal_schedules.py
@@ -33,8 +33,8 @@
 _FALSE_GOSSIPS = 1
 # A faulty peer repeats its false gossip after this time.
 _FALSE_GOSSIP_INTERVAL_S = 0.4
-# After a VM has relayed the draining hint of a target, it sends the target none
-# of the calls that it receives later than this.
+# After a VM has relayed the draining hint of a target, no calls of it reach the
+# target later than this, whenever it received them.
 DRAIN_GRACE_S = 2.0
 # Requests in flight when a target refused are tolerated for this time.
 IN_FLIGHT_S = 0.5
@@ -202,10 +202,9 @@
     for replica in cluster.all_replicas:
         relayed_at_s = _find_relayed(replica, hinting, by_id.values())
         for arrival in replica.arrivals:
-            call = by_id[arrival.request_id]
-            vm = call.call.vm
+            vm = by_id[arrival.request_id].call.vm
             since_s = relayed_at_s.get(vm, float("inf"))
-            is_late = call.sent_s > since_s + DRAIN_GRACE_S
+            is_late = arrival.at_s > since_s + DRAIN_GRACE_S
             if is_late and gateway_schedules.ran_undisturbed(
                 cluster, vm, since_s, arrival.at_s
             ):
