--- a/standins/propagation.py
+++ b/standins/propagation.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import random
@@ -44,6 +45,11 @@
 _CALL_INTERVAL_S = 0.1
 # As a platform does with processes that end.
 _RESTART_DELAY_S = 0.5
+# Statuses that only the state before a change allows.
+_OLD_STATUSES: Mapping[str, Sequence[int]] = {
+    "route": (401, 403, 404),
+    "key": (200,),
+}
 # A bound applies to what a caller sends after it.
 _BOUNDS_S: Mapping[str, float] = {"route": 2.0, "key": 5.0, "target": 2.0}
 
@@ -302,7 +308,7 @@
             return
         if changed_s is None:
             return
-        is_old = result.status == (404 if kind == "route" else 200)
+        is_old = result.status in _OLD_STATUSES[kind]
         if is_old:
             self._note_late(kind, vm.number, sent_s - changed_s)
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -149,6 +149,7 @@
         )
         violations += soak_fleet.find_violations(
             self._soak_store,
+            self._replicas,
             self._drain_periods,
             self._gateways.interruptions,
             self._responses,
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -6,10 +6,13 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Sequence
+from collections.abc import Set
 
 from standins import gateway_caller
 from standins import gateway_cluster
+from standins import platform_replica
 from standins import soak_draining
 from standins import soak_store
 
@@ -21,15 +24,17 @@
 
 def find_violations(
     store: soak_store.SoakStore,
+    replicas: Iterable[platform_replica.PlatformReplica],
     drain_periods: Sequence[soak_draining.DrainPeriod],
     interruptions: Sequence[soak_draining.Interruption],
     all_responses: Sequence[tuple[int, gateway_caller.CallResult]],
     counts: collections.Counter[str],
 ) -> list[str]:
-    """Returns calls to drained replicas and calls served with a removed key.
+    """Returns calls to drained replicas and calls run with a removed key.
 
     Args:
         store: What was published, and when.
+        replicas: All replicas.
         drain_periods: Times in which replicas drained.
         interruptions: Interruptions of gateways.
         all_responses: Responses to callers, with the gateway that sent them.
@@ -40,7 +45,8 @@
         response.call.request_id: (vm, response)
         for vm, response in all_responses
     }
-    violations = _find_late_key_uses(store, all_responses, counts)
+    ran = {run.request_id for each in replicas for run in each.runs}
+    violations = _find_late_key_uses(store, ran, all_responses, counts)
     for period in drain_periods:
         due_s = (
             store.drain_published_s.get(period.name, float("inf"))
@@ -75,10 +81,11 @@
 
 def _find_late_key_uses(
     store: soak_store.SoakStore,
+    ran: Set[str],
     all_responses: Sequence[tuple[int, gateway_caller.CallResult]],
     counts: collections.Counter[str],
 ) -> list[str]:
-    """Returns calls that were served with a revoked key."""
+    """Returns calls that ran with a revoked key."""
     until_s = store.key_removed_s + gateway_cluster.REVOKE_MS / 1_000.0
     late = [
         (gateway, response)
@@ -88,9 +95,9 @@
     ]
     counts[KEY_REMOVAL_CHECKS] += len(late)
     return [
-        f"{response.call.request_id} was served with a removed key by {gateway}"
+        f"{response.call.request_id} ran with a removed key, from {gateway}"
         for gateway, response in late
-        if response.status == 200
+        if response.call.request_id in ran
     ]
 
 
