Judge: proper calls that are refused as if they were not

DENIED: 3xx and 4xx of a gateway's own for the key and the routes that all settings hold, if more than five and one in 500.

--- a/standins/gateway_guarantees.py
+++ b/standins/gateway_guarantees.py
@@ -35,6 +35,9 @@
 _MAX_SENDS_AFTER_LEAVING = 3
 _MAX_EXCESS_RUNS = 3
 _MAX_EXCESS_TIMES = 20
+# Proper calls of a run that may be refused as improper, besides a share of all.
+_MAX_DENIED = 5
+_MAX_DENIED_SHARE = 0.002
 _KEYLESS_ROUTE = "open"
 _WORKSPACES: Mapping[str, str] = {
     gateway_cluster.KEY: "w1",
@@ -63,6 +66,7 @@
     return [
         *broken,
         *_find_lost(cluster, results),
+        *_find_denied(results),
         *_find_sends_after_leaving(cluster, results),
         *_find_excess_runs(cluster, results),
         *_find_excess_time(cluster, results),
@@ -154,6 +158,26 @@
     return [f"{excess} of {len(given_ms)} sends have more time than is left"]
 
 
+def _find_denied(
+    results: Sequence[gateway_caller.CallResult],
+) -> list[str]:
+    """Returns a message if proper calls are refused as if they were not.
+
+    The key counts that all settings hold.
+    """
+    denied = [
+        f"{each.call.request_id} ({each.status})"
+        for each in results
+        if each.status // 100 in (3, 4)
+        and each.status not in _NOT_RUN
+        and "x-replica-signature" not in each.headers
+        and each.call.key == gateway_cluster.KEY
+        and each.call.route in _TIMEOUTS_MS
+    ]
+    is_broken = len(denied) > _MAX_DENIED + _MAX_DENIED_SHARE * len(results)
+    return [f"denied: {denied}"] if is_broken else []
+
+
 def _find_lost(
     cluster: gateway_cluster.GatewayCluster,
     results: Iterable[gateway_caller.CallResult],
