--- a/standins/pause_schedules.py
+++ b/standins/pause_schedules.py
@@ -482,7 +482,9 @@
 
     def _find_broken(self) -> list[str]:
         broken = gateway_guarantees.find_broken(
-            self._cluster, self._results.values()
+            self._cluster,
+            self._results.values(),
+            lambda result: min(self._find_limits_ms(result)),
         )
         broken += self._leaks.values()
         for result in self._results.values():
--- a/standins/soak_losses.py
+++ b/standins/soak_losses.py
@@ -53,7 +53,8 @@
         to_s = from_s + response.took_ms / 1_000.0
         stops = [each for each in gateways.stops if each.gateway == number]
         counts[STOP_CHECKS] += any(from_s < each.at_s < to_s for each in stops)
-        if not gateway_guarantees.is_unanswered(response):
+        limit_ms = gateway_guarantees.find_first_limit_ms(response)
+        if not gateway_guarantees.is_unanswered(response, limit_ms):
             continue
         if (
             _was_interrupted(gateways.interruptions, number, from_s, to_s)
