--- a/standins/soak.py
+++ b/standins/soak.py
@@ -48,6 +48,8 @@
 _WAITING_PER_ENGINE = 6
 # Time over which they are sent, before the signal and after it.
 _WAITING_S = 1.0
+# A longer pause of the soak's own event loop is a disturbance of all calls.
+_STALL_S = 0.1
 # Gateways that the others use as seeds; one further seed is unreachable.
 _SEED_GATEWAYS = 2
 _UNREACHABLE_SEED = "127.0.1.250"
@@ -132,6 +134,8 @@
         self._drain_periods: list[soak_draining.DrainPeriod] = []
         self._folder = folder
         self._link_losses: list[soak_links.LinkLoss] = []
+        # When this process, with all callers and proxies, did not run.
+        self._stalls: list[tuple[float, float]] = []
 
     async def run(self) -> tuple[list[str], dict[int, int]]:
         """Returns violated guarantees and the number of each status."""
@@ -160,6 +164,7 @@
             self._caller_proxies,
             self._replica_proxies,
             self._link_losses,
+            self._stalls,
             self._responses,
             self.counts,
         )
@@ -208,6 +213,7 @@
         store = await self._add_proxy(store_port)
         self._soak_store.publish_settings()
         self._tasks.append(asyncio.ensure_future(self._soak_store.run()))
+        self._tasks.append(asyncio.ensure_future(self._record_stalls()))
         engines: dict[str, platform_replica.PlatformReplica] = {}
         for number in range(self._options.engines + self._options.services):
             is_engine = number < self._options.engines
@@ -319,6 +325,15 @@
         self._responses.append((gateway, await client.send(call)))
         client.close()
 
+    async def _record_stalls(self) -> None:
+        """Records when a busy machine keeps this process from running."""
+        while True:
+            from_s = time.monotonic()
+            await asyncio.sleep(_STALL_S)
+            if time.monotonic() - from_s > 2.0 * _STALL_S:
+                self._stalls.append((from_s, time.monotonic()))
+                self.counts["stalls of the soak itself"] += 1
+
     async def _run_caller(self, caller: int, until_s: float) -> None:
         gateway = caller % len(self._caller_proxies)
         client = soak_caller.KeepAliveCaller(self._caller_proxies[gateway].port)
--- a/standins/soak_losses.py
+++ b/standins/soak_losses.py
@@ -26,6 +26,7 @@
         tuple[platform_replica.PlatformReplica, soak_proxy.Proxy]
     ],
     link_losses: Sequence[soak_links.LinkLoss],
+    stalls: Sequence[tuple[float, float]],
     all_responses: Sequence[tuple[int, gateway_caller.CallResult]],
     counts: collections.Counter[str],
 ) -> list[str]:
@@ -39,6 +40,7 @@
         caller_proxies: The proxy before each gateway.
         replica_proxies: The replicas, each with the proxy before it.
         link_losses: Gateways that lost their links, and when.
+        stalls: When callers and proxies did not run.
         all_responses: Responses to callers, with the gateway that sent them.
         counts: Counters by name, to which the calls that were open when their
             gateway was told to stop are added.
@@ -59,7 +61,8 @@
         if (
             _was_interrupted(gateways.interruptions, number, from_s, to_s)
             or _had_no_links(link_losses, number, from_s, to_s)
-            or _was_disrupted(caller_proxies[number], from_s, to_s)
+            or _overlaps(caller_proxies[number].disruptions, from_s, to_s)
+            or _overlaps(stalls, from_s, to_s)
         ):
             continue
         request_id = response.call.request_id
@@ -70,7 +73,7 @@
         ]
         if any(
             request_id in replica.broken_off
-            or _was_disrupted(proxy, from_s, to_s)
+            or _overlaps(proxy.disruptions, from_s, to_s)
             or _was_at_work_to_the_end(replica, response, stops)
             for replica, proxy in reached
         ):
@@ -115,10 +118,12 @@
     )
 
 
-def _was_disrupted(proxy: soak_proxy.Proxy, from_s: float, to_s: float) -> bool:
+def _overlaps(
+    intervals: Iterable[tuple[float, float]], from_s: float, to_s: float
+) -> bool:
     return any(
         begin_s < to_s + _TOLERANCE_S and from_s < end_s + _TOLERANCE_S
-        for begin_s, end_s in proxy.disruptions
+        for begin_s, end_s in intervals
     )
 
 
