--- a/review/rig3.py
+++ b/review/rig3.py
@@ -417,21 +417,24 @@
     """The process of a gateway, started as the deploy file starts it.
 
     Attributes:
-        ports: Ports for callers, readiness, metrics and peers.
+        host: Its address, a loopback one of its own.
+        ports: Ports for callers, readiness, metrics and peers, the same at all
+            gateways of a case.
     """
 
-    def __init__(self, name: str, hall: str, store: Store) -> None:
-        self.ports = find_free_ports(4)
-        self._name = name
-        self._hall = hall
+    def __init__(self, number: int, ports: Sequence[int], store: Store) -> None:
+        self.host = f"127.0.0.{number + 1}"
+        self.ports = tuple(ports)
+        self._name = f"vm-{number}"
+        self._hall = f"hall-{number % 3}"
         self._store = store
         self._process: asyncio.subprocess.Process | None = None
 
-    async def start(
-        self, seeds: Sequence[str] = (), log: pathlib.Path | None = None
-    ) -> None:
+    async def start(self, log: pathlib.Path | None = None) -> None:
         """Starts the process and waits until it is ready."""
-        caller, ready, metrics, peers = (f"{HOST}:{p}" for p in self.ports)
+        caller, ready, metrics, peers = (
+            f"{self.host}:{port}" for port in self.ports
+        )
         environment = {
             **{k: v for k, v in os.environ.items() if k in ("PATH", "HOME")},
             "PYTHONPATH": str(ROOT / "target" / "deps"),
@@ -441,7 +444,7 @@
             "RUDDERGATE_READY_LISTEN": ready,
             "RUDDERGATE_METRICS_LISTEN": metrics,
             "RUDDERGATE_PEER_LISTEN": peers,
-            "RUDDERGATE_SEEDS": ",".join(seeds),
+            "RUDDERGATE_SEEDS": "127.0.0.1:1,127.0.0.2:1,127.0.0.3:1",
             "RUDDERGATE_STORE_ADDRESS": f"{HOST}:{self._store.port}",
             "RUDDERGATE_REVOKE_MS": "5000",
             "RUDDERGATE_STRICT_REVOKE": "true",
@@ -474,7 +477,9 @@
     async def is_ready(self) -> bool:
         """Returns whether it says that it takes new connections."""
         try:
-            reader, writer = await asyncio.open_connection(HOST, self.ports[1])
+            reader, writer = await asyncio.open_connection(
+                self.host, self.ports[1]
+            )
         except OSError:
             return False
         try:
@@ -514,6 +519,12 @@
             await self._process.wait()
 
 
+def make_gateways(count: int, store: Store) -> list[Gateway]:
+    """Returns gateways that know each other, in halls of their own."""
+    ports = find_free_ports(4)
+    return [Gateway(number, ports, store) for number in range(count)]
+
+
 def make_request(
     method: str,
     path: str,
@@ -536,11 +547,13 @@
     return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
-async def call(port: int, request: bytes, timeout_s: float) -> Message | None:
+async def call(
+    gateway: Gateway, request: bytes, timeout_s: float
+) -> Message | None:
     """Sends a request on a new connection.
 
     Args:
-        port: Port of a gateway for callers.
+        gateway: Where to send it.
         request: The bytes of the request.
         timeout_s: How long the caller waits.
 
@@ -548,7 +561,9 @@
         The answer; None without one.
     """
     try:
-        reader, writer = await asyncio.open_connection(HOST, port)
+        reader, writer = await asyncio.open_connection(
+            gateway.host, gateway.ports[0]
+        )
     except OSError:
         return None
     try:
