Show crowds of callers that fill the memory or take all places

Cause: callers that send requests ahead and read no answers, or that occupy connections without a request, were not played by any test.

Change: tests of real processes for fifteen crowds. Each crowd and its bounds are fixed: the process lives, its memory with what waits in its sockets stays under 64 MB (the gateway is told that its machine has 64 MB), its descriptors under 500, and an ordinary request is answered beside the crowd and after it. No check depends on the speed of the machine. They run one at a time, after all other tests. standins.single_gateway holds what these tests and standins.request_body_load share.

--- a/standins/request_body_load.py
+++ b/standins/request_body_load.py
@@ -10,30 +10,19 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
-import pathlib
-import random
 import sys
-import tempfile
 import time
 
 import cyclopts
 
-from ruddergate import environment
-from standins import _private
 from standins import gateway_caller
-from standins import gateway_cluster
 from standins import platform_replica
+from standins import single_gateway
 from standins import soak_caller
-from standins import soak_gateways
-from standins import soak_store
 
 _HOST = "127.0.0.1"
-_ENGINES = 18
-_SERVICES = 3
-_SETTLE_S = 2.0
 # The default of the gateway.
 _MEMORY_MB = 256
 _BYTES_PER_MB = 1_000_000
@@ -96,7 +85,7 @@
     async def sample(self) -> None:
         """Samples the gateway's memory and the lag until cancelled."""
         while True:
-            used_bytes = _read_memory_bytes(self._process_id)
+            used_bytes = single_gateway.read_private_bytes(self._process_id)
             self.peak_bytes = max(self.peak_bytes, used_bytes)
             due_s = time.monotonic() + _SAMPLE_S
             await asyncio.sleep(_SAMPLE_S)
@@ -195,18 +184,6 @@
         writer.write(b"0\r\n\r\n")
 
 
-def _read_memory_bytes(process_id: int) -> int:
-    """Returns a process's own memory; 0 if it has ended."""
-    try:
-        text = pathlib.Path(f"/proc/{process_id}/status").read_text()
-    except OSError:
-        return 0
-    for line in text.splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) * 1_024
-    return 0
-
-
 def _make_loads() -> list[Load]:
     loads = []
     for factor in (0.5, 1.0, 2.0, 10.0):
@@ -220,76 +197,19 @@
 
 
 async def _measure(loads: list[Load]) -> None:
-    store = soak_store.SoakStore(random.Random(1))
-    store.publish_settings()
-    handler = store.store.make_handler()
-    server = await asyncio.start_server(handler, _HOST)
-    store_port = server.sockets[0].getsockname()[1]
-    replicas = await _start_replicas(store)
+    platform = await single_gateway.start_platform()
     print(
         "load | archives, answered 200, 503, other | run | peak MB | lookups | "
         "lag of the tool, ms"
     )
     for load in loads:
-        await _with_gateway(
-            store_port, lambda run, load=load: _play(run, load, replicas)
-        )
-
-
-async def _start_replicas(
-    store: soak_store.SoakStore,
-) -> list[platform_replica.PlatformReplica]:
-    engines: dict[str, platform_replica.PlatformReplica] = {}
-    replicas = []
-    env = environment.make_system_environment()
-    for number in range(_ENGINES + _SERVICES):
-        is_engine = number < _ENGINES
-        spec = gateway_cluster.Layout().engine_spec if is_engine else None
-        replica = platform_replica.PlatformReplica(
-            f"replica-{number}", env, spec, engines
-        )
-        server = await asyncio.start_server(replica.make_handler(), _HOST)
-        address = f"{_HOST}:{server.sockets[0].getsockname()[1]}"
-        if is_engine:
-            engines[address] = replica
-            asyncio.ensure_future(replica.engine.run())
-        store.store.put(
-            f"servers/{replica.name}",
-            {
-                "service": "engines" if is_engine else "notices",
-                "address": address,
-                "zone": "hall-0",
-                "slots": 8,
-                "state": "ready",
-                "sequence": 1,
-            },
-        )
-        replicas.append(replica)
-    return replicas
-
-
-async def _with_gateway(
-    store_port: int, play: Callable[[Run], Awaitable[None]]
-) -> None:
-    """Plays a load against a gateway of its own."""
-    ports = tuple(_private.find_free_port() for _ in range(4))
-    with tempfile.TemporaryDirectory(dir=".") as folder:
-        gateways = soak_gateways.SoakGateways(
-            random.Random(1), pathlib.Path(folder), ""
-        )
-        await gateways.add(
-            soak_gateways.LaunchConfig(_HOST, "hall-0", ports, store_port)
-        )
-        try:
-            await gateways.wait_until_listening()
-            await asyncio.sleep(_SETTLE_S)
-            await play(Run(ports[0], gateways.list_process_ids()[0]))
-        finally:
-            await gateways.kill_all()
+        async with single_gateway.run_gateway(platform.store_port) as process:
+            run = Run(process.ports.callers, process.process_id)
+            await _play(run, load, platform.replicas)
 
 
 async def _play(
-    run: Run, load: Load, replicas: list[platform_replica.PlatformReplica]
+    run: Run, load: Load, replicas: Sequence[platform_replica.PlatformReplica]
 ) -> None:
     for replica in replicas:
         replica.runs.clear()
--- a/standins/soak_gateways.py
+++ b/standins/soak_gateways.py
@@ -1,6 +1,7 @@
 """The gateway processes of a soak; only these get signals, by process id."""
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import pathlib
@@ -29,6 +30,7 @@
         seeds: Addresses of seed peers, comma-separated; empty for none.
         cut_file: File during whose existence its links to targets are cut;
             None to run it without that.
+        flags: Further flags of its command line, with their values.
     """
 
     host: str
@@ -37,6 +39,7 @@
     store_port: int
     seeds: str = ""
     cut_file: pathlib.Path | None = None
+    flags: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class SoakGateways:
@@ -189,6 +192,7 @@
         "--peer-listen": f"{config.host}:{peers}",
         "--store-address": f"127.0.0.1:{config.store_port}",
         "--grace-s": str(GRACE_S),
+        **config.flags,
     }
     if config.seeds:
         flags["--seeds"] = config.seeds
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,7 +1,8 @@
 """Runs the tests; failures listed in KNOWN-RED.txt don't fail the run.
 
 Without arguments, each test file runs in its own process, several in parallel;
-of slow files, each test does. A line of KNOWN-RED.txt is `test, cause, issue`.
+of slow files, each test does. Tests that measure a process run one by one after
+all others. A line of KNOWN-RED.txt is `test, cause, issue`.
 Listed tests are printed and expected to fail: one that passes is reported as a
 failure, so that entries are removed with the faults that they stand for.
 """
@@ -39,6 +40,8 @@
     "test_processes",
     "test_refuted_ends",
 )
+# Files whose tests run one at a time, beside nothing else.
+_ALONE = ("test_caller_crowds",)
 _RAN_PATTERN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 
 
@@ -72,14 +75,21 @@
     """Returns what runs in its own process: single tests, then files."""
     files = [path.stem for path in sorted(_HERE.glob("test_*.py"))]
     files.sort(key=lambda name: name not in _EARLY)
-    single = [
+    split = _LONG + _ALONE
+    return _list_tests_of(_LONG) + [
+        f"tests.{name}" for name in files if name not in split
+    ]
+
+
+def _list_tests_of(files: Sequence[str]) -> list[str]:
+    """Returns the ids of all tests in some files."""
+    return [
         test_id
-        for name in _LONG
+        for name in files
         for test_id in _list_test_ids(
             unittest.defaultTestLoader.loadTestsFromName(f"tests.{name}")
         )
     ]
-    return single + [f"tests.{name}" for name in files if name not in _LONG]
 
 
 def _list_test_ids(suite: unittest.TestSuite) -> Iterator[str]:
@@ -123,24 +133,33 @@
     return _JobRun(count, finished.stdout, is_ok, time.monotonic() - started_s)
 
 
-def _run_all() -> bool:
-    """Runs all tests and prints the output of failed jobs."""
-    started_s = time.monotonic()
-    count = 0
-    failed: list[str] = []
-    with concurrent.futures.ThreadPoolExecutor(_PARALLEL_JOBS) as pool:
-        names = _find_jobs()
+def _run_jobs(names: Sequence[str], parallel: int) -> Iterator[_JobRun]:
+    """Runs jobs and prints the output of those that failed."""
+    with concurrent.futures.ThreadPoolExecutor(parallel) as pool:
         for name, finished in zip(
             names, pool.map(_run_job, names), strict=True
         ):
-            count += finished.count
             verdict = "ok" if finished.is_ok else "FAILED"
             print(f"{name}: {verdict}, {finished.duration_s:.1f} s", flush=True)
             for line in finished.output.splitlines():
                 if not finished.is_ok or line.startswith("known red:"):
                     print(line)
-            if not finished.is_ok:
-                failed.append(name)
+            yield finished
+
+
+def _run_all() -> bool:
+    """Runs all tests."""
+    started_s = time.monotonic()
+    names = _find_jobs()
+    runs = list(_run_jobs(names, _PARALLEL_JOBS))
+    alone = _list_tests_of(_ALONE)
+    runs += _run_jobs(alone, 1)
+    count = sum(each.count for each in runs)
+    failed = [
+        name
+        for name, finished in zip(names + alone, runs, strict=True)
+        if not finished.is_ok
+    ]
     print(f"Ran {count} tests in {time.monotonic() - started_s:.3f}s\n")
     if failed or not count:
         print(f"FAILED ({', '.join(failed) or 'none found'})")
