Bound what is read ahead by connection, not by request

Callers saw a VM that ended: 16 connections that sent requests ahead and read no answers took its memory, and with it all requests of others.

Cause: while a request was answered, up to 64 KiB more were read, whatever was left of earlier reads. What was left went into the next request's parser, so each short request that was taken made room for 64 KiB, and the rest grew as long as its caller sent. It was copied with each request, too.

Change: the limit counts what the parser still holds. It is 16 KiB now: reading ahead only serves to notice that a caller disconnects. One task per request reads ahead, where one per read did; the list of tasks in test_task_ends names two instead of three for that, and its rule stays.

A caller that sends 100 requests ahead still gets 100 whole answers in order.

It holds since nothing else adds to a parser while a request is answered.

--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -27,10 +27,10 @@
 
 _HEAD = "HEAD"
 _EMPTY_LINE = b"\r\n"
-_READ_BYTES = 1 << 16
-# Bytes of further requests that are read before a response is complete, while
-# watching whether the caller disconnects.
-_READ_AHEAD_BYTES = 1 << 16
+_READ_BYTES = 1 << 14
+# Bytes of further requests that a connection may hold before a response is
+# complete, while watching whether the caller disconnects.
+_READ_AHEAD_BYTES = 1 << 14
 # After a response to a request that was not read whole, what arrives for this
 # time is discarded: a connection that is closed with unread bytes is reset, and
 # the caller may never see the response.
@@ -270,24 +270,13 @@
     response_task = asyncio.ensure_future(
         _respond(writer, connection, handle, incoming, is_closing)
     )
-    read_task = asyncio.ensure_future(reader.read(_READ_BYTES))
-    ahead_bytes = 0
+    read_task = asyncio.ensure_future(_read_ahead(reader, connection))
     try:
-        # Without a limit, a caller that sends on and on would fill the memory.
-        while ahead_bytes <= _READ_AHEAD_BYTES:
-            await asyncio.wait(
-                {response_task, read_task}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not read_task.done():
-                break
-            data = b"" if read_task.exception() else read_task.result()
-            if not data and not response_task.done():
-                return True
-            connection.receive_data(data)
-            ahead_bytes += len(data)
-            if response_task.done():
-                break
-            read_task = asyncio.ensure_future(reader.read(_READ_BYTES))
+        await asyncio.wait(
+            {response_task, read_task}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not response_task.done() and read_task.result():
+            return True
         await response_task
         return False
     finally:
@@ -295,6 +284,28 @@
         await _stop(response_task)
 
 
+async def _read_ahead(
+    reader: asyncio.StreamReader, connection: h11.Connection
+) -> bool:
+    """Reads ahead, as much as a connection may hold before a response.
+
+    Returns:
+        Whether the caller has disconnected. Beyond the limit that is noticed
+        only when the response is written.
+    """
+    ahead_bytes = len(connection.trailing_data[0])
+    while ahead_bytes < _READ_AHEAD_BYTES:
+        try:
+            data = await reader.read(_READ_AHEAD_BYTES - ahead_bytes)
+        except OSError:
+            return True
+        if not data:
+            return True
+        connection.receive_data(data)
+        ahead_bytes += len(data)
+    return False
+
+
 async def _stop(task: asyncio.Future) -> None:
     if not task.done():
         task.cancel()
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -84,7 +84,7 @@
     "environment.make_system_environment": (1, _Ends.CONNECTION),
     "http.hedged_fetch.fetch_hedged": (1, _Ends.PROCESS),
     "http.hedged_fetch._wait_for_head": (1, _Ends.PROCESS),
-    "http.server._handle_request": (3, _Ends.CONNECTION),
+    "http.server._handle_request": (2, _Ends.CONNECTION),
     "entry.canceller.Canceller.post": (1, _Ends.TASK),
     "entry.crash_detector.CrashDetector.on_lost_call": (1, _Ends.TASK),
     "entry.end_verifier.EndVerifier.verify": (1, _Ends.TASK),
