Bound the buffers of accepted connections

Callers saw a VM that ended, with few connections or many: what they sent waited in streams and sockets, and each of these could hold megabytes.

Cause: a stream stops reading beyond 2 MiB, and the system enlarges the buffers of a busy connection to several megabytes, in either direction.

Change: streams that were accepted stop reading beyond 16 KiB, and their listeners bound the system's buffers: 32 KiB for receiving and for sending, of which Linux takes up to twice as much. Connections to targets and to the store are as before.

--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -27,6 +27,13 @@
 ]
 
 STREAM_LIMIT_BYTES = 1 << 20
+# Half of what a stream that was accepted buffers before it stops reading.
+ACCEPTED_LIMIT_BYTES = 1 << 13
+# What the system buffers of each accepted connection, in either direction; it
+# takes up to twice as much. Bodies of some megabytes still arrive within a
+# second over links of a few milliseconds.
+RECEIVE_BUFFER_BYTES = 1 << 15
+SEND_BUFFER_BYTES = 1 << 15
 # A peer that has lost power, or is behind a network partition, sends nothing.
 # Keepalive probes detect it within about 6 s: longer than an interruption of a
 # few seconds, which connections survive, and shorter than most time limits.
@@ -179,9 +186,17 @@
                 lambda ended: _report_task_failure(ended, writer)
             )
 
-        return await asyncio.start_server(
-            start, address.host, address.port, limit=STREAM_LIMIT_BYTES
+        server = await asyncio.start_server(
+            start,
+            address.host,
+            address.port,
+            limit=ACCEPTED_LIMIT_BYTES,
+            start_serving=False,
         )
+        for listener in server.sockets:
+            _bound_buffers(listener)
+        await server.start_serving()
+        return server
 
     async def bind(handler: DatagramHandler, address: Address) -> DatagramPort:
         loop = asyncio.get_running_loop()
@@ -231,6 +246,15 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def _bound_buffers(listener: asyncio.trsock.TransportSocket) -> None:
+    """Bounds the system's buffers of connections that will be accepted."""
+    for option, size in (
+        (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+        (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+    ):
+        listener.setsockopt(socket.SOL_SOCKET, option, size)
+
+
 def make_random_id(rng: random.Random, length: int = 12) -> str:
     """Returns a random identifier of `length` hexadecimal digits."""
     return f"{rng.getrandbits(4 * length):0{length}x}"
