Bound what the connections of callers hold together

Callers saw a VM that ended: many connections, each within what one may hold, took its memory. A head of 1,700 fields takes 0.6 MB in objects while its body arrives, for up to 15 s, with 16 KB sent.

Cause: complete bodies of requests were counted together; heads, bodies under way, requests sent ahead and responses that nobody reads were not.

Change: http/connections.py counts these for each connection. What waits unread in stream and system counts at its most as soon as reading ahead has stopped, and for a body that is still to come. Where the sum exceeds 15 % of the VM's memory (--connections-mb), a connection of those that hold most is ended, among equals the one whose caller has taken nothing for longest: with 503 no_connection_memory and Retry-After while its request is being read, since it has not run, and with a reset while one is answered. A connection that is alone is never ended, so a single request within the limits is served. Heads up to 4 KB and 64 fields don't count, so ordinary requests are not ended. Limits of the readiness and metrics pages are their own. At most one line a second is logged; metrics count by cause.

In the test of slow readers, a caller that takes 4 KB of 70 KB is kept, and one that takes nothing is ended.

It holds since a connection can hold memory only in the places that are counted or bounded for each one, and ended ones release theirs when their task runs; beyond twice the limit a large request is refused as it is read.

--- a/src/ruddergate/cli/gateway.py
+++ b/src/ruddergate/cli/gateway.py
@@ -17,6 +17,7 @@
 from ruddergate.entry import poll_config
 from ruddergate.http import body_memory
 from ruddergate.http import client
+from ruddergate.http import connections
 from ruddergate.http import server
 from ruddergate.platform import callers
 from ruddergate.platform import orders
@@ -86,6 +87,7 @@
     link_mbps: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
     memory_mb: Annotated[float, _private.number(1, 1_000_000)] = 256.0,
     request_bodies_mb: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
+    connections_mb: Annotated[float, _private.number(0, 1_000_000)] = 0.0,
     store_timeout_ms: Annotated[float, _private.number(10, 60_000)] = 1_500.0,
     body_bytes_max: Annotated[int, _private.number(1, 64_000_000)] = 8_000_000,
     connections_max: Annotated[int, _private.number(1, 100_000)] = 3_000,
@@ -122,6 +124,8 @@
             responses that are being read.
         request_bodies_mb: Bound on the bodies of all requests (MB); 0 for a
             fifth of `memory_mb`.
+        connections_mb: Bound on what callers' connections hold beside these
+            bodies (MB); 0 for 15 % of `memory_mb`.
         store_timeout_ms: Longest pause in a response of the store (ms).
         body_bytes_max: Maximum size of a request body (bytes).
         connections_max: Maximum number of open connections of callers.
@@ -148,6 +152,7 @@
     bodies_mb = request_bodies_mb or (
         memory_mb * body_memory.REQUEST_MEMORY_FRACTION
     )
+    held_mb = connections_mb or memory_mb * connections.MEMORY_FRACTION
     gateway_config = gateways.GatewayConfig(
         ready_listen=environment.parse_address(ready_listen),
         metrics_listen=environment.parse_address(metrics_listen),
@@ -165,6 +170,7 @@
             round(link_mbps),
         ),
         request_bodies_bytes=bodies_mb * _BYTES_PER_MB,
+        connections_bytes=held_mb * _BYTES_PER_MB,
     )
     response_memory = body_memory.BodyMemory(
         round(memory_mb * _BYTES_PER_MB * body_memory.MEMORY_FRACTION)
--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -25,6 +25,7 @@
 from ruddergate.entry import detour_server
 from ruddergate.entry import drain_check
 from ruddergate.entry import end_verifier
+from ruddergate.entry import ended_connections
 from ruddergate.entry import in_flight
 from ruddergate.entry import open_requests
 from ruddergate.entry import overload
@@ -54,6 +55,7 @@
 from ruddergate.fleet import store_position
 from ruddergate.fleet import target as targets
 from ruddergate.http import body_memory
+from ruddergate.http import connections
 from ruddergate.http import message
 from ruddergate.http import server as http_server
 from ruddergate.messages import document_part
@@ -72,6 +74,9 @@
 _POLL_MS = 20.0
 # If another process holds the port for peers, it is tried again after this.
 _REBIND_MS = 2_000.0
+# What connections to the readiness check and to the metrics page, each, may
+# hold.
+_PAGE_CONNECTIONS_BYTES = 2_000_000
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -95,6 +100,8 @@
         retry_ratio: Retries allowed per first attempt.
         retry_slack: Retries that the fleet may make in addition.
         request_bodies_bytes: Memory for the bodies of all requests.
+        connections_bytes: Memory for what callers' connections hold beside
+            these bodies.
         peers: Addresses for communication with peers.
     """
 
@@ -110,6 +117,7 @@
     retry_slack: float
     peers: peer_gossip.PeerConfig
     request_bodies_bytes: float = body_memory.DEFAULT_LIMIT_BYTES
+    connections_bytes: float = connections.DEFAULT_LIMIT_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +159,12 @@
         self._gateway_config = gateway_config
         self._log = logs.make_logger("entry")
         self._stop = planned_stop.PlannedStop()
-        self._connections = http_server.Connections()
+        self._ended_connections = ended_connections.EndedConnections(env)
+        self._connections = http_server.Connections(
+            gateway_config.connections_bytes,
+            self._ended_connections.note,
+            lambda: env.now_ms() / 1000.0,
+        )
         self._request_memory = body_memory.make_request_memory(
             gateway_config.request_bodies_bytes,
             lambda: env.now_ms() / 1000.0,
@@ -503,7 +516,12 @@
     async def _serve(
         self, handle: in_flight.Handle, address: environment.Address
     ) -> asyncio.Server:
-        handler = http_server.make_stream_handler(handle, self._config.limits)
+        opened = http_server.Connections(
+            _PAGE_CONNECTIONS_BYTES, self._ended_connections.note
+        )
+        handler = http_server.make_stream_handler(
+            handle, self._config.limits, connections=opened
+        )
         return await self._env.serve(handler, address)
 
     async def _serve_peers(self) -> None:
@@ -614,6 +632,9 @@
         metrics.quarantined.set({}, len(quarantined))
         metrics.loop_lag_ms.set({}, self.overload.lag_ms)
         metrics.shed_connections.set({}, self.overload.shed)
+        metrics.connection_bytes.set({}, self._connections.held_bytes)
+        for cause, count in self._ended_connections.counts.items():
+            metrics.ended_connections.set({"cause": cause.value}, count)
         metrics.request_body_bytes.set({}, self._request_memory.used_bytes)
         metrics.refused_bodies.set({}, self._request_memory.dropped)
         metrics.poison_trials.set({}, self.context.quarantine.trials)
--- a/src/ruddergate/environment.py
+++ b/src/ruddergate/environment.py
@@ -34,6 +34,9 @@
 # second over links of a few milliseconds.
 RECEIVE_BUFFER_BYTES = 1 << 15
 SEND_BUFFER_BYTES = 1 << 15
+# The most that waits to be read of a connection that nobody reads: in the
+# stream, which one read of the system may exceed, and in the system.
+MAX_UNREAD_BYTES = 2 * ACCEPTED_LIMIT_BYTES + 4 * RECEIVE_BUFFER_BYTES
 # A peer that has lost power, or is behind a network partition, sends nothing.
 # Keepalive probes detect it within about 6 s: longer than an interruption of a
 # few seconds, which connections survive, and shorter than most time limits.
@@ -260,6 +263,13 @@
     return f"{rng.getrandbits(4 * length):0{length}x}"
 
 
+def count_unsent_bytes(writer: asyncio.StreamWriter) -> int:
+    """Returns the bytes that were written and have not left the process."""
+    if writer.get_extra_info("socket") is None:
+        return 0
+    return writer.transport.get_write_buffer_size()
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Closes a connection with a reset, which its peer reads as an error."""
     connection = writer.get_extra_info("socket")
--- a/src/ruddergate/http/request_reader.py
+++ b/src/ruddergate/http/request_reader.py
@@ -6,11 +6,22 @@
 
 import h11
 
+from ruddergate import environment
 from ruddergate.http import body_memory
+from ruddergate.http import connections
 from ruddergate.http import message
 from ruddergate.http import parsing_rate
 
 _READ_BYTES = 1 << 16
+# Heads within both of these are not counted against the memory of connections.
+_UNCOUNTED_HEAD_BYTES = 4_096
+_UNCOUNTED_FIELDS = 64
+# A head is kept as received and as text, in two forms.
+_HEAD_COPIES = 3
+# What the objects for one header line take beside its characters.
+_FIELD_BYTES = 600
+# When callers may come again; other VMs may serve them before.
+_MEMORY_RETRY_S = 1.0
 _ABSOLUTE_FORM = re.compile(r"https?://([^/?]*)(.*)", re.IGNORECASE)
 
 
@@ -49,6 +60,7 @@
 async def read_request(
     reader: asyncio.StreamReader,
     connection: h11.Connection,
+    tracked: connections.Connection,
     body_bytes_max: int,
     read_timeout_ms: float,
     memory: body_memory.BodyMemory,
@@ -58,6 +70,7 @@
     Args:
         reader: Where to read from.
         connection: Parses it; may hold the first bytes.
+        tracked: Counts what is held of it.
         body_bytes_max: Maximum size of its body.
         read_timeout_ms: Time in which it must arrive.
         memory: Bounds the bodies of all requests.
@@ -71,13 +84,17 @@
     body: body_memory.Body | None = None
     try:
         async with asyncio.timeout(read_s) as scope:
-            head = await _read_head(reader, connection)
+            # A time in the past ends the reading at once.
+            tracked.stop = lambda: scope.reschedule(0.0)
+            head = await _read_head(reader, connection, tracked)
+            if tracked.cause is not None:
+                return _make_ended()
             if not isinstance(head, h11.Request):
                 return head
             length = _read_length(head)
             if length is not None and length > body_bytes_max:
                 return _make_too_long()
-            # A time in the past ends the reading at once.
+            _hold_unread(tracked, connection, length)
             body = memory.open(
                 lambda: scope.reschedule(0.0),
                 length or 0,
@@ -89,8 +106,11 @@
     except h11.RemoteProtocolError as error:
         found = Refusal(error.error_status_hint, f"malformed HTTP: {error}")
     finally:
+        tracked.stop = tracked.writer.close
         if body is not None and not body.is_complete:
             body.close()
+    if tracked.cause is not None:
+        return _make_ended()
     if body is not None and body.is_dropped:
         return _make_no_memory(memory, body)
     if isinstance(found, bytes):
@@ -111,6 +131,16 @@
     )
 
 
+def _make_ended() -> Refusal:
+    return Refusal(
+        503,
+        "what callers send takes too much memory",
+        "no_connection_memory",
+        _MEMORY_RETRY_S,
+        is_partial=True,
+    )
+
+
 def _make_too_long() -> Refusal:
     return Refusal(413, "the body is too long", is_partial=True)
 
@@ -141,17 +171,48 @@
 
 
 async def _read_head(
-    reader: asyncio.StreamReader, connection: h11.Connection
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    tracked: connections.Connection,
 ) -> h11.Request | Refusal | None:
-    event = await _next_event(reader, connection, parsing_rate.ParsingRate())
+    event = connection.next_event()
+    while event is h11.NEED_DATA:
+        _hold_head(tracked, len(connection.trailing_data[0]), 0)
+        connection.receive_data(await reader.read(_READ_BYTES))
+        event = connection.next_event()
     if not isinstance(event, h11.Request):
         return None
+    size = sum(len(name) + len(value) for name, value in event.headers)
+    _hold_head(tracked, size, len(event.headers))
     if event.method == b"CONNECT":
         # A success would turn the connection into a tunnel.
         return Refusal(405, "CONNECT is not supported")
     return event
 
 
+def _hold_head(
+    tracked: connections.Connection, size: int, field_count: int
+) -> None:
+    """Counts a head, or what has arrived of it."""
+    held = 0
+    if size > _UNCOUNTED_HEAD_BYTES or field_count > _UNCOUNTED_FIELDS:
+        held = size * _HEAD_COPIES + field_count * _FIELD_BYTES
+    tracked.hold(connections.Part.HEAD, held)
+
+
+def _hold_unread(
+    tracked: connections.Connection,
+    connection: h11.Connection,
+    length: int | None,
+) -> None:
+    """Counts what may wait of a body that is read more slowly than it comes."""
+    unread_bytes = environment.MAX_UNREAD_BYTES
+    if length is not None:
+        missing_bytes = length - len(connection.trailing_data[0])
+        unread_bytes = max(0, min(unread_bytes, missing_bytes))
+    tracked.hold(connections.Part.AHEAD, unread_bytes)
+
+
 async def _gather(
     reader: asyncio.StreamReader,
     connection: h11.Connection,
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -18,12 +18,14 @@
 
 from ruddergate import environment
 from ruddergate.http import body_memory
+from ruddergate.http import connections as open_connections
 from ruddergate.http import message
 from ruddergate.http import request_reader
 
 Handler: TypeAlias = Callable[
     [message.IncomingRequest], Awaitable[message.Response]
 ]
+Connections: TypeAlias = open_connections.Connections
 
 _HEAD = "HEAD"
 _EMPTY_LINE = b"\r\n"
@@ -59,40 +61,6 @@
     connections_max: int = 4_096
 
 
-class Connections:
-    """Tracks the open connections of a server and which of them are idle."""
-
-    def __init__(self) -> None:
-        self._idle: set[asyncio.StreamWriter] = set()
-        self._count = 0
-
-    def __len__(self) -> int:
-        return self._count
-
-    def note_open(self, writer: asyncio.StreamWriter) -> None:
-        """Records a new connection."""
-        self._count += 1
-        self._idle.add(writer)
-
-    def note_busy(self, writer: asyncio.StreamWriter) -> None:
-        """Records that bytes of a request have arrived, or are still sent."""
-        self._idle.discard(writer)
-
-    def note_idle(self, writer: asyncio.StreamWriter) -> None:
-        """Records that the last request has been answered."""
-        self._idle.add(writer)
-
-    def note_closed(self, writer: asyncio.StreamWriter) -> None:
-        """Records that a connection is closed and nothing is left to send."""
-        self._count -= 1
-        self._idle.discard(writer)
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
-        for writer in self._idle:
-            writer.close()
-
-
 def make_stream_handler(
     handle: Handler,
     limits: Limits,
@@ -118,23 +86,23 @@
         memory: Bounds the bodies of all requests that are read or handled.
     """
     request_memory = memory or body_memory.BodyMemory(math.inf)
-    open_connections = connections if connections is not None else Connections()
+    opened = connections if connections is not None else Connections()
 
     async def serve_requests(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        reader: asyncio.StreamReader, tracked: open_connections.Connection
     ) -> None:
-        if len(open_connections) > limits.connections_max:
+        if len(opened) > limits.connections_max:
             await _reject(
-                writer, request_reader.Refusal(503, "too many connections")
+                tracked.writer,
+                request_reader.Refusal(503, "too many connections"),
             )
             return
         await _serve_connection(
             reader,
-            writer,
+            tracked,
             handle,
             limits,
             is_closing,
-            open_connections,
             is_accepting,
             find_limits or (lambda: limits),
             request_memory,
@@ -143,17 +111,17 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        open_connections.note_open(writer)
+        tracked = opened.open(writer)
         try:
             with contextlib.suppress(ConnectionError, OSError, TimeoutError):
                 # The peer has disconnected, so the error can't be reported.
-                await serve_requests(reader, writer)
+                await serve_requests(reader, tracked)
             # What drain() left in the buffer is lost if the process ends.
-            open_connections.note_busy(writer)
+            tracked.note_busy()
             with contextlib.suppress(ConnectionError, OSError, TimeoutError):
                 await _flush(writer)
         finally:
-            open_connections.note_closed(writer)
+            tracked.close()
             writer.close()
 
     return serve
@@ -178,20 +146,21 @@
 
 async def _serve_connection(
     reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
+    tracked: open_connections.Connection,
     handle: Handler,
     limits: Limits,
     is_closing: Callable[[], bool],
-    open_connections: Connections,
     is_accepting: Callable[[], bool],
     find_limits: Callable[[], Limits],
     memory: body_memory.BodyMemory,
 ) -> None:
+    writer = tracked.writer
     connection = _make_connection(limits)
     while is_accepting():
-        open_connections.note_idle(writer)
+        tracked.note_idle()
         data, is_ended = connection.trailing_data
         if not (data or is_ended):
+            tracked.release()
             data = await _read_first(reader, limits, find_limits)
         if data.startswith(_EMPTY_LINE):
             # One is ignored (RFC 9112, section 2.2).
@@ -200,7 +169,7 @@
         # Closed as idle, just as this request was arriving.
         if not data or writer.is_closing():
             return
-        open_connections.note_busy(writer)
+        tracked.note_busy()
         # Made anew for each request, since its limit can't be changed.
         request_limits = find_limits()
         connection = _make_connection(request_limits)
@@ -210,17 +179,20 @@
         collected = await request_reader.read_request(
             reader,
             connection,
+            tracked,
             request_limits.body_bytes_max,
             request_limits.read_timeout_ms,
             memory,
         )
         if not isinstance(collected, request_reader.Collected):
+            tracked.release()
             await _refuse(reader, writer, collected)
             return
+        tracked.note_handled()
         with contextlib.closing(collected.body):
             is_disconnected = await _handle_request(
                 reader,
-                writer,
+                tracked,
                 connection,
                 handle,
                 collected.incoming,
@@ -260,32 +232,45 @@
 
 async def _handle_request(
     reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
+    tracked: open_connections.Connection,
     connection: h11.Connection,
     handle: Handler,
     incoming: message.IncomingRequest,
     is_closing: Callable[[], bool],
 ) -> bool:
-    """Responds; returns whether the caller disconnected before the end."""
+    """Responds; returns whether the connection ended before the response."""
     response_task = asyncio.ensure_future(
-        _respond(writer, connection, handle, incoming, is_closing)
+        _respond(tracked, connection, handle, incoming, is_closing)
     )
-    read_task = asyncio.ensure_future(_read_ahead(reader, connection))
+    read_task = asyncio.ensure_future(_read_ahead(reader, connection, tracked))
+
+    def stop() -> None:
+        environment.reset_connection(tracked.writer)
+        response_task.cancel()
+
+    tracked.stop = stop
     try:
         await asyncio.wait(
             {response_task, read_task}, return_when=asyncio.FIRST_COMPLETED
         )
-        if not response_task.done() and read_task.result():
+        if not response_task.done():
+            if read_task.result():
+                return True
+            await asyncio.wait({response_task})
+        if tracked.cause is not None:
             return True
         await response_task
         return False
     finally:
+        tracked.stop = tracked.writer.close
         await _stop(read_task)
         await _stop(response_task)
 
 
 async def _read_ahead(
-    reader: asyncio.StreamReader, connection: h11.Connection
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    tracked: open_connections.Connection,
 ) -> bool:
     """Reads ahead, as much as a connection may hold before a response.
 
@@ -295,6 +280,7 @@
     """
     ahead_bytes = len(connection.trailing_data[0])
     while ahead_bytes < _READ_AHEAD_BYTES:
+        tracked.hold(open_connections.Part.AHEAD, ahead_bytes)
         try:
             data = await reader.read(_READ_AHEAD_BYTES - ahead_bytes)
         except OSError:
@@ -303,6 +289,9 @@
             return True
         connection.receive_data(data)
         ahead_bytes += len(data)
+    tracked.hold(
+        open_connections.Part.AHEAD, ahead_bytes + environment.MAX_UNREAD_BYTES
+    )
     return False
 
 
@@ -314,12 +303,13 @@
 
 
 async def _respond(
-    writer: asyncio.StreamWriter,
+    tracked: open_connections.Connection,
     connection: h11.Connection,
     handle: Handler,
     incoming: message.IncomingRequest,
     is_closing: Callable[[], bool],
 ) -> None:
+    writer = tracked.writer
     response = await handle(incoming)
     headers = [*response.headers.items(), *response.fields]
     if is_closing():
@@ -333,7 +323,7 @@
         if incoming.method != _HEAD:
             sent += connection.send(h11.Data(data=response.body))
         writer.write(sent + connection.send(h11.EndOfMessage()))
-        await writer.drain()
+        await _drain(tracked)
         return
     head = h11.Response(
         status_code=response.status, headers=message.encode_fields(headers)
@@ -350,14 +340,23 @@
                     break
                 writer.write(pending + connection.send(h11.Data(data=chunk)))
                 pending = b""
-                await writer.drain()
+                await _drain(tracked)
         is_complete = True
     finally:
         if not is_complete and connection.their_http_version == b"1.0":
             # Without chunks a regular end would make the answer look complete.
             environment.reset_connection(writer)
     writer.write(pending + connection.send(h11.EndOfMessage()))
-    await writer.drain()
+    await _drain(tracked)
+
+
+async def _drain(tracked: open_connections.Connection) -> None:
+    """Waits until the caller has taken most of what was written."""
+    unsent_bytes = environment.count_unsent_bytes(tracked.writer)
+    tracked.hold(open_connections.Part.UNSENT, unsent_bytes)
+    await tracked.writer.drain()
+    tracked.hold(open_connections.Part.UNSENT, 0)
+    tracked.note_progress()
 
 
 async def _refuse(
--- a/src/ruddergate/telemetry/metrics.py
+++ b/src/ruddergate/telemetry/metrics.py
@@ -139,6 +139,15 @@
             "ruddergate_loop_lag_ms",
             "Smoothed lag of the event loop, in milliseconds.",
         )
+        self.connection_bytes = self._gauge(
+            "ruddergate_connection_bytes",
+            "Memory that callers' connections hold beside complete bodies.",
+        )
+        self.ended_connections = self._gauge(
+            "ruddergate_connections_ended",
+            "Connections ended for a limit of their server, in total, by"
+            " cause.",
+        )
         self.shed_connections = self._gauge(
             "ruddergate_connections_shed",
             "New connections closed unread in overload, in total.",
