Let connections without a request give way to ordinary callers

Callers got 503, as long as others kept all connections of a VM open and sent nothing, or half a head; the VM was not ready, either.

Cause: each connection kept its place until its time limit, whatever it had sent, and connections beyond the limit were refused.

Change: where all places are taken, a connection that is older than 0.5 s and has not had a request answered, or only rejected ones (400, 401, 404 and the like), is ended for a new one, the longest waiting first. A request that was arriving there gets 503 with Retry-After, not run. Readiness counts the others only. Connections that had an answer keep their places while they are idle, as do requests that are being answered. Without anything that can give way, new connections are refused as before, now with Retry-After and the reason too_many_connections. The readiness and metrics pages accept 128 connections each, so that a crowd there leaves descriptors for callers.

It holds since the age spares callers that have just connected, and no sound caller waits before its first request where connections are short.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -74,8 +74,9 @@
 _POLL_MS = 20.0
 # If another process holds the port for peers, it is tried again after this.
 _REBIND_MS = 2_000.0
-# What connections to the readiness check and to the metrics page, each, may
-# hold.
+# Connections to the readiness check and to the metrics page, each, and the
+# memory that they hold.
+_PAGE_CONNECTIONS_MAX = 128
 _PAGE_CONNECTIONS_BYTES = 2_000_000
 _OK = 200
 _UNAVAILABLE = 503
@@ -516,11 +517,14 @@
     async def _serve(
         self, handle: in_flight.Handle, address: environment.Address
     ) -> asyncio.Server:
+        limits = dataclasses.replace(
+            self._config.limits, connections_max=_PAGE_CONNECTIONS_MAX
+        )
         opened = http_server.Connections(
             _PAGE_CONNECTIONS_BYTES, self._ended_connections.note
         )
         handler = http_server.make_stream_handler(
-            handle, self._config.limits, connections=opened
+            handle, limits, connections=opened
         )
         return await self._env.serve(handler, address)
 
@@ -596,7 +600,8 @@
 
     def _has_room(self) -> bool:
         """Returns whether another connection of a caller would be served."""
-        return len(self._connections) < self._config.limits.connections_max
+        lasting = self._connections.count_lasting()
+        return lasting < self._config.limits.connections_max
 
     def _count_open(self) -> int:
         """Returns the open connections of callers and those carried."""
--- a/src/ruddergate/http/connections.py
+++ b/src/ruddergate/http/connections.py
@@ -1,8 +1,9 @@
 """The open connections of a server, and what their callers hold of its memory.
 
 Each connection may hold some bytes: parts of requests, requests that were sent
-ahead, and responses that nobody reads. All of them together are bounded: where
-they exceed the limit, those that hold most are ended.
+ahead, and responses that nobody reads. All of them together are bounded, and so
+is the number of connections: where they exceed a limit, those that hold most,
+or that have sent no request for longest, are ended.
 """
 
 import asyncio
@@ -17,6 +18,9 @@
 MEMORY_FRACTION = 0.15
 # What any connection may hold while ended ones still hold theirs.
 _SMALL_BYTES = 1 << 14
+# No connection is ended to make room for others before it is as old as this:
+# callers send their requests right after connecting.
+_PLACE_GRACE_S = 0.5
 
 
 class Part(enum.Enum):
@@ -31,6 +35,7 @@
     """Why a connection is ended."""
 
     MEMORY = "memory"
+    PLACE = "place"
 
 
 class Connections:
@@ -59,8 +64,10 @@
         # In the order in which they were opened.
         self._open: dict[Connection, None] = {}
         self._idle: set[Connection] = set()
+        self._replaceable: dict[Connection, None] = {}
         # Those that hold memory and are not ended.
         self._holding: set[Connection] = set()
+        self._ended = 0
         # What ended connections still hold.
         self._ending_bytes = 0
 
@@ -72,6 +79,7 @@
         connection = Connection(self, writer)
         self._open[connection] = None
         self._idle.add(connection)
+        self._replaceable[connection] = None
         return connection
 
     def close_idle(self) -> None:
@@ -79,9 +87,35 @@
         for connection in self._idle:
             connection.writer.close()
 
+    def count_lasting(self) -> int:
+        """Returns how many connections are not ended to make room."""
+        return len(self._open) - self._ended - len(self._replaceable)
+
+    def make_room(self, connections_max: int) -> bool:
+        """Ends one connection if there are too many.
+
+        Returns:
+            Whether there is room for all that are open.
+        """
+        if len(self._open) - self._ended <= connections_max:
+            return True
+        oldest = next(iter(self._replaceable), None)
+        if oldest is None or oldest.find_age_s() < _PLACE_GRACE_S:
+            return False
+        self._end(oldest, Cause.PLACE)
+        return True
+
     def update(self, connection: "Connection") -> None:
         """Applies the state of a connection that has changed."""
         _set_member(self._idle, connection, connection.is_idle)
+        if (
+            connection.is_proven
+            or connection.is_handled
+            or connection.cause is not None
+        ):
+            self._replaceable.pop(connection, None)
+        else:
+            self._replaceable.setdefault(connection)
 
     def add(self, size: int, connection: "Connection") -> None:
         """Counts bytes that a connection holds in addition."""
@@ -124,11 +158,15 @@
         """Stops tracking a connection."""
         self._open.pop(connection, None)
         self._idle.discard(connection)
+        self._replaceable.pop(connection, None)
+        self._ended -= connection.cause is not None
 
     def _end(self, connection: "Connection", cause: Cause) -> None:
         connection.cause = cause
+        self._ended += 1
         self._ending_bytes += connection.held_bytes
         self._holding.discard(connection)
+        self._replaceable.pop(connection, None)
         self._on_end(connection)
         connection.stop()
 
@@ -142,6 +180,7 @@
         stop: Called when it is ended; stops what is done for it.
         is_idle: Whether it has no request in progress.
         is_handled: Whether a request of it is being answered.
+        is_proven: Whether a request of it was answered, and not rejected.
     """
 
     def __init__(
@@ -152,6 +191,7 @@
         self.stop: Callable[[], None] = writer.close
         self.is_idle = True
         self.is_handled = False
+        self.is_proven = False
         self._connections = connections
         self._held: dict[Part, int] = {}
         self._progressed_s = connections.clock()
@@ -197,6 +237,10 @@
         """Records that a request was read whole."""
         self._note(is_idle=False, is_handled=True)
 
+    def note_proven(self) -> None:
+        """Records that a request was answered, and not rejected."""
+        self.is_proven = True
+
     def note_progress(self) -> None:
         """Records that the caller took all that was sent to it."""
         self._progressed_s = self._connections.clock()
--- a/src/ruddergate/http/request_reader.py
+++ b/src/ruddergate/http/request_reader.py
@@ -22,6 +22,7 @@
 _FIELD_BYTES = 600
 # When callers may come again; other VMs may serve them before.
 _MEMORY_RETRY_S = 1.0
+_PLACE_RETRY_S = 1.0
 _ABSOLUTE_FORM = re.compile(r"https?://([^/?]*)(.*)", re.IGNORECASE)
 
 
@@ -88,7 +89,7 @@
             tracked.stop = lambda: scope.reschedule(0.0)
             head = await _read_head(reader, connection, tracked)
             if tracked.cause is not None:
-                return _make_ended()
+                return make_ended(tracked.cause)
             if not isinstance(head, h11.Request):
                 return head
             length = _read_length(head)
@@ -110,7 +111,7 @@
         if body is not None and not body.is_complete:
             body.close()
     if tracked.cause is not None:
-        return _make_ended()
+        return make_ended(tracked.cause)
     if body is not None and body.is_dropped:
         return _make_no_memory(memory, body)
     if isinstance(found, bytes):
@@ -131,7 +132,15 @@
     )
 
 
-def _make_ended() -> Refusal:
+def make_ended(cause: connections.Cause) -> Refusal:
+    """Returns the refusal of a request whose connection is ended."""
+    if cause is connections.Cause.PLACE:
+        return Refusal(
+            503,
+            "too many connections",
+            "too_many_connections",
+            _PLACE_RETRY_S,
+        )
     return Refusal(
         503,
         "what callers send takes too much memory",
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -33,6 +33,8 @@
 # Bytes of further requests that a connection may hold before a response is
 # complete, while watching whether the caller disconnects.
 _READ_AHEAD_BYTES = 1 << 14
+# Rejections that don't tell that a request was invalid.
+_RETRIED_REJECTIONS = frozenset({408, 429})
 # After a response to a request that was not read whole, what arrives for this
 # time is discarded: a connection that is closed with unread bytes is reset, and
 # the caller may never see the response.
@@ -91,10 +93,10 @@
     async def serve_requests(
         reader: asyncio.StreamReader, tracked: open_connections.Connection
     ) -> None:
-        if len(opened) > limits.connections_max:
+        if not opened.make_room(limits.connections_max):
             await _reject(
                 tracked.writer,
-                request_reader.Refusal(503, "too many connections"),
+                request_reader.make_ended(open_connections.Cause.PLACE),
             )
             return
         await _serve_connection(
@@ -311,6 +313,8 @@
 ) -> None:
     writer = tracked.writer
     response = await handle(incoming)
+    if not _is_rejection(response.status):
+        tracked.note_proven()
     headers = [*response.headers.items(), *response.fields]
     if is_closing():
         headers.append(("connection", "close"))
@@ -359,6 +363,11 @@
     tracked.note_progress()
 
 
+def _is_rejection(status: int) -> bool:
+    """Returns whether a response says that the request was invalid."""
+    return 400 <= status < 500 and status not in _RETRIED_REJECTIONS
+
+
 async def _refuse(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
