Take statuses above 599 for no response

Callers got an answer with the status 600 or 999, signed, when a target in trouble sent one: HTTP defines 100 to 599 (RFC 9110, section 15).

Cause: the parser rejects statuses below 100 and those that are not three digits, and accepts any others.

Change: such a head is a failed exchange like one that can't be parsed. The request may have run: safe calls go to another target, others get 502. That holds on all ways to a target and for the store, which share http/client.py.

It holds since no other code reads a status from the wire.

--- a/src/ruddergate/http/client.py
+++ b/src/ruddergate/http/client.py
@@ -22,6 +22,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Status that h11 suggests for a head, chunk header or trailer over its limit.
 _HEAD_TOO_LARGE = 431
+# Larger ones are invalid (RFC 9110, section 15); the parser rejects others.
+_MAX_STATUS = 599
 _BODY_TOO_LARGE = "the body takes too much memory"
 
 
@@ -162,6 +164,10 @@
             return Fault(
                 True, False, "the connection was closed before a response"
             )
+        if event.status_code > _MAX_STATUS:
+            return Fault(
+                True, False, f"no response: invalid status {event.status_code}"
+            )
         self.status = event.status_code
         self.fields = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -17,6 +17,7 @@
 from ruddergate.http import server
 from standins import cut_writer
 from standins import iteration_engine
+from standins import status_writer
 
 _TOKENS_PER_EVENT = 46
 _SIGNATURE = "X-Replica-Signature"
@@ -179,6 +180,8 @@
             processed.
         answer_bytes_max: Bytes that are sent on a connection, to callers,
             orders and probes, before it is closed; None for all.
+        answer_status: Status of all its answers, as bytes of any form; None for
+            the status of each.
     """
 
     refuse: float = 0.0
@@ -198,6 +201,7 @@
     event_id_suffix: str = ""
     stream_preamble: bytes = b""
     answer_bytes_max: int | None = None
+    answer_status: bytes | None = None
 
 
 class PlatformReplica:
@@ -285,6 +289,10 @@
                 writer = cut_writer.CutWriter(
                     writer, self.faults.answer_bytes_max
                 )
+            if self.faults.answer_status is not None:
+                writer = status_writer.StatusWriter(
+                    writer, self.faults.answer_status
+                )
             await handle(reader, writer)
 
         return serve
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,6 +11,7 @@
 from ruddergate.http import message
 from ruddergate.http import server
 from standins import cut_writer
+from standins import status_writer
 
 _WATCH_POLL_S = 0.01
 _LOSS_PERIOD_S = 0.5
@@ -55,6 +56,8 @@
         response_delay_s: Time until a request is answered.
         answer_bytes_max: Bytes of an answer that are sent before its connection
             is closed; None for all.
+        answer_status: Status of all answers, as bytes of any form; None for
+            the status of each.
         body_delay_s: Time between the head of an answer and its body.
         loses_answers: Whether requests within the first 0.2 s of each half of a
             second are never answered.
@@ -73,6 +76,7 @@
         self.values_bytes_max = math.inf
         self.response_delay_s = 0.0
         self.answer_bytes_max: int | None = None
+        self.answer_status: bytes | None = None
         self.body_delay_s = 0.0
         self.loses_answers = False
         self.overrides: list[bytes] = []
@@ -136,6 +140,8 @@
         ) -> None:
             if self.answer_bytes_max is not None:
                 writer = cut_writer.CutWriter(writer, self.answer_bytes_max)
+            if self.answer_status is not None:
+                writer = status_writer.StatusWriter(writer, self.answer_status)
             await handle(reader, writer)
 
         return serve
