Bound the characters of log lines that wait, not only their number

Callers could take 32 MB of a VM by long names: request ids of 16 KB stand in log lines, 2,000 of which wait while the reader of the logs is slow.

Cause: the queue of lines was bounded by their number.

Lines beyond that are dropped and counted, as before.

--- a/src/ruddergate/telemetry/line_writer.py
+++ b/src/ruddergate/telemetry/line_writer.py
@@ -12,8 +12,9 @@
 
 import orjson
 
-# Longest queue; a line takes about 300 bytes.
+# Longest queue; a line takes about 300 bytes, or as much as a caller's names.
 MAX_QUEUED_LINES = 2_000
+MAX_QUEUED_CHARACTERS = 2_000_000
 # Token bucket: lines per second on average, and lines in a burst. A VM at the
 # current sites logs about 40 lines per second in a burst, a tenth of this rate.
 LINES_PER_S = 400.0
@@ -35,6 +36,10 @@
         self.dropped = 0
         self._sink = sink
         self._queue: collections.deque[str] = collections.deque()
+        # Characters queued and taken from the queue, in total: each is changed
+        # by one thread only.
+        self._queued_characters = 0
+        self._taken_characters = 0
         self._wake = threading.Event()
         self._tokens = LINES_BURST
         self._refilled_at_s = time.monotonic()
@@ -44,10 +49,11 @@
 
     def write(self, line: str) -> None:
         """Queues a line, or drops it; never blocks."""
-        if len(self._queue) >= MAX_QUEUED_LINES or not self._take_token():
+        if not self._has_room(line) or not self._take_token():
             self.dropped += 1
             return
         self._queue.append(line)
+        self._queued_characters += len(line)
         self._wake.set()
 
     def flush(self) -> None:
@@ -57,6 +63,13 @@
             self._wake.set()
             time.sleep(0.005)
 
+    def _has_room(self, line: str) -> bool:
+        waiting = self._queued_characters - self._taken_characters
+        return (
+            len(self._queue) < MAX_QUEUED_LINES
+            and waiting + len(line) <= MAX_QUEUED_CHARACTERS
+        )
+
     def _take_token(self) -> bool:
         now_s = time.monotonic()
         earned = (now_s - self._refilled_at_s) * LINES_PER_S
@@ -74,6 +87,7 @@
             lines = []
             while self._queue:
                 lines.append(self._queue.popleft())
+                self._taken_characters += len(lines[-1])
             if self.dropped > self._reported_dropped:
                 lines.append(self._render_dropped())
             try:
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -7,6 +7,8 @@
 
 from ruddergate.telemetry import line_writer
 
+_MAX_CHARACTERS = 2_000_000
+
 
 class LineWriterTest(unittest.TestCase):
     def test_slow_reader_does_not_block_writers(self) -> None:
@@ -29,3 +31,15 @@
             writer.write(f"{number}\n")
         self.assertGreaterEqual(writer.dropped, 40)
         writer.flush()
+
+    def test_long_lines_are_bounded_together(self) -> None:
+        # Callers choose the names in lines, up to the length of a head.
+        read_end, write_end = os.pipe()
+        writer = line_writer.LineWriter(os.fdopen(write_end, "w"))
+        line = "x" * 16_000 + "\n"
+        count = 4 * _MAX_CHARACTERS // len(line)
+        for _ in range(count):
+            writer.write(line)
+        # As many as may wait are being written, and as many again wait.
+        self.assertGreaterEqual(writer.dropped, count // 4)
+        os.close(read_end)
