Move refusals of unread requests to a module of their own

Change: http/refusals.py has the refusals and writes them. Nothing else changes; the tests of connections, bodies, bad input and tasks pass as before.

--- a/src/ruddergate/http/request_reader.py
+++ b/src/ruddergate/http/request_reader.py
@@ -11,6 +11,7 @@
 from ruddergate.http import connections
 from ruddergate.http import message
 from ruddergate.http import parsing_rate
+from ruddergate.http import refusals
 
 _READ_BYTES = 1 << 16
 # Heads within both of these are not counted against the memory of connections.
@@ -20,31 +21,9 @@
 _HEAD_COPIES = 3
 # What the objects for one header line take beside its characters.
 _FIELD_BYTES = 600
-# When callers may come again; other VMs may serve them before.
-_MEMORY_RETRY_S = 1.0
-_PLACE_RETRY_S = 1.0
 _ABSOLUTE_FORM = re.compile(r"https?://([^/?]*)(.*)", re.IGNORECASE)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """A request that is refused before it is handled.
-
-    Attributes:
-        status: Status of the response.
-        detail: What is wrong.
-        reason: Machine-readable reason.
-        retry_after_s: When the caller may try again; None to say nothing.
-        is_partial: Whether bytes of the request may still arrive.
-    """
-
-    status: int
-    detail: str
-    reason: str = "bad_request"
-    retry_after_s: float | None = None
-    is_partial: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Collected:
     """A request that was read whole.
@@ -65,7 +44,7 @@
     body_bytes_max: int,
     read_timeout_ms: float,
     memory: body_memory.BodyMemory,
-) -> Collected | Refusal | None:
+) -> Collected | refusals.Refusal | None:
     """Reads a request, right after its first bytes arrived.
 
     Args:
@@ -89,12 +68,12 @@
             tracked.stop = lambda: scope.reschedule(0.0)
             head = await _read_head(reader, connection, tracked)
             if tracked.cause is not None:
-                return make_ended(tracked.cause)
+                return refusals.make_ended(tracked.cause)
             if not isinstance(head, h11.Request):
                 return head
             length = _read_length(head)
             if length is not None and length > body_bytes_max:
-                return _make_too_long()
+                return refusals.make_too_long()
             _hold_unread(tracked, connection, length)
             body = memory.open(
                 lambda: scope.reschedule(0.0),
@@ -103,57 +82,25 @@
             )
             found = await _gather(reader, connection, body, body_bytes_max)
     except TimeoutError:
-        found = Refusal(408, "the request arrived too slowly")
+        found = refusals.Refusal(408, "the request arrived too slowly")
     except h11.RemoteProtocolError as error:
-        found = Refusal(error.error_status_hint, f"malformed HTTP: {error}")
+        found = refusals.Refusal(
+            error.error_status_hint, f"malformed HTTP: {error}"
+        )
     finally:
         tracked.stop = tracked.writer.close
         if body is not None and not body.is_complete:
             body.close()
     if tracked.cause is not None:
-        return make_ended(tracked.cause)
+        return refusals.make_ended(tracked.cause)
     if body is not None and body.is_dropped:
-        return _make_no_memory(memory, body)
+        return refusals.make_no_memory(memory, body)
     if isinstance(found, bytes):
         reading_ms = (loop.time() - began_s) * 1000.0
         return Collected(_make_incoming(head, found, reading_ms), body)
     return found
 
 
-def _make_no_memory(
-    memory: body_memory.BodyMemory, body: body_memory.Body
-) -> Refusal:
-    return Refusal(
-        503,
-        "the bodies of all requests take too much memory",
-        "no_request_memory",
-        memory.find_wait_s(body.held_bytes),
-        is_partial=True,
-    )
-
-
-def make_ended(cause: connections.Cause) -> Refusal:
-    """Returns the refusal of a request whose connection is ended."""
-    if cause is connections.Cause.PLACE:
-        return Refusal(
-            503,
-            "too many connections",
-            "too_many_connections",
-            _PLACE_RETRY_S,
-        )
-    return Refusal(
-        503,
-        "what callers send takes too much memory",
-        "no_connection_memory",
-        _MEMORY_RETRY_S,
-        is_partial=True,
-    )
-
-
-def _make_too_long() -> Refusal:
-    return Refusal(413, "the body is too long", is_partial=True)
-
-
 def _read_length(head: h11.Request) -> int | None:
     """Returns the length of a request's body; None if it is chunked."""
     for name, value in head.headers:
@@ -183,7 +130,7 @@
     reader: asyncio.StreamReader,
     connection: h11.Connection,
     tracked: connections.Connection,
-) -> h11.Request | Refusal | None:
+) -> h11.Request | refusals.Refusal | None:
     event = connection.next_event()
     while event is h11.NEED_DATA:
         _hold_head(tracked, len(connection.trailing_data[0]), 0)
@@ -195,7 +142,7 @@
     _hold_head(tracked, size, len(event.headers))
     if event.method == b"CONNECT":
         # A success would turn the connection into a tunnel.
-        return Refusal(405, "CONNECT is not supported")
+        return refusals.Refusal(405, "CONNECT is not supported")
     return event
 
 
@@ -227,7 +174,7 @@
     connection: h11.Connection,
     body: body_memory.Body,
     body_bytes_max: int,
-) -> bytes | Refusal | None:
+) -> bytes | refusals.Refusal | None:
     """Returns the whole body, unless it is dropped or too long."""
     rate = parsing_rate.ParsingRate()
     while not body.is_dropped:
@@ -235,7 +182,7 @@
         if isinstance(event, h11.Data):
             body.append(event.data)
             if len(body) > body_bytes_max:
-                return _make_too_long()
+                return refusals.make_too_long()
         elif isinstance(event, h11.EndOfMessage):
             return None if body.is_dropped else body.take()
         else:
--- a/src/ruddergate/http/server.py
+++ b/src/ruddergate/http/server.py
@@ -14,12 +14,12 @@
 from typing import TypeAlias
 
 import h11
-import orjson
 
 from ruddergate import environment
 from ruddergate.http import body_memory
 from ruddergate.http import connections as open_connections
 from ruddergate.http import message
+from ruddergate.http import refusals
 from ruddergate.http import request_reader
 
 Handler: TypeAlias = Callable[
@@ -94,9 +94,9 @@
         reader: asyncio.StreamReader, tracked: open_connections.Connection
     ) -> None:
         if not opened.make_room(limits.connections_max):
-            await _reject(
+            await refusals.reject(
                 tracked.writer,
-                request_reader.make_ended(open_connections.Cause.PLACE),
+                refusals.make_ended(open_connections.Cause.PLACE),
             )
             return
         await _serve_connection(
@@ -371,36 +371,15 @@
 async def _refuse(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    refusal: request_reader.Refusal | None,
+    refusal: refusals.Refusal | None,
 ) -> None:
     """Answers a request that was not read whole, unless its caller has left."""
     if refusal is None:
         return
-    await _reject(writer, refusal)
+    await refusals.reject(writer, refusal)
     if not refusal.is_partial:
         return
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(_DISCARD_S):
             while await reader.read(_READ_BYTES):
                 pass
-
-
-async def _reject(
-    writer: asyncio.StreamWriter, refusal: request_reader.Refusal
-) -> None:
-    connection = h11.Connection(h11.SERVER)
-    body = orjson.dumps(
-        {"reason": refusal.reason, "ran": "not_run", "detail": refusal.detail}
-    )
-    headers = [
-        ("content-type", message.JSON_TYPE),
-        ("content-length", str(len(body))),
-        ("connection", "close"),
-    ]
-    if refusal.retry_after_s is not None:
-        seconds = math.ceil(refusal.retry_after_s)
-        headers.append(("retry-after", str(seconds)))
-    head = h11.Response(status_code=refusal.status, headers=headers)
-    sent = connection.send(head) + connection.send(h11.Data(data=body))
-    writer.write(sent + connection.send(h11.EndOfMessage()))
-    await writer.drain()
