Count bodies under way only while they are awaited

Callers of chunked bodies that had arrived whole got 503 no_connection_memory where many of them came at once, and a body that was complete as its connection was ended stayed counted for good.

Cause: what may wait of a body was counted before its bytes were looked at, and a complete body was not closed if its connection had been ended meanwhile.

Change: it is counted when reading has to wait, and an ended connection closes its body, complete or not.

--- a/src/ruddergate/http/request_reader.py
+++ b/src/ruddergate/http/request_reader.py
@@ -1,6 +1,7 @@
 """Reads requests of HTTP/1.1 connections."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import re
 
@@ -74,13 +75,18 @@
             length = _read_length(head)
             if length is not None and length > body_bytes_max:
                 return refusals.make_too_long()
-            _hold_unread(tracked, connection, length)
             body = memory.open(
                 lambda: scope.reschedule(0.0),
                 length or 0,
                 memory.clock() + read_s,
             )
-            found = await _gather(reader, connection, body, body_bytes_max)
+            found = await _gather(
+                reader,
+                connection,
+                body,
+                body_bytes_max,
+                lambda: _hold_unread(tracked, length),
+            )
     except TimeoutError:
         found = refusals.Refusal(408, "the request arrived too slowly")
     except h11.RemoteProtocolError as error:
@@ -89,7 +95,8 @@
         )
     finally:
         tracked.stop = tracked.writer.close
-        if body is not None and not body.is_complete:
+        is_ended = tracked.cause is not None
+        if body is not None and (is_ended or not body.is_complete):
             body.close()
     if tracked.cause is not None:
         return refusals.make_ended(tracked.cause)
@@ -115,14 +122,16 @@
     reader: asyncio.StreamReader,
     connection: h11.Connection,
     rate: parsing_rate.ParsingRate,
+    on_wait: Callable[[], None],
 ) -> object:
-    """Returns the next part of a request."""
+    """Returns the next part of a request; calls `on_wait` before reading."""
     while True:
         await rate.wait()
         event = connection.next_event()
         if event is not h11.NEED_DATA:
             rate.note_piece()
             return event
+        on_wait()
         connection.receive_data(await reader.read(_READ_BYTES))
 
 
@@ -156,16 +165,11 @@
     tracked.hold(connections.Part.HEAD, held)
 
 
-def _hold_unread(
-    tracked: connections.Connection,
-    connection: h11.Connection,
-    length: int | None,
-) -> None:
+def _hold_unread(tracked: connections.Connection, length: int | None) -> None:
     """Counts what may wait of a body that is read more slowly than it comes."""
     unread_bytes = environment.MAX_UNREAD_BYTES
     if length is not None:
-        missing_bytes = length - len(connection.trailing_data[0])
-        unread_bytes = max(0, min(unread_bytes, missing_bytes))
+        unread_bytes = min(unread_bytes, length)
     tracked.hold(connections.Part.AHEAD, unread_bytes)
 
 
@@ -174,11 +178,12 @@
     connection: h11.Connection,
     body: body_memory.Body,
     body_bytes_max: int,
+    on_wait: Callable[[], None],
 ) -> bytes | refusals.Refusal | None:
     """Returns the whole body, unless it is dropped or too long."""
     rate = parsing_rate.ParsingRate()
     while not body.is_dropped:
-        event = await _next_event(reader, connection, rate)
+        event = await _next_event(reader, connection, rate, on_wait)
         if isinstance(event, h11.Data):
             body.append(event.data)
             if len(body) > body_bytes_max:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from ruddergate import environment
+from ruddergate.http import body_memory
 from ruddergate.http import connections
 from ruddergate.http import message
 from ruddergate.http import server
@@ -27,6 +28,10 @@
     + b"".join(b"f%d: x\r\n" % number for number in range(1_000))
     + b"\r\n"
 )
+_CHUNKED_HEAD = (
+    b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+_CHUNKED_REST = b"4\r\nbody\r\n0\r\n\r\n"
 _LIMIT_BYTES = 1_000_000
 _ANSWER_S = 2.0
 _STAY_S = 1.0
@@ -37,6 +42,7 @@
 
     Attributes:
         connections: Its connections.
+        memory: Counts its bodies.
         causes: Why connections were ended, in order.
         peak_bytes: Most bytes that they held.
     """
@@ -45,6 +51,7 @@
         loop = asyncio.get_running_loop()
         self.causes: list[connections.Cause] = []
         self.peak_bytes = 0
+        self.memory = body_memory.BodyMemory(clock=loop.time)
         self.connections = connections.Connections(
             _LIMIT_BYTES,
             lambda ended: self.causes.append(ended.cause),
@@ -54,6 +61,7 @@
             self._handle,
             server.Limits(connections_max=connections_max),
             connections=self.connections,
+            memory=self.memory,
         )
 
     async def _handle(
@@ -110,6 +118,7 @@
             await asyncio.sleep(200.0)
             self.assertEqual(served.connections.held_bytes, 0)
             self.assertEqual(len(served.connections), 0)
+            self.assertEqual(served.memory.used_bytes, 0)
 
         virtual_process.run(run)
 
@@ -143,6 +152,32 @@
 
         self._run(scenario)
 
+    def test_bodies_under_way_are_bounded(self) -> None:
+        async def scenario(served: _Server, caller: _Caller) -> None:
+            opened = [await caller.open(_CHUNKED_HEAD) for _ in range(40)]
+            await asyncio.sleep(_STAY_S)
+            self.assertLessEqual(served.connections.held_bytes, _LIMIT_BYTES)
+            for _, writer in opened:
+                writer.write(_CHUNKED_REST)
+            answers = [await reader.read(10_000) for reader, _ in opened]
+            served_count = sum(b" 200 " in each for each in answers)
+            refused_count = sum(b" 503 " in each for each in answers)
+            self.assertGreater(served_count, 0)
+            self.assertEqual(served_count + refused_count, 40)
+            self.assertEqual(len(served.causes), refused_count)
+
+        self._run(scenario)
+
+    def test_whole_bodies_at_once_are_served(self) -> None:
+        async def scenario(served: _Server, caller: _Caller) -> None:
+            data = _CHUNKED_HEAD + _CHUNKED_REST
+            calls = [caller.fetch(data) for _ in range(40)]
+            for each in await asyncio.gather(*calls):
+                self.assertIn(b"200", each[:20])
+            self.assertEqual(served.causes, [])
+
+        self._run(scenario)
+
     def test_large_head_is_served_in_calm(self) -> None:
         async def scenario(served: _Server, caller: _Caller) -> None:
             served.connections.limit_bytes = 1
