Show that a planned stop ends by itself beside a crowd

Cause: no test stopped a gateway while callers that read nothing, or send nothing whole, stay connected.

Change: a test with 200 connections that send ahead: the process ends with status 0, within the memory bound.

--- a/standins/caller_crowds.py
+++ b/standins/caller_crowds.py
@@ -126,6 +126,25 @@
         return memory_bytes
 
 
+async def play_stop(crowd: Crowd, machine: Machine) -> tuple[int, int]:
+    """Stops a gateway beside a crowd.
+
+    Returns:
+        Its exit status, and the most memory that it took.
+    """
+    platform = await single_gateway.start_platform()
+    async with single_gateway.run_gateway(
+        platform.store_port, machine.make_flags()
+    ) as process:
+        samples = _Samples(process)
+        sampling = asyncio.ensure_future(samples.run())
+        with contextlib.ExitStack() as stack:
+            await _send_all(crowd, process, stack)
+            status = await process.stop()
+        sampling.cancel()
+    return status, samples.memory_bytes
+
+
 async def play(crowd: Crowd, machine: Machine) -> Measured:
     """Plays a crowd against a gateway of its own."""
     platform = await single_gateway.start_platform()
@@ -134,15 +153,8 @@
     ) as process:
         samples = _Samples(process)
         sampling = asyncio.ensure_future(samples.run())
-        numbers = itertools.count()
         with contextlib.ExitStack() as stack:
-            port = crowd.find_port(process.ports)
-            await asyncio.gather(
-                *(
-                    _send_ahead(crowd, port, numbers, stack)
-                    for _ in range(crowd.connections)
-                )
-            )
+            await _send_all(crowd, process, stack)
             await asyncio.sleep(_STAY_S)
             beside = await _send_ordinary(process.ports.callers)
         after = await _send_ordinary(process.ports.callers)
@@ -158,6 +170,22 @@
     )
 
 
+async def _send_all(
+    crowd: Crowd,
+    process: single_gateway.GatewayProcess,
+    stack: contextlib.ExitStack,
+) -> None:
+    """Sends all that a crowd sends; its connections close with the stack."""
+    numbers = itertools.count()
+    port = crowd.find_port(process.ports)
+    await asyncio.gather(
+        *(
+            _send_ahead(crowd, port, numbers, stack)
+            for _ in range(crowd.connections)
+        )
+    )
+
+
 async def _send_ahead(
     crowd: Crowd,
     port: int,
--- a/standins/single_gateway.py
+++ b/standins/single_gateway.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
@@ -71,10 +73,12 @@
     Attributes:
         process_id: Its process id.
         ports: Where it listens.
+        stop: Stops it gracefully; returns its exit status.
     """
 
     process_id: int
     ports: Ports
+    stop: Callable[[], Awaitable[int]]
 
 
 async def start_platform() -> Platform:
@@ -144,7 +148,9 @@
             await gateways.wait_until_listening()
             await _wait_until_ready(ports[1])
             process_id = gateways.list_process_ids()[0]
-            yield GatewayProcess(process_id, Ports(*ports))
+            yield GatewayProcess(
+                process_id, Ports(*ports), lambda: gateways.terminate(0)
+            )
         finally:
             await gateways.kill_all()
 
--- a/standins/soak_gateways.py
+++ b/standins/soak_gateways.py
@@ -101,6 +101,11 @@
         """Stops a gateway gracefully and starts it again."""
         await self._restart(number, signal.SIGTERM)
 
+    async def terminate(self, number: int) -> int:
+        """Stops a gateway gracefully; returns its exit status."""
+        _signal(self._processes[number], signal.SIGTERM)
+        return await self._processes[number].wait()
+
     def record_interruption(
         self, number: int, *, is_planned: bool = False
     ) -> None:
--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -72,3 +72,12 @@
 
     def test_silent_connections_that_take_all_places(self) -> None:
         self._check("silent connections", caller_crowds.FEW_PLACES)
+
+    def test_stop_ends_by_itself_beside_a_crowd(self) -> None:
+        limits = caller_crowds.Machine()
+        crowd = caller_crowds.make_kinds()["many connections"]
+        status, memory_bytes = asyncio.run(
+            caller_crowds.play_stop(crowd, limits)
+        )
+        self.assertEqual(status, 0)
+        self.assertLessEqual(memory_bytes, limits.memory_bytes)
