Bound the connections to the port for peers

Callers could not connect to a VM whose descriptors strangers had taken at its port for peers: each connection there is closed after 0.5 s without a request, and any number of them could be opened within that time.

Cause: only connections that are carried were counted against a limit.

Change: beyond twice as many as are carried (384), new ones are closed at once, which counts and logs as a rejected one.

Evidence: of 600 connections of a stranger, all were open at once before in the new test, now 384.

It holds since VMs of a fleet open such connections only for requests that they carry, and no more than 192 of those are accepted.

--- a/src/ruddergate/entry/detour_server.py
+++ b/src/ruddergate/entry/detour_server.py
@@ -29,6 +29,9 @@
 # this, they are dropped.
 MAX_TRAVEL_MS = 250.0
 _READ_BYTES = 65_536
+# Connections at once, with those that have not sent a valid request yet: twice
+# as many as are carried.
+MAX_OPEN = 2 * carriers.MAX_CARRIED
 
 
 class DetourServer:
@@ -86,6 +89,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection of a peer."""
+        if self.carried >= MAX_OPEN:
+            self._log_rejected(f"{self.carried} are open")
+            writer.close()
+            return
         self.carried += 1
         try:
             with contextlib.closing(writer):
