Share the start of a sampled gateway between plays of crowds

Cause: two plays began with the same lines.

Change: one context starts the gateway and samples what it takes. Crowds and bounds are unchanged.

--- a/standins/caller_crowds.py
+++ b/standins/caller_crowds.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -126,39 +127,42 @@
         return memory_bytes
 
 
-async def play_stop(crowd: Crowd, machine: Machine) -> tuple[int, int]:
-    """Stops a gateway beside a crowd.
-
-    Returns:
-        Its exit status, and the most memory that it took.
-    """
+@contextlib.asynccontextmanager
+async def _start_sampled(
+    machine: Machine,
+) -> AsyncIterator[tuple[single_gateway.GatewayProcess, _Samples]]:
+    """Runs a gateway on a machine, and samples what it takes."""
     platform = await single_gateway.start_platform()
     async with single_gateway.run_gateway(
         platform.store_port, machine.make_flags()
     ) as process:
         samples = _Samples(process)
         sampling = asyncio.ensure_future(samples.run())
+        yield process, samples
+        sampling.cancel()
+
+
+async def play_stop(crowd: Crowd, machine: Machine) -> tuple[int, int]:
+    """Stops a gateway beside a crowd.
+
+    Returns:
+        Its exit status, and the most memory that it took.
+    """
+    async with _start_sampled(machine) as (process, samples):
         with contextlib.ExitStack() as stack:
             await _send_all(crowd, process, stack)
             status = await process.stop()
-        sampling.cancel()
     return status, samples.memory_bytes
 
 
 async def play(crowd: Crowd, machine: Machine) -> Measured:
     """Plays a crowd against a gateway of its own."""
-    platform = await single_gateway.start_platform()
-    async with single_gateway.run_gateway(
-        platform.store_port, machine.make_flags()
-    ) as process:
-        samples = _Samples(process)
-        sampling = asyncio.ensure_future(samples.run())
+    async with _start_sampled(machine) as (process, samples):
         with contextlib.ExitStack() as stack:
             await _send_all(crowd, process, stack)
             await asyncio.sleep(_STAY_S)
             beside = await _send_ordinary(process.ports.callers)
         after = await _send_ordinary(process.ports.callers)
-        sampling.cancel()
         left_bytes = samples.take()
         is_running = single_gateway.read_private_bytes(process.process_id) > 0
     return Measured(
