Let idle connections to the readiness and metrics pages give way

Change: idle ones give way there, the longest idle first. Connections of callers keep theirs.

It holds since a check is answered at once: a connection to a page is idle whenever it is not arriving.

--- a/src/ruddergate/entry/gateway.py
+++ b/src/ruddergate/entry/gateway.py
@@ -521,7 +521,9 @@
             self._config.limits, connections_max=_PAGE_CONNECTIONS_MAX
         )
         opened = http_server.Connections(
-            _PAGE_CONNECTIONS_BYTES, self._ended_connections.note
+            _PAGE_CONNECTIONS_BYTES,
+            self._ended_connections.note,
+            keeps_idle=False,
         )
         handler = http_server.make_stream_handler(
             handle, limits, connections=opened
--- a/src/ruddergate/http/connections.py
+++ b/src/ruddergate/http/connections.py
@@ -45,6 +45,8 @@
         limit_bytes: Memory that all connections together may hold.
         on_end: Called with each connection that is ended for a limit.
         clock: Returns the time in seconds.
+        keeps_idle: Whether connections that had an answer keep their places
+            while they are idle.
 
     Attributes:
         limit_bytes: The same.
@@ -56,11 +58,13 @@
         limit_bytes: float = DEFAULT_LIMIT_BYTES,
         on_end: Callable[["Connection"], None] = lambda connection: None,
         clock: Callable[[], float] = time.monotonic,
+        keeps_idle: bool = True,
     ) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.clock = clock
         self._on_end = on_end
+        self._keeps_idle = keeps_idle
         # In the order in which they were opened.
         self._open: dict[Connection, None] = {}
         self._idle: set[Connection] = set()
@@ -109,7 +113,7 @@
         """Applies the state of a connection that has changed."""
         _set_member(self._idle, connection, connection.is_idle)
         if (
-            connection.is_proven
+            (connection.is_proven and self._keeps_idle)
             or connection.is_handled
             or connection.cause is not None
         ):
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -47,7 +47,7 @@
         peak_bytes: Most bytes that they held.
     """
 
-    def __init__(self, connections_max: int) -> None:
+    def __init__(self, connections_max: int, keeps_idle: bool) -> None:
         loop = asyncio.get_running_loop()
         self.causes: list[connections.Cause] = []
         self.peak_bytes = 0
@@ -56,6 +56,7 @@
             _LIMIT_BYTES,
             lambda ended: self.causes.append(ended.cause),
             loop.time,
+            keeps_idle,
         )
         self.handler = server.make_stream_handler(
             self._handle,
@@ -101,6 +102,7 @@
         self,
         scenario: Callable[[_Server, _Caller], Awaitable[None]],
         connections_max: int = 100,
+        keeps_idle: bool = True,
     ) -> None:
         async def run() -> None:
             network = virtual_network.VirtualNetwork(
@@ -108,7 +110,7 @@
             )
             vm = virtual_process.VirtualProcess("vm-1", "h")
             env = network.make_environment(vm, 1)
-            served = _Server(connections_max)
+            served = _Server(connections_max, keeps_idle)
             await vm.start(lambda: env.serve(served.handler, _ADDRESS))
             process = virtual_process.VirtualProcess("caller", "")
             caller = _Caller(network.make_environment(process, 1))
@@ -293,3 +295,13 @@
             self.assertIn(b"200", (await answered)[:20])
 
         self._run(scenario, connections_max=1)
+
+    def test_idle_connections_to_pages_give_way(self) -> None:
+        # A balancer that leaves its connections open is still answered.
+        async def scenario(served: _Server, caller: _Caller) -> None:
+            for _ in range(20):
+                reader, _ = await caller.open(_REQUEST)
+                self.assertIn(b"200", (await reader.read(10_000))[:20])
+                await asyncio.sleep(_STAY_S)
+
+        self._run(scenario, connections_max=4, keeps_idle=False)
